--- /dev/null
+++ b/crates/adapter/src/settings.rs
@@ -0,0 +1,147 @@
+//! The settings as the wire words them.
+
+use lynxstair::types::{Group, LoadField, Operation, Plan, Repeat, Settings, Span, ZoneId};
+use serde::Deserialize;
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+struct Wire {
+    balancers: u32,
+    classes: Vec<Class>,
+    family_info: FamilyInfo,
+    limits: Limits,
+    load_report: LoadReport,
+    me: u32,
+    my_zone: u16,
+    packages: Vec<Package>,
+    registry_mode: String,
+    rules: Rules,
+    step: u64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+struct Class {
+    on_time: u64,
+    deadline: u64,
+    idempotency: String,
+    group: String,
+    window: u64,
+    late_worth: f32,
+    points: f32,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+struct FamilyInfo {
+    may_count: bool,
+    meter_period: u64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+struct Limits {
+    cancel: bool,
+    max_attempts: u32,
+    max_retry_after: u64,
+    probes: bool,
+    retry_after: bool,
+    second_copies: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+struct LoadReport {
+    fields: Vec<String>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+struct Rules {
+    must_ask_in: u64,
+    start_capacity: f64,
+    warm_within: u64,
+    fall: u64,
+    fall_multiple: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+struct Package {
+    depth: f64,
+    ceiling_burst: f64,
+    hard_rate: f64,
+    open: u32,
+    beyond_costs: f64,
+    beyond_earns: f64,
+    pays: f64,
+    refill: f64,
+}
+
+pub fn read(text: &[u8]) -> Result<Settings, String> {
+    let wire: Wire = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let operations = wire.classes.iter().map(operation).collect();
+    let plans = wire.packages.iter().map(plan).collect();
+    let fields = wire.load_report.fields.iter();
+    let load = fields.map(|f| match f.as_str() {
+        "active" => LoadField::Inflight,
+        "waiting" => LoadField::Queue,
+        "avg_ms" => LoadField::LatencyMs,
+        _ => LoadField::Other,
+    });
+    Ok(Settings {
+        me: wire.me,
+        gatekeepers: wire.balancers,
+        zone: ZoneId(wire.my_zone),
+        step: Span::from_nanos(wire.step),
+        operations,
+        plans,
+        counter: wire.family_info.may_count,
+        meter_period: Span::from_nanos(wire.family_info.meter_period),
+        list_is_asked: wire.registry_mode == "ask",
+        must_ask_in: Span::from_nanos(wire.rules.must_ask_in),
+        probes: wire.limits.probes,
+        cancel: wire.limits.cancel,
+        retry_after: wire.limits.retry_after,
+        max_retry_after: Span::from_nanos(wire.limits.max_retry_after),
+        second_copies: wire.limits.second_copies,
+        max_deliveries: wire.limits.max_attempts,
+        start_share: wire.rules.start_capacity,
+        warm_within: Span::from_nanos(wire.rules.warm_within),
+        fall: Span::from_nanos(wire.rules.fall),
+        fall_multiple: wire.rules.fall_multiple,
+        load: load.collect(),
+    })
+}
+
+fn operation(class: &Class) -> Operation {
+    let window = Span::from_nanos(class.window);
+    let repeat = match (class.idempotency.as_str(), class.group.as_str()) {
+        ("retryable", _) => Repeat::Idempotent,
+        ("dedup", "all") => Repeat::Tokened(Group::All, window),
+        ("dedup", "zone") => Repeat::Tokened(Group::Zone, window),
+        ("dedup", "cell") => Repeat::Tokened(Group::Cell, window),
+        // What is not known to bear a repeat gets none.
+        _ => Repeat::NonIdempotent,
+    };
+    Operation {
+        latency_objective: Span::from_nanos(class.on_time),
+        integration_timeout: Span::from_nanos(class.deadline),
+        late_share: class.late_worth,
+        billed_value: class.points,
+        repeat,
+    }
+}
+
+fn plan(package: &Package) -> Plan {
+    Plan {
+        rate: package.refill,
+        burst: package.depth,
+        open: package.open,
+        price: package.pays,
+        beyond_costs: package.beyond_costs,
+        beyond_earns: package.beyond_earns,
+        ceiling_rate: package.hard_rate,
+        ceiling_burst: package.ceiling_burst,
+    }
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,761 @@
+//! The decisions of one gatekeeper.
+//!
+//! A front calls the methods of [`Gatekeeper`] with what it hears; each answers at once through the
+//! [`Port`] it is handed (src/port.rs). What is remembered is in src/state.rs. Nothing here knows a
+//! protocol, a deployment or another instance. docs/design.md says what is kept of the design page,
+//! what was added, and when each exception acts.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::port::Port;
+use crate::rng::Rng;
+use crate::state::{
+    Customer, Delivery, DeliveryKey, Figures, Instance, Invocation, OperationFigures, PlanFigures, Shared,
+    Stage, Worker,
+};
+use crate::types::{
+    Arrival, CountName, CustomerId, DeliveryNo, Ended, Group, InvId, Listed, Outcome, Phase, Plan, Repeat,
+    Scope, Settings, Span, Time, TimerTag, WorkerId,
+};
+
+/// How often a customer's use is reported (design page).
+const ROUND: Span = Span::from_millis(1000);
+/// A window is several rounds long, as in the paper.
+const WINDOW_ROUNDS: f64 = 10.0;
+/// The longest that a count may be kept.
+const LONGEST_KEPT: Span = Span::from_millis(60_000);
+/// How long a guess at the others' use stands without a new total; then the bucket gets its even part.
+const GUESS_STANDS: Span = Span::from_millis(3000);
+/// A customer not heard of for this long is dropped once its bucket is full.
+const IDLE: Span = Span::from_millis(20_000);
+/// Of a latency objective: an answer slower than this cuts a worker's limit, one faster than the
+/// other lets it grow.
+const TOO_SLOW: f64 = 0.7;
+const FAST_ENOUGH: f64 = 0.4;
+const FIRST_LIMIT: f64 = 8.0;
+/// Further deliveries that one invocation pays for, and the most that can be saved up.
+const SPARE_EACH: f64 = 0.1;
+const SPARE_MOST: f64 = 10.0;
+/// How long a worker is avoided after a failure; doubled with each in a row, to the most.
+const AVOID: Span = Span::from_millis(500);
+const AVOID_MOST: f64 = 8.0;
+/// Silence of this many usual latencies speaks against a worker.
+const SILENT: f64 = 4.0;
+/// A second copy goes out after this many usual latencies.
+const COPY_AFTER: f64 = 3.0;
+/// The weight of a new sample in a running mean.
+const FRESH: f64 = 0.1;
+/// The time over which the rate of sending is reckoned.
+const RATE_OVER: f64 = 2.0;
+
+const TAG_DELIVERY: u64 = 1;
+const TAG_REPORT: u64 = 2;
+const TAG_WORKER: u64 = 3;
+const TAG_SUBSCRIBE: u64 = 4;
+
+fn tag(kind: u64, value: u64) -> TimerTag {
+    TimerTag(kind << 56 | value)
+}
+
+pub struct Gatekeeper {
+    figures: Figures,
+    rng: Rng,
+    instance: Instance,
+    workers: BTreeMap<WorkerId, Worker>,
+    customers: BTreeMap<CustomerId, Customer>,
+    invocations: HashMap<InvId, Invocation>,
+    deliveries: HashMap<DeliveryKey, Delivery>,
+}
+
+fn derive(s: &Settings) -> Figures {
+    let positive = |x: f64| if x.is_finite() { x.max(0.0) } else { 0.0 };
+    let plan = |p: &Plan| {
+        let (rate, burst) = (positive(p.rate), positive(p.burst));
+        let fill = Span::from_secs(if rate > 0.0 { burst / rate } else { 0.0 });
+        let window = fill.max(ROUND.times(WINDOW_ROUNDS)).min(LONGEST_KEPT.times(0.5));
+        PlanFigures {
+            rate: Some(rate).filter(|r| *r > 0.0),
+            burst,
+            open: p.open,
+            ceiling_rate: positive(p.ceiling_rate),
+            ceiling_burst: positive(p.ceiling_burst),
+            window,
+            allowance: burst + rate * window.secs(),
+            keep: (window.times(2.0)).min(LONGEST_KEPT),
+        }
+    };
+    Figures {
+        gatekeepers: f64::from(s.gatekeepers.max(1)),
+        zone: s.zone,
+        margin: s.step.times(2.0) + Span::from_millis(2),
+        operations: s
+            .operations
+            .iter()
+            .map(|o| OperationFigures {
+                objective: o.latency_objective,
+                late_pays: o.late_share > 0.0,
+                repeat: o.repeat,
+            })
+            .collect(),
+        plans: s.plans.iter().map(plan).collect(),
+        counter: s.counter,
+        probes: s.probes,
+        cancel: s.cancel,
+        retry_after: Some(s.max_retry_after).filter(|_| s.retry_after),
+        second_copies: s.second_copies,
+        max_deliveries: s.max_deliveries.max(1),
+        start_share: s.start_share.clamp(0.01, 1.0),
+        warm_within: s.warm_within,
+        retry_subscription: s.must_ask_in.times(0.1).max(Span::from_millis(200)),
+    }
+}
+
+impl Gatekeeper {
+    pub fn start(now: Time, seed: u64, settings: &Settings, port: &mut impl Port) -> Self {
+        if settings.list_is_asked {
+            port.subscribe();
+        }
+        let figures = derive(settings);
+        let usual = figures.operations.iter().map(|o| o.objective.secs() * 0.2).collect();
+        Gatekeeper {
+            figures,
+            rng: Rng::new(seed),
+            instance: Instance { spare: SPARE_MOST, send_rate: 0.0, sent_at: now, swept_at: now, usual },
+            workers: BTreeMap::new(),
+            customers: BTreeMap::new(),
+            invocations: HashMap::new(),
+            deliveries: HashMap::new(),
+        }
+    }
+
+    // ---- the ordinary path ----
+
+    pub fn invoke(&mut self, now: Time, arrival: &Arrival, port: &mut impl Port) {
+        let inv = arrival.inv;
+        let (Some(_), Some(_)) = (
+            self.figures.operations.get(arrival.operation.0 as usize),
+            self.figures.plans.get(arrival.plan.0 as usize),
+        ) else {
+            return port.error(inv);
+        };
+        self.sweep(now);
+        let units =
+            if arrival.units.is_finite() && arrival.units >= 0.0 { f64::from(arrival.units) } else { 1.0 };
+
+        // The quota: the window's throttle, then the local bucket, then the guards.
+        self.reckon(now, arrival);
+        self.ask_for_report(arrival.customer, port);
+        if let Err(wait) = self.admits(now, arrival, units) {
+            return port.throttle(inv, self.advice(wait));
+        }
+
+        // The worker: none free means that the fleet is full, and one more would only be late.
+        let mut invocation = Invocation {
+            stage: Stage::Taken,
+            operation: arrival.operation,
+            customer: arrival.customer,
+            units,
+            arrived_at: now,
+            valid_until: arrival.valid_until,
+            deliveries: 0,
+            tried: Vec::new(),
+            unproven: 0,
+            may_have_run: None,
+        };
+        if now + self.figures.margin >= arrival.valid_until {
+            return port.throttle(inv, None);
+        }
+        let Some(worker) = self.pick(now, &invocation) else {
+            return port.throttle(inv, self.advice(ROUND));
+        };
+
+        // The charge, then the delivery.
+        let customer = self.customers.get_mut(&arrival.customer).expect("reckoned above");
+        customer.tokens -= units;
+        customer.ceiling -= units;
+        customer.unreported += units;
+        self.instance.spare = (self.instance.spare + SPARE_EACH).min(SPARE_MOST);
+        self.deliver(now, inv, &mut invocation, worker, port);
+        self.invocations.insert(inv, invocation);
+    }
+
+    /// Whether the customer may go on; else when it should come back.
+    fn admits(&self, now: Time, arrival: &Arrival, units: f64) -> Result<(), Span> {
+        let customer = &self.customers[&arrival.customer];
+        let plan = &self.figures.plans[arrival.plan.0 as usize];
+        if now < customer.throttled_until {
+            return Err(ROUND);
+        }
+        if let Some(rate) = plan.rate
+            && customer.tokens < units
+        {
+            return Err(Span::from_secs((units - customer.tokens) / rate));
+        }
+        // Ceilings hold without agreement: each gatekeeper spends its even part only.
+        if plan.ceiling_rate > 0.0 && customer.ceiling < units {
+            return Err(Span::from_secs((units - customer.ceiling) * customer.spread / plan.ceiling_rate));
+        }
+        if plan.open > 0 && f64::from(customer.out) >= (f64::from(plan.open) / customer.spread).ceil() {
+            return Err(ROUND);
+        }
+        Ok(())
+    }
+
+    fn advice(&self, wait: Span) -> Option<Span> {
+        self.figures.retry_after.map(|most| wait.min(most).max(Span::from_millis(1)))
+    }
+
+    // ---- quotas ----
+
+    /// Brings a customer's stores up to now; makes them for one that is new.
+    fn reckon(&mut self, now: Time, arrival: &Arrival) {
+        let plan = &self.figures.plans[arrival.plan.0 as usize];
+        let spread = if arrival.spread.is_finite() && arrival.spread >= 1.0 {
+            f64::from(arrival.spread).min(self.figures.gatekeepers)
+        } else {
+            self.figures.gatekeepers
+        };
+        let customer = self.customers.entry(arrival.customer).or_insert_with(|| Customer {
+            plan: arrival.plan,
+            spread,
+            tokens: plan.burst,
+            reckoned_at: now,
+            // Empty at first, so that a restart never fills it.
+            ceiling: 0.0,
+            out: 0,
+            seen_at: now,
+            unreported: 0.0,
+            report_due: false,
+            shared: Shared { window: 0, total: 0.0, lost: 0.0, in_call: None, unsure: 0.0 },
+            others_rate: 0.0,
+            guessed: 0.0,
+            told_at: now,
+            throttled_until: now,
+        });
+        customer.plan = arrival.plan;
+        customer.spread = customer.spread.max(spread);
+        customer.seen_at = now;
+        refill(customer, plan, now);
+    }
+
+    /// A customer's use is reported one round after there is something to say.
+    fn ask_for_report(&mut self, id: CustomerId, port: &mut impl Port) {
+        let customer = self.customers.get_mut(&id).expect("reckoned above");
+        let has_rate = self.figures.plans[customer.plan.0 as usize].rate.is_some();
+        if self.figures.counter && has_rate && customer.spread > 1.0 && !customer.report_due {
+            customer.report_due = true;
+            port.set_timer(ROUND, tag(TAG_REPORT, id.0));
+        }
+    }
+
+    fn report(&mut self, now: Time, id: CustomerId, port: &mut impl Port) {
+        let Some(customer) = self.customers.get_mut(&id) else { return };
+        let plan = &self.figures.plans[customer.plan.0 as usize];
+        customer.report_due = false;
+        if customer.shared.in_call.is_some() {
+            return self.ask_for_report(id, port);
+        }
+        refill(customer, plan, now);
+        let window = now.periods(plan.window);
+        if customer.shared.window != window {
+            customer.shared = Shared { window, total: 0.0, lost: 0.0, in_call: None, unsure: 0.0 };
+            // What was guessed for the time before the window stays charged.
+            let begun = now - Time::from_nanos(window * plan.window.nanos());
+            customer.guessed = customer.guessed.min(customer.others_rate * begun.secs());
+            customer.told_at = customer.told_at.max(now.saturating_sub(begun));
+        }
+        let amount = customer.unreported;
+        customer.unreported = 0.0;
+        customer.shared.in_call = Some(amount);
+        port.add_to_count(count_name(id, window), plan.keep, amount as f32);
+    }
+
+    pub fn counted(
+        &mut self,
+        now: Time,
+        name: CountName,
+        outcome: Outcome,
+        total: f32,
+        _port: &mut impl Port,
+    ) {
+        let id = CustomerId(name.0 & CUSTOMER_BITS);
+        let Some(customer) = self.customers.get_mut(&id) else { return };
+        if name != count_name(id, customer.shared.window) {
+            return;
+        }
+        let Some(amount) = customer.shared.in_call.take() else { return };
+        let plan = &self.figures.plans[customer.plan.0 as usize];
+        match outcome {
+            Outcome::Succeeded if total.is_finite() => {
+                refill(customer, plan, now);
+                hear_total(customer, plan, now, f64::from(total), amount);
+            }
+            // Known not to be added: it goes with the next report.
+            Outcome::Full | Outcome::ConnectFailed => customer.unreported += amount,
+            // Perhaps added. Counted twice it would throttle a customer inside its quota; not
+            // counted, a little more is let through: the next total tells which.
+            _ => customer.shared.unsure += amount,
+        }
+    }
+
+    // ---- workers ----
+
+    /// Two drawn at random; the one that this gatekeeper's own counts favour.
+    fn pick(&mut self, now: Time, invocation: &Invocation) -> Option<WorkerId> {
+        let silent = self.silence();
+        let mut healthy = Vec::new();
+        let mut doubtful = Vec::new();
+        let mut any_healthy = false;
+        for (&id, w) in &mut self.workers {
+            if w.draining || invocation.tried.contains(&id) || !in_group(&self.figures, invocation, w, now) {
+                continue;
+            }
+            let is_healthy = now >= w.avoid_until && (w.out == 0 || now - w.quiet_since < silent);
+            any_healthy |= is_healthy;
+            if f64::from(w.out) >= w.limit.max(1.0) {
+                continue;
+            }
+            if !has_cold_budget(&self.figures, w, now) {
+                continue;
+            }
+            if is_healthy { &mut healthy } else { &mut doubtful }.push(id);
+        }
+        // Where every worker is in doubt, the doubt is more likely about the way there.
+        let open = if any_healthy { healthy } else { doubtful };
+        if open.is_empty() {
+            return None;
+        }
+        let a = open[self.rng.below(open.len())];
+        let b = open[self.rng.below(open.len())];
+        Some(if self.cost(now, b) < self.cost(now, a) { b } else { a })
+    }
+
+    fn cost(&self, now: Time, id: WorkerId) -> f64 {
+        let w = &self.workers[&id];
+        f64::from(w.out + 1) * w.slowness / (w.heft * warmth(&self.figures, w, now))
+    }
+
+    fn silence(&self) -> Span {
+        let usual = self.instance.usual.iter().copied().fold(0.0, f64::max);
+        Span::from_secs(usual * SILENT)
+    }
+
+    fn deliver(&mut self, now: Time, inv: InvId, i: &mut Invocation, id: WorkerId, port: &mut impl Port) {
+        let w = self.workers.get_mut(&id).expect("picked from these");
+        if w.out == 0 {
+            w.quiet_since = now;
+        }
+        w.out += 1;
+        w.cold_budget -= 1.0;
+        let is_copy = i.stage == Stage::Out;
+        let no = DeliveryNo(i.deliveries as u8);
+        let delivery =
+            Delivery { worker: id, sent_at: now, operation: i.operation, customer: i.customer, is_copy };
+        self.deliveries.insert((inv, no), delivery);
+        i.deliveries += 1;
+        i.tried.push(id);
+        i.unproven += 1;
+        i.may_have_run.get_or_insert((now, w.zone, w.cell));
+        step(i, if is_copy { Stage::Doubled } else { Stage::Out });
+        if let Some(c) = self.customers.get_mut(&i.customer) {
+            c.out += 1;
+        }
+        self.note_sent(now);
+        port.deliver(inv, id, i.valid_until.saturating_sub(self.figures.margin));
+        let usual = Span::from_secs(self.instance.usual[i.operation.0 as usize] * COPY_AFTER);
+        let objective = self.figures.operations[i.operation.0 as usize].objective;
+        let check = usual.max(objective.times(0.2)).min(objective.times(0.6));
+        if self.figures.operations[i.operation.0 as usize].repeat != Repeat::NonIdempotent {
+            port.set_timer(check, tag(TAG_DELIVERY, u64::from(inv.0) << 8 | u64::from(no.0)));
+        }
+    }
+
+    /// Keeps the rate of sending, and shares it out to the cold workers by what they can do now.
+    fn note_sent(&mut self, now: Time) {
+        let gap = (now - self.instance.sent_at).secs();
+        self.instance.sent_at = now;
+        self.instance.send_rate = self.instance.send_rate * (-gap / RATE_OVER).exp() + 1.0 / RATE_OVER;
+        let figures = &self.figures;
+        let able: f64 = self.workers.values().map(|w| w.heft * warmth(figures, w, now)).sum();
+        let share = self.instance.send_rate / able.max(1e-9);
+        for w in self.workers.values_mut().filter(|w| w.started_at.is_some()) {
+            let able = w.heft * warmth(figures, w, now);
+            w.cold_budget = (w.cold_budget + share * able * (now - w.cold_at).secs()).min(2.0);
+            w.cold_at = now;
+        }
+    }
+
+    // ---- what becomes of deliveries ----
+
+    pub fn delivery_ended(&mut self, now: Time, e: &Ended, port: &mut impl Port) {
+        let Some(delivery) = self.deliveries.remove(&(e.inv, e.no)) else { return };
+        self.learn(now, e, &delivery, port);
+        if let Some(customer) = self.customers.get_mut(&delivery.customer) {
+            customer.out = customer.out.saturating_sub(1);
+        }
+        let Some(mut i) = self.invocations.remove(&e.inv) else { return };
+        if let Some(actual) = e.actual.filter(|_| e.outcome == Outcome::Succeeded)
+            && let Some(customer) = self.customers.get_mut(&i.customer)
+        {
+            let more = f64::from(actual) - i.units;
+            customer.tokens -= more;
+            customer.unreported += more;
+        }
+        if e.outcome.never_ran() {
+            i.unproven -= 1;
+            if i.unproven == 0 {
+                i.may_have_run = None;
+            }
+        }
+        if e.last || e.outcome == Outcome::Succeeded {
+            step(&mut i, Stage::Answered);
+            return self.cancel_rest(e.inv, &i, port);
+        }
+        if i.stage == Stage::Doubled {
+            step(&mut i, Stage::Out);
+            self.invocations.insert(e.inv, i);
+            return;
+        }
+        if i.stage == Stage::Streaming {
+            self.invocations.insert(e.inv, i);
+            return;
+        }
+        step(&mut i, Stage::Taken);
+        self.go_on(now, e.inv, i, e.outcome, port);
+    }
+
+    /// Nothing is out: another delivery, or the final answer at once.
+    fn go_on(&mut self, now: Time, inv: InvId, mut i: Invocation, outcome: Outcome, port: &mut impl Port) {
+        let operation = &self.figures.operations[i.operation.0 as usize];
+        let repeat = operation.repeat;
+        let may_repeat = match repeat {
+            Repeat::NonIdempotent => i.may_have_run.is_none(),
+            _ => true,
+        };
+        let usual = Span::from_secs(self.instance.usual[i.operation.0 as usize]);
+        let useful_until = if operation.late_pays {
+            i.valid_until
+        } else {
+            i.valid_until.min(i.arrived_at + operation.objective)
+        };
+        let in_time = now + usual < useful_until && now + self.figures.margin < i.valid_until;
+        let tries_left = i.deliveries < self.figures.max_deliveries && outcome != Outcome::Moot;
+        if may_repeat && in_time && tries_left && self.instance.spare >= 1.0 {
+            if let Some(worker) = self.pick(now, &i) {
+                self.instance.spare -= 1.0;
+                self.deliver(now, inv, &mut i, worker, port);
+                self.invocations.insert(inv, i);
+                return;
+            }
+        }
+        let harmless =
+            i.may_have_run.is_none() || matches!(repeat, Repeat::Idempotent | Repeat::Tokened(Group::All, _));
+        step(&mut i, Stage::Answered);
+        if harmless {
+            port.throttle(inv, self.advice(ROUND));
+        } else {
+            port.error(inv);
+        }
+    }
+
+    fn cancel_rest(&mut self, inv: InvId, i: &Invocation, port: &mut impl Port) {
+        for no in (0..i.deliveries).map(|n| DeliveryNo(n as u8)) {
+            if self.figures.cancel && self.deliveries.contains_key(&(inv, no)) {
+                port.cancel(inv, no);
+            }
+        }
+    }
+
+    /// What the end of a delivery tells of its worker.
+    fn learn(&mut self, now: Time, e: &Ended, delivery: &Delivery, port: &mut impl Port) {
+        let Some(w) = self.workers.get_mut(&delivery.worker) else { return };
+        let full = f64::from(w.out) >= w.limit * 0.7;
+        w.out = w.out.saturating_sub(1);
+        if e.outcome != Outcome::Moot {
+            w.quiet_since = now;
+        }
+        let objective = self.figures.operations[delivery.operation.0 as usize].objective.secs();
+        let usual = &mut self.instance.usual[delivery.operation.0 as usize];
+        let took = e.took.secs();
+        match e.outcome {
+            Outcome::Succeeded | Outcome::Errored => {
+                w.strikes = 0;
+                w.avoid_until = w.avoid_until.min(now);
+                w.slowness += FRESH * ((took / usual.max(1e-6)).min(5.0) - w.slowness);
+                *usual += FRESH * 0.2 * (took - *usual);
+                if took < objective * FAST_ENOUGH && full {
+                    w.limit += 1.0 / w.limit;
+                }
+                if took > objective * TOO_SLOW {
+                    cut(w, now, 0.9);
+                }
+            }
+            Outcome::Full => {
+                cut(w, now, 0.7);
+                w.avoid_until = w.avoid_until.max(now + Span::from_millis(100));
+            }
+            Outcome::TimedOut => cut(w, now, 0.7),
+            Outcome::ConnectFailed | Outcome::Reset => {
+                cut(w, now, 0.7);
+                self.strike(now, delivery.worker, port);
+            }
+            Outcome::Cancelled | Outcome::Moot => {}
+        }
+    }
+
+    fn strike(&mut self, now: Time, id: WorkerId, port: &mut impl Port) {
+        let Some(w) = self.workers.get_mut(&id) else { return };
+        w.strikes = (w.strikes + 1).min(8);
+        let wait = AVOID.times(f64::from(1u32 << (w.strikes - 1)).min(AVOID_MOST));
+        w.avoid_until = w.avoid_until.max(now + wait);
+        if self.figures.probes && !w.probe_out {
+            w.probe_out = true;
+            port.set_timer(wait, tag(TAG_WORKER, id.0));
+        }
+    }
+
+    pub fn probed(
+        &mut self,
+        now: Time,
+        id: WorkerId,
+        outcome: Outcome,
+        _took: Span,
+        _load: &[f32],
+        port: &mut impl Port,
+    ) {
+        let Some(w) = self.workers.get_mut(&id) else { return };
+        w.probe_out = false;
+        if outcome == Outcome::Succeeded {
+            w.avoid_until = now;
+            w.strikes = 0;
+        } else {
+            self.strike(now, id, port);
+        }
+    }
+
+    pub fn expired(&mut self, _now: Time, inv: InvId, port: &mut impl Port) {
+        if let Some(mut i) = self.invocations.remove(&inv) {
+            step(&mut i, Stage::Answered);
+            self.cancel_rest(inv, &i, port);
+        }
+    }
+
+    pub fn stream_started(&mut self, now: Time, inv: InvId, _no: DeliveryNo, worker: WorkerId, _took: Span) {
+        if let Some(w) = self.workers.get_mut(&worker) {
+            w.quiet_since = now;
+        }
+        if let Some(i) = self.invocations.get_mut(&inv) {
+            step(i, Stage::Streaming);
+        }
+    }
+
+    // ---- timers ----
+
+    pub fn timer(&mut self, now: Time, t: TimerTag, port: &mut impl Port) {
+        let value = t.0 & ((1 << 56) - 1);
+        match t.0 >> 56 {
+            TAG_DELIVERY => {
+                self.check_delivery(now, InvId((value >> 8) as u32), DeliveryNo(value as u8), port)
+            }
+            TAG_REPORT => self.report(now, CustomerId(value), port),
+            TAG_WORKER => {
+                if self.workers.get(&WorkerId(value)).is_some_and(|w| w.probe_out) {
+                    port.probe(WorkerId(value));
+                }
+            }
+            TAG_SUBSCRIBE => port.subscribe(),
+            _ => {}
+        }
+    }
+
+    /// A delivery that is late for its operation gets a second copy, where that is allowed.
+    fn check_delivery(&mut self, now: Time, inv: InvId, no: DeliveryNo, port: &mut impl Port) {
+        if !self.deliveries.contains_key(&(inv, no)) || !self.figures.second_copies {
+            return;
+        }
+        let Some(mut i) = self.invocations.remove(&inv) else { return };
+        let objective = self.figures.operations[i.operation.0 as usize].objective;
+        let usual = Span::from_secs(self.instance.usual[i.operation.0 as usize]);
+        let tries_left = i.deliveries < self.figures.max_deliveries;
+        let useful = now + usual < i.arrived_at + objective && now + self.figures.margin < i.valid_until;
+        if i.stage == Stage::Out && tries_left && useful && self.instance.spare >= 1.0 {
+            if let Some(worker) = self.pick(now, &i) {
+                self.instance.spare -= 1.0;
+                self.deliver(now, inv, &mut i, worker, port);
+            }
+        }
+        self.invocations.insert(inv, i);
+    }
+
+    /// Keeps memory bounded: customers long idle with a full bucket are dropped.
+    fn sweep(&mut self, now: Time) {
+        if now - self.instance.swept_at < ROUND {
+            return;
+        }
+        self.instance.swept_at = now;
+        let plans = &self.figures.plans;
+        self.customers.retain(|_, c| {
+            refill(c, &plans[c.plan.0 as usize], now);
+            let is_full = c.tokens >= plans[c.plan.0 as usize].burst && c.unreported == 0.0;
+            !(is_full && c.out == 0 && !c.report_due && now - c.seen_at > IDLE)
+        });
+    }
+
+    // ---- the list of workers ----
+
+    pub fn list_failed(&mut self, port: &mut impl Port) {
+        port.set_timer(self.figures.retry_subscription, tag(TAG_SUBSCRIBE, 0));
+    }
+
+    pub fn listed(&mut self, now: Time, scope: Scope, list: &[Listed], _port: &mut impl Port) {
+        if scope != Scope::Delta {
+            self.workers.retain(|id, _| list.iter().any(|l| l.worker == *id));
+        }
+        for l in list {
+            if l.phase == Phase::Gone {
+                self.workers.remove(&l.worker);
+                continue;
+            }
+            let w = self.workers.entry(l.worker).or_insert_with(|| fresh_worker(now, l));
+            if w.started_at != l.started_at {
+                let out = w.out;
+                *w = fresh_worker(now, l);
+                w.out = out;
+            }
+            w.draining = l.phase == Phase::Draining;
+            w.heft = heft(l);
+            w.zone = l.zone;
+            w.cell = l.cell;
+        }
+    }
+}
+
+// ---- the state machine ----
+
+/// Every change of an invocation's stage goes through here.
+fn step(i: &mut Invocation, to: Stage) {
+    let legal = match (i.stage, to) {
+        (Stage::Answered, _) => false,
+        (_, Stage::Answered) => true,
+        (Stage::Taken, Stage::Out) | (Stage::Out, Stage::Taken | Stage::Doubled) => true,
+        (Stage::Doubled, Stage::Out) => true,
+        (Stage::Out | Stage::Doubled, Stage::Streaming) => true,
+        (Stage::Streaming, Stage::Taken) => true,
+        _ => false,
+    };
+    debug_assert!(legal, "{:?} to {to:?}", i.stage);
+    i.stage = to;
+}
+
+// ---- stores and counts ----
+
+const CUSTOMER_BITS: u64 = (1 << 34) - 1;
+
+/// The name of a customer's count for a window of the clock.
+fn count_name(id: CustomerId, window: u64) -> CountName {
+    CountName(window << 34 | id.0 & CUSTOMER_BITS)
+}
+
+/// The bucket refills at the plan's rate, less what the others are thought to take of it.
+fn refill(c: &mut Customer, plan: &PlanFigures, now: Time) {
+    let gap = (now - c.reckoned_at).secs();
+    c.reckoned_at = now;
+    let part = plan.ceiling_rate / c.spread * 0.999;
+    c.ceiling = (c.ceiling + part * gap).min(plan.ceiling_burst / c.spread * 0.999);
+    let Some(rate) = plan.rate else { return };
+    let others = if now - c.told_at < GUESS_STANDS {
+        c.others_rate
+    } else {
+        c.others_rate.min(rate * (1.0 - 1.0 / c.spread))
+    };
+    let guess = others * gap;
+    c.guessed += guess;
+    c.tokens = (c.tokens + rate * gap - guess).clamp(0.0, plan.burst);
+}
+
+/// A total came back: the others' part of it is charged here too, in place of what was guessed.
+fn hear_total(c: &mut Customer, plan: &PlanFigures, now: Time, total: f64, amount: f64) {
+    let s = &mut c.shared;
+    if total + 0.001 < s.total {
+        // The counter came back empty: what it held is kept, and the count goes on from here.
+        s.lost += s.total;
+        s.total = 0.0;
+        s.unsure = 0.0;
+    }
+    let others = (total - s.total - amount).max(0.0);
+    let landed = others.min(s.unsure);
+    if others + 0.001 < s.unsure {
+        c.unreported += s.unsure - others;
+    }
+    s.unsure = 0.0;
+    s.total = total;
+    let others = others - landed;
+    let gap = (now - c.told_at).secs().max(0.1);
+    c.others_rate += 0.5 * (others / gap - c.others_rate);
+    c.tokens = (c.tokens + c.guessed - others).clamp(0.0, plan.burst);
+    c.guessed = 0.0;
+    c.told_at = now;
+    if s.total + s.lost > plan.allowance {
+        c.throttled_until = Time::from_nanos((s.window + 1) * plan.window.nanos());
+    }
+}
+
+// ---- workers ----
+
+fn heft(l: &Listed) -> f64 {
+    if l.heft.is_finite() && l.heft > 0.0 { f64::from(l.heft) } else { 1.0 }
+}
+
+fn fresh_worker(now: Time, l: &Listed) -> Worker {
+    Worker {
+        zone: l.zone,
+        cell: l.cell,
+        draining: false,
+        heft: heft(l),
+        started_at: l.started_at,
+        out: 0,
+        limit: FIRST_LIMIT,
+        cut_at: now,
+        slowness: 1.0,
+        quiet_since: now,
+        strikes: 0,
+        avoid_until: now,
+        probe_out: false,
+        cold_budget: 0.0,
+        cold_at: now,
+    }
+}
+
+/// The share of its capacity that a worker is sure to have by now.
+fn warmth(f: &Figures, w: &Worker, now: Time) -> f64 {
+    let Some(started) = w.started_at else { return 1.0 };
+    let age = (now - started).secs() / f.warm_within.secs().max(1e-3);
+    (f.start_share + (1.0 - f.start_share) * age).min(1.0)
+}
+
+fn has_cold_budget(f: &Figures, w: &Worker, now: Time) -> bool {
+    warmth(f, w, now) >= 1.0 || w.cold_budget >= 1.0
+}
+
+/// At most one cut in the time that its effect takes to show.
+fn cut(w: &mut Worker, now: Time, to: f64) {
+    if now - w.cut_at > Span::from_millis(200) {
+        w.cut_at = now;
+        w.limit = (w.limit * to).max(2.0);
+    }
+}
+
+/// Whether the rules allow this invocation at this worker, by what may have run before.
+fn in_group(f: &Figures, i: &Invocation, w: &Worker, now: Time) -> bool {
+    match (f.operations[i.operation.0 as usize].repeat, i.may_have_run) {
+        (Repeat::Tokened(group, window), Some((sent, zone, cell))) => {
+            now + f.margin < sent + window
+                && match group {
+                    Group::All => true,
+                    Group::Zone => w.zone == zone,
+                    Group::Cell => w.cell == cell,
+                }
+        }
+        _ => true,
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,163 @@
+//! What an instance remembers, grouped by how long it lives.
+
+use crate::types::{
+    CellId, CustomerId, DeliveryNo, InvId, OperationId, PlanId, Repeat, Span, Time, WorkerId, ZoneId,
+};
+
+/// For one delivery.
+pub struct Delivery {
+    pub worker: WorkerId,
+    pub sent_at: Time,
+    pub operation: OperationId,
+    pub customer: CustomerId,
+    /// A second copy, sent while another was out.
+    pub is_copy: bool,
+}
+
+/// Where an invocation stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Taken, and no delivery is out.
+    Taken,
+    /// One delivery is out.
+    Out,
+    /// Two are out.
+    Doubled,
+    /// Its answer has started; it belongs to the client.
+    Streaming,
+    /// Its final answer is given, or was given for us.
+    Answered,
+}
+
+/// For one invocation.
+pub struct Invocation {
+    pub stage: Stage,
+    pub operation: OperationId,
+    pub customer: CustomerId,
+    pub units: f64,
+    pub arrived_at: Time,
+    pub valid_until: Time,
+    pub deliveries: u32,
+    /// The workers tried, in the order of the deliveries.
+    pub tried: Vec<WorkerId>,
+    /// Deliveries not proved never to have run.
+    pub unproven: u32,
+    /// Where and when the first delivery went that may have run, and the worker's zone and cell then.
+    pub may_have_run: Option<(Time, ZoneId, CellId)>,
+}
+
+/// For one worker, as long as it is listed.
+pub struct Worker {
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub draining: bool,
+    pub heft: f64,
+    pub started_at: Option<Time>,
+    /// Deliveries of this gatekeeper that are out.
+    pub out: u32,
+    /// How many may be out, by what came back so far.
+    pub limit: f64,
+    /// The last cut of the limit.
+    pub cut_at: Time,
+    /// Its latency over what is usual for the fleet.
+    pub slowness: f64,
+    /// Since when deliveries are out with no answer of any kind.
+    pub quiet_since: Time,
+    /// Failures in a row that speak against the worker.
+    pub strikes: u32,
+    pub avoid_until: Time,
+    pub probe_out: bool,
+    /// What may still be sent to it while it is cold, and when that was reckoned.
+    pub cold_budget: f64,
+    pub cold_at: Time,
+}
+
+/// What a shared count is known to hold for one customer and window.
+pub struct Shared {
+    pub window: u64,
+    /// The last total that came back.
+    pub total: f64,
+    /// What a counter that came back empty had held before.
+    pub lost: f64,
+    /// Sent in a call with no answer yet.
+    pub in_call: Option<f64>,
+    /// Sent in calls that were never answered: it may have been added.
+    pub unsure: f64,
+}
+
+/// For one customer, until its bucket is full and idle.
+pub struct Customer {
+    pub plan: PlanId,
+    pub spread: f64,
+    /// The bucket, and when it was reckoned.
+    pub tokens: f64,
+    pub reckoned_at: Time,
+    /// This gatekeeper's part of a hard ceiling.
+    pub ceiling: f64,
+    pub out: u32,
+    pub seen_at: Time,
+    /// Let through and not yet reported.
+    pub unreported: f64,
+    pub report_due: bool,
+    pub shared: Shared,
+    /// What the other gatekeepers let through in a second, by the totals.
+    pub others_rate: f64,
+    /// What was charged for the others on that guess since the last total.
+    pub guessed: f64,
+    pub told_at: Time,
+    pub throttled_until: Time,
+}
+
+/// For the instance.
+pub struct Instance {
+    /// What may still go into further deliveries.
+    pub spare: f64,
+    /// Deliveries in a second, lately.
+    pub send_rate: f64,
+    pub sent_at: Time,
+    pub swept_at: Time,
+    /// What is usual for each operation, in seconds.
+    pub usual: Vec<f64>,
+}
+
+/// What the decisions make of an operation's settings.
+pub struct OperationFigures {
+    pub objective: Span,
+    /// Whether an answer after the latency objective is still worth something.
+    pub late_pays: bool,
+    pub repeat: Repeat,
+}
+
+/// What the decisions make of a plan's settings.
+pub struct PlanFigures {
+    /// None where the plan has no rate.
+    pub rate: Option<f64>,
+    pub burst: f64,
+    pub open: u32,
+    pub ceiling_rate: f64,
+    pub ceiling_burst: f64,
+    pub window: Span,
+    pub allowance: f64,
+    pub keep: Span,
+}
+
+/// What the decisions make of the settings, once, at the start.
+pub struct Figures {
+    pub gatekeepers: f64,
+    pub zone: ZoneId,
+    pub margin: Span,
+    pub operations: Vec<OperationFigures>,
+    pub plans: Vec<PlanFigures>,
+    pub counter: bool,
+    pub probes: bool,
+    pub cancel: bool,
+    pub retry_after: Option<Span>,
+    pub second_copies: bool,
+    pub max_deliveries: u32,
+    pub start_share: f64,
+    pub warm_within: Span,
+    pub retry_subscription: Span,
+}
+
+/// The key of a delivery.
+pub type DeliveryKey = (InvId, DeliveryNo);
