Bound what is out per gatekeeper by latencies, not per worker

Cause: with 11-12 gatekeepers a floor of two out per worker each jams the workers, and workers that answer full at once look idle.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,11 +28,14 @@
 const GUESS_STANDS: Span = Span::from_millis(3000);
 /// A customer not heard of for this long is dropped once its bucket is full.
 const IDLE: Span = Span::from_millis(20_000);
-/// Of a latency objective: an answer slower than this cuts a worker's limit, one faster than the
-/// other lets it grow.
-const TOO_SLOW: f64 = 0.7;
+/// Of a latency objective: latencies over this cut the instance's limit, those under the other let it grow.
+const TOO_SLOW: f64 = 0.6;
 const FAST_ENOUGH: f64 = 0.4;
-const FIRST_LIMIT: f64 = 8.0;
+/// Deliveries out per worker at first, by all gatekeepers together.
+const FIRST_LIMIT: f64 = 6.0;
+/// A cut, and how long the next has to wait for its effect.
+const CUT: f64 = 0.9;
+const CUT_EVERY: Span = Span::from_millis(150);
 /// Further deliveries that one invocation pays for, and the most that can be saved up.
 const SPARE_EACH: f64 = 0.1;
 const SPARE_MOST: f64 = 10.0;
@@ -116,11 +119,22 @@
             port.subscribe();
         }
         let figures = derive(settings);
-        let usual = figures.operations.iter().map(|o| o.objective.secs() * 0.2).collect();
+        let usual: Vec<f64> = figures.operations.iter().map(|o| o.objective.secs() * 0.2).collect();
+        let instance = Instance {
+            spare: SPARE_MOST,
+            send_rate: 0.0,
+            sent_at: now,
+            swept_at: now,
+            lately: usual.clone(),
+            usual,
+            out: 0,
+            limit: None,
+            cut_at: now,
+        };
         Gatekeeper {
             figures,
             rng: Rng::new(seed),
-            instance: Instance { spare: SPARE_MOST, send_rate: 0.0, sent_at: now, swept_at: now, usual },
+            instance,
             workers: BTreeMap::new(),
             customers: BTreeMap::new(),
             invocations: HashMap::new(),
@@ -302,6 +316,9 @@
 
     /// Two drawn at random; the one that this gatekeeper's own counts favour.
     fn pick(&mut self, now: Time, invocation: &Invocation) -> Option<WorkerId> {
+        if f64::from(self.instance.out) >= self.limit() {
+            return None;
+        }
         let silent = self.silence();
         let mut healthy = Vec::new();
         let mut doubtful = Vec::new();
@@ -312,9 +329,6 @@
             }
             let is_healthy = now >= w.avoid_until && (w.out == 0 || now - w.quiet_since < silent);
             any_healthy |= is_healthy;
-            if f64::from(w.out) >= w.limit.max(1.0) {
-                continue;
-            }
             if !has_cold_budget(&self.figures, w, now) {
                 continue;
             }
@@ -335,6 +349,29 @@
         f64::from(w.out + 1) * w.slowness / (w.heft * warmth(&self.figures, w, now))
     }
 
+    /// How many deliveries may be out. Each gatekeeper finds its own part by the latencies that come back.
+    fn limit(&mut self) -> f64 {
+        let first = FIRST_LIMIT * self.workers.len() as f64 / self.figures.gatekeepers;
+        self.instance.limit.get_or_insert(first.max(1.0)).max(1.0)
+    }
+
+    /// Latencies that eat up the objective mean that all gatekeepers together send too much.
+    fn adapt_limit(&mut self, now: Time, operation: usize, took: f64) {
+        let limit = self.limit();
+        let instance = &mut self.instance;
+        let lately = &mut instance.lately[operation];
+        *lately += FRESH * (took - *lately);
+        let objectives = self.figures.operations.iter().map(|o| o.objective.secs().max(1e-3));
+        let late = instance.lately.iter().zip(objectives).map(|(l, o)| l / o).fold(0.0, f64::max);
+        if late > TOO_SLOW && now - instance.cut_at > CUT_EVERY {
+            instance.cut_at = now;
+            instance.limit = Some((limit.min(f64::from(instance.out) + 1.0) * CUT).max(1.0));
+        } else if late < FAST_ENOUGH && f64::from(instance.out) > limit * 0.7 {
+            let step = (self.workers.len() as f64 / self.figures.gatekeepers).max(1.0);
+            instance.limit = Some(limit + step / limit);
+        }
+    }
+
     fn silence(&self) -> Span {
         let usual = self.instance.usual.iter().copied().fold(0.0, f64::max);
         Span::from_secs(usual * SILENT)
@@ -346,6 +383,7 @@
             w.quiet_since = now;
         }
         w.out += 1;
+        self.instance.out += 1;
         w.cold_budget -= 1.0;
         let is_copy = i.stage == Stage::Out;
         let no = DeliveryNo(i.deliveries as u8);
@@ -468,38 +506,32 @@
 
     /// What the end of a delivery tells of its worker.
     fn learn(&mut self, now: Time, e: &Ended, delivery: &Delivery, port: &mut impl Port) {
+        let took = e.took.secs();
+        if !e.outcome.never_ran() {
+            self.adapt_limit(now, delivery.operation.0 as usize, took);
+        }
+        self.instance.out = self.instance.out.saturating_sub(1);
         let Some(w) = self.workers.get_mut(&delivery.worker) else { return };
-        let full = f64::from(w.out) >= w.limit * 0.7;
         w.out = w.out.saturating_sub(1);
         if e.outcome != Outcome::Moot {
             w.quiet_since = now;
         }
-        let objective = self.figures.operations[delivery.operation.0 as usize].objective.secs();
         let usual = &mut self.instance.usual[delivery.operation.0 as usize];
-        let took = e.took.secs();
         match e.outcome {
             Outcome::Succeeded | Outcome::Errored => {
                 w.strikes = 0;
                 w.avoid_until = w.avoid_until.min(now);
                 w.slowness += FRESH * ((took / usual.max(1e-6)).min(5.0) - w.slowness);
                 *usual += FRESH * 0.2 * (took - *usual);
-                if took < objective * FAST_ENOUGH && full {
-                    w.limit += 1.0 / w.limit;
-                }
-                if took > objective * TOO_SLOW {
-                    cut(w, now, 0.9);
-                }
             }
-            Outcome::Full => {
-                cut(w, now, 0.7);
-                w.avoid_until = w.avoid_until.max(now + Span::from_millis(100));
+            Outcome::TimedOut | Outcome::Cancelled => {
+                w.slowness += FRESH * ((took / usual.max(1e-6)).min(5.0).max(w.slowness) - w.slowness);
             }
-            Outcome::TimedOut => cut(w, now, 0.7),
-            Outcome::ConnectFailed | Outcome::Reset => {
-                cut(w, now, 0.7);
-                self.strike(now, delivery.worker, port);
+            // A worker that turns away at once looks idle by the counts: it is avoided like one that fails.
+            Outcome::Full | Outcome::ConnectFailed | Outcome::Reset => {
+                self.strike(now, delivery.worker, port)
             }
-            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Moot => {}
         }
     }
 
@@ -714,8 +746,6 @@
         heft: heft(l),
         started_at: l.started_at,
         out: 0,
-        limit: FIRST_LIMIT,
-        cut_at: now,
         slowness: 1.0,
         quiet_since: now,
         strikes: 0,
@@ -737,14 +767,6 @@
     warmth(f, w, now) >= 1.0 || w.cold_budget >= 1.0
 }
 
-/// At most one cut in the time that its effect takes to show.
-fn cut(w: &mut Worker, now: Time, to: f64) {
-    if now - w.cut_at > Span::from_millis(200) {
-        w.cut_at = now;
-        w.limit = (w.limit * to).max(2.0);
-    }
-}
-
 /// Whether the rules allow this invocation at this worker, by what may have run before.
 fn in_group(f: &Figures, i: &Invocation, w: &Worker, now: Time) -> bool {
     match (f.operations[i.operation.0 as usize].repeat, i.may_have_run) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,10 +55,6 @@
     pub started_at: Option<Time>,
     /// Deliveries of this gatekeeper that are out.
     pub out: u32,
-    /// How many may be out, by what came back so far.
-    pub limit: f64,
-    /// The last cut of the limit.
-    pub cut_at: Time,
     /// Its latency over what is usual for the fleet.
     pub slowness: f64,
     /// Since when deliveries are out with no answer of any kind.
@@ -116,8 +112,13 @@
     pub send_rate: f64,
     pub sent_at: Time,
     pub swept_at: Time,
-    /// What is usual for each operation, in seconds.
+    /// What is usual for each operation, and what it was lately, in seconds.
     pub usual: Vec<f64>,
+    pub lately: Vec<f64>,
+    /// Deliveries out, how many may be out, and the last cut of that.
+    pub out: u32,
+    pub limit: Option<f64>,
+    pub cut_at: Time,
 }
 
 /// What the decisions make of an operation's settings.
