Time-outs of quiet workers no longer cut the limit

Cause: in a zone cut the deliveries across it time out and were read as overload. Told apart: the worker answered nothing else meanwhile.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -507,13 +507,23 @@
     /// What the end of a delivery tells of its worker.
     fn learn(&mut self, now: Time, e: &Ended, delivery: &Delivery, port: &mut impl Port) {
         let took = e.took.secs();
-        if !e.outcome.never_ran() {
+        self.instance.out = self.instance.out.saturating_sub(1);
+        let Some(w) = self.workers.get(&delivery.worker) else { return };
+        // A time-out tells of load only where the worker has answered others meanwhile; else of a
+        // worker that is cut off or dead, which says nothing of the rest.
+        let was_quiet = w.quiet_since <= delivery.sent_at;
+        if !e.outcome.never_ran()
+            && e.outcome != Outcome::Reset
+            && !(e.outcome == Outcome::TimedOut && was_quiet)
+        {
             self.adapt_limit(now, delivery.operation.0 as usize, took);
         }
-        self.instance.out = self.instance.out.saturating_sub(1);
         let Some(w) = self.workers.get_mut(&delivery.worker) else { return };
         w.out = w.out.saturating_sub(1);
-        if e.outcome != Outcome::Moot {
+        if !matches!(
+            e.outcome,
+            Outcome::Moot | Outcome::TimedOut | Outcome::Cancelled | Outcome::ConnectFailed
+        ) {
             w.quiet_since = now;
         }
         let usual = &mut self.instance.usual[delivery.operation.0 as usize];
@@ -524,6 +534,7 @@
                 w.slowness += FRESH * ((took / usual.max(1e-6)).min(5.0) - w.slowness);
                 *usual += FRESH * 0.2 * (took - *usual);
             }
+            Outcome::TimedOut if was_quiet => self.strike(now, delivery.worker, port),
             Outcome::TimedOut | Outcome::Cancelled => {
                 w.slowness += FRESH * ((took / usual.max(1e-6)).min(5.0).max(w.slowness) - w.slowness);
             }
