--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,6 +27,12 @@
 /// How long a guess at the others' use stands without a new total; then the bucket gets its even part.
 const GUESS_STANDS: Span = Span::from_millis(3000);
 /// A customer not heard of for this long is dropped once its bucket is full.
+/// The use of its rate that a new customer is taken for, and how much more than evenly the others may be
+/// taken to let through for what is let through here.
+const FIRST_USE: f64 = 0.3;
+const RATIO_MOST: f64 = 2.0;
+/// The weight of a new total in the rates of use.
+const FRESH_USE: f64 = 0.5;
 const IDLE: Span = Span::from_millis(20_000);
 /// Of a latency objective: latencies over this cut the instance's limit, those under the other let it grow.
 const TOO_SLOW: f64 = 0.6;
@@ -186,6 +192,8 @@
         // The charge, then the delivery.
         let customer = self.customers.get_mut(&arrival.customer).expect("reckoned above");
         customer.tokens -= units;
+        customer.own_since += units;
+        guess_others(customer, now);
         customer.ceiling -= units;
         customer.unreported += units;
         self.instance.spare = (self.instance.spare + SPARE_EACH).min(SPARE_MOST);
@@ -241,7 +249,10 @@
             unreported: 0.0,
             report_due: false,
             shared: Shared { window: 0, total: 0.0, lost: 0.0, in_call: None, unsure: 0.0 },
-            others_rate: 0.0,
+            // Until a total tells better, the others are thought to do as this one does.
+            others_rate: FIRST_USE * plan.rate.unwrap_or(0.0) * (1.0 - 1.0 / spread),
+            own_rate: FIRST_USE * plan.rate.unwrap_or(0.0) / spread,
+            own_since: 0.0,
             guessed: 0.0,
             told_at: now,
             throttled_until: now,
@@ -277,6 +288,7 @@
             let begun = now - Time::from_nanos(window * plan.window.nanos());
             customer.guessed = customer.guessed.min(customer.others_rate * begun.secs());
             customer.told_at = customer.told_at.max(now.saturating_sub(begun));
+            customer.own_since = customer.unreported;
         }
         let amount = customer.unreported;
         customer.unreported = 0.0;
@@ -706,14 +718,21 @@
     let part = plan.ceiling_rate / c.spread * 0.999;
     c.ceiling = (c.ceiling + part * gap).min(plan.ceiling_burst / c.spread * 0.999);
     let Some(rate) = plan.rate else { return };
-    let others = if now - c.told_at < GUESS_STANDS {
-        c.others_rate
-    } else {
-        c.others_rate.min(rate * (1.0 - 1.0 / c.spread))
-    };
-    let guess = others * gap;
-    c.guessed += guess;
-    c.tokens = (c.tokens + rate * gap - guess).clamp(0.0, plan.burst);
+    c.tokens = (c.tokens + rate * gap).min(plan.burst);
+    guess_others(c, now);
+}
+
+/// Between totals the others are charged by the larger of two guesses: that they go on as they did, and
+/// that they do with this gatekeeper's traffic as they did before. The latter answers a sudden flood,
+/// which comes in at all gatekeepers at once; it does harm where one comes in at this one only, until
+/// the next total puts it right.
+fn guess_others(c: &mut Customer, now: Time) {
+    let gap = (now - c.told_at).min(GUESS_STANDS).secs();
+    let ratio = c.others_rate / c.own_rate.max(1e-9);
+    let guess = (c.others_rate * gap).max(ratio.min(RATIO_MOST * (c.spread - 1.0)) * c.own_since);
+    let more = (guess - c.guessed).clamp(0.0, c.tokens.max(0.0));
+    c.guessed += more;
+    c.tokens -= more;
 }
 
 /// A total came back: the others' part of it is charged here too, in place of what was guessed.
@@ -734,7 +753,9 @@
     s.total = total;
     let others = others - landed;
     let gap = (now - c.told_at).secs().max(0.1);
-    c.others_rate += 0.5 * (others / gap - c.others_rate);
+    c.others_rate += FRESH_USE * (others / gap - c.others_rate);
+    c.own_rate += FRESH_USE * (amount / gap - c.own_rate);
+    c.own_since = c.unreported;
     c.tokens = (c.tokens + c.guessed - others).clamp(0.0, plan.burst);
     c.guessed = 0.0;
     c.told_at = now;
--- a/src/state.rs
+++ b/src/state.rs
@@ -98,7 +98,10 @@
     pub shared: Shared,
     /// What the other gatekeepers let through in a second, by the totals.
     pub others_rate: f64,
-    /// What was charged for the others on that guess since the last total.
+    /// The same of this gatekeeper.
+    pub own_rate: f64,
+    /// Let through here since the last total, and what was charged for the others on a guess.
+    pub own_since: f64,
     pub guessed: f64,
     pub told_at: Time,
     pub throttled_until: Time,
