--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,9 +34,11 @@
 /// The weight of a new total in the rates of use.
 const FRESH_USE: f64 = 0.5;
 const IDLE: Span = Span::from_millis(20_000);
-/// Of a latency objective: latencies over this cut the instance's limit, those under the other let it grow.
+/// A delivery is too slow over this part of the latency objective; many such cut the instance's limit,
+/// few let it grow.
 const TOO_SLOW: f64 = 0.6;
-const FAST_ENOUGH: f64 = 0.4;
+const LATE_MANY: f64 = 0.25;
+const LATE_FEW: f64 = 0.15;
 /// Deliveries out per worker at first, by all gatekeepers together.
 const FIRST_LIMIT: f64 = 6.0;
 /// A cut, and how long the next has to wait for its effect.
@@ -52,6 +54,8 @@
 const SILENT: f64 = 4.0;
 /// A second copy goes out after this many usual latencies.
 const COPY_AFTER: f64 = 3.0;
+/// The most that one latency counts, in what is usual.
+const SLOWEST: f64 = 10.0;
 /// The weight of a new sample in a running mean.
 const FRESH: f64 = 0.1;
 /// The time over which the rate of sending is reckoned.
@@ -131,7 +135,7 @@
             send_rate: 0.0,
             sent_at: now,
             swept_at: now,
-            lately: usual.clone(),
+            late_share: 0.0,
             usual,
             out: 0,
             limit: None,
@@ -367,18 +371,18 @@
         self.instance.limit.get_or_insert(first.max(1.0)).max(1.0)
     }
 
-    /// Latencies that eat up the objective mean that all gatekeepers together send too much.
+    /// Where many latencies eat up the objective, all gatekeepers together send too much. A share of
+    /// them is counted, not their mean: a few workers that are very slow are for the pick to avoid.
     fn adapt_limit(&mut self, now: Time, operation: usize, took: f64) {
         let limit = self.limit();
+        let objective = self.figures.operations[operation].objective.secs();
         let instance = &mut self.instance;
-        let lately = &mut instance.lately[operation];
-        *lately += FRESH * (took - *lately);
-        let objectives = self.figures.operations.iter().map(|o| o.objective.secs().max(1e-3));
-        let late = instance.lately.iter().zip(objectives).map(|(l, o)| l / o).fold(0.0, f64::max);
-        if late > TOO_SLOW && now - instance.cut_at > CUT_EVERY {
+        let late = if took > objective * TOO_SLOW { 1.0 } else { 0.0 };
+        instance.late_share += FRESH * (late - instance.late_share);
+        if instance.late_share > LATE_MANY && now - instance.cut_at > CUT_EVERY {
             instance.cut_at = now;
             instance.limit = Some((limit.min(f64::from(instance.out) + 1.0) * CUT).max(1.0));
-        } else if late < FAST_ENOUGH && f64::from(instance.out) > limit * 0.7 {
+        } else if instance.late_share < LATE_FEW && f64::from(instance.out) > limit * 0.7 {
             let step = (self.workers.len() as f64 / self.figures.gatekeepers).max(1.0);
             instance.limit = Some(limit + step / limit);
         }
@@ -543,12 +547,14 @@
             Outcome::Succeeded | Outcome::Errored => {
                 w.strikes = 0;
                 w.avoid_until = w.avoid_until.min(now);
-                w.slowness += FRESH * ((took / usual.max(1e-6)).min(5.0) - w.slowness);
+                let sample = (took / usual.max(1e-6)).min(SLOWEST);
+                w.slowness += if sample > w.slowness { FRESH * 2.0 } else { FRESH } * (sample - w.slowness);
                 *usual += FRESH * 0.2 * (took - *usual);
             }
             Outcome::TimedOut if was_quiet => self.strike(now, delivery.worker, port),
             Outcome::TimedOut | Outcome::Cancelled => {
-                w.slowness += FRESH * ((took / usual.max(1e-6)).min(5.0).max(w.slowness) - w.slowness);
+                let sample = (took / usual.max(1e-6)).min(SLOWEST);
+                w.slowness += FRESH * 2.0 * (sample - w.slowness).max(0.0);
             }
             // A worker that turns away at once looks idle by the counts: it is avoided like one that fails.
             Outcome::Full | Outcome::ConnectFailed | Outcome::Reset => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -115,9 +115,10 @@
     pub send_rate: f64,
     pub sent_at: Time,
     pub swept_at: Time,
-    /// What is usual for each operation, and what it was lately, in seconds.
+    /// What is usual for each operation, in seconds.
     pub usual: Vec<f64>,
-    pub lately: Vec<f64>,
+    /// Of the deliveries that ended lately, the share that took too much of the objective.
+    pub late_share: f64,
     /// Deliveries out, how many may be out, and the last cut of that.
     pub out: u32,
     pub limit: Option<f64>,
