--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,8 +14,8 @@
     Stage, Worker,
 };
 use crate::types::{
-    Arrival, CountName, CustomerId, DeliveryNo, Ended, Group, InvId, Listed, LoadField, Outcome, Phase, Plan,
-    Repeat, Scope, Settings, Span, Time, TimerTag, WorkerId,
+    Arrival, CountName, CustomerId, DeliveryNo, Ended, Group, InvId, Listed, Outcome, Phase, Plan, Repeat,
+    Scope, Settings, Span, Time, TimerTag, WorkerId,
 };
 
 /// How often a customer's use is reported (design page).
@@ -59,7 +59,6 @@
 const SLOWEST: f64 = 10.0;
 /// The weight of a new sample in a running mean.
 const FRESH: f64 = 0.1;
-const FRESH_LOAD: f64 = 0.3;
 /// The time over which the rate of sending is reckoned.
 const RATE_OVER: f64 = 2.0;
 
@@ -121,9 +120,6 @@
         max_deliveries: s.max_deliveries.max(1),
         start_share: s.start_share.clamp(0.01, 1.0),
         warm_within: s.warm_within,
-        held_field: [LoadField::Inflight, LoadField::Queue]
-            .iter()
-            .find_map(|wanted| s.load.iter().position(|f| f == wanted)),
         retry_subscription: s.must_ask_in.times(0.1).max(Span::from_millis(200)),
     }
 }
@@ -367,7 +363,7 @@
 
     fn cost(&self, now: Time, id: WorkerId) -> f64 {
         let w = &self.workers[&id];
-        (f64::from(w.out + 1) + w.others) * w.slowness / (w.heft * warmth(&self.figures, w, now))
+        f64::from(w.out + 1) * w.slowness / (w.heft * warmth(&self.figures, w, now))
     }
 
     /// How many deliveries may be out. Each gatekeeper finds its own part by the latencies that come back,
@@ -551,7 +547,6 @@
         let usual = &mut self.instance.usual[delivery.operation.0 as usize];
         match e.outcome {
             Outcome::Succeeded | Outcome::Errored => {
-                hear_load(w, &self.figures, e.load);
                 w.strikes = 0;
                 w.avoid_until = w.avoid_until.min(now);
                 let sample = (took / usual.max(1e-6)).min(SLOWEST);
@@ -588,12 +583,11 @@
         id: WorkerId,
         outcome: Outcome,
         _took: Span,
-        load: &[f32],
+        _load: &[f32],
         port: &mut impl Port,
     ) {
         let Some(w) = self.workers.get_mut(&id) else { return };
         w.probe_out = false;
-        hear_load(w, &self.figures, load);
         if outcome == Outcome::Succeeded {
             w.avoid_until = now;
             w.strikes = 0;
@@ -792,7 +786,6 @@
         heft: heft(l),
         started_at: l.started_at,
         out: 0,
-        others: 0.0,
         slowness: 1.0,
         quiet_since: now,
         strikes: 0,
@@ -803,16 +796,6 @@
     }
 }
 
-/// A report tells what the other gatekeepers have at a worker. Own counts see little of its load where
-/// there are many gatekeepers; old or noisy reports do less harm in a mean.
-fn hear_load(w: &mut Worker, f: &Figures, load: &[f32]) {
-    let held = f.held_field.and_then(|i| load.get(i)).copied().filter(|x| x.is_finite());
-    if let Some(held) = held {
-        let others = (f64::from(held) - f64::from(w.out)).max(0.0);
-        w.others += FRESH_LOAD * (others - w.others);
-    }
-}
-
 /// The share of its capacity that a worker is sure to have by now.
 fn warmth(f: &Figures, w: &Worker, now: Time) -> f64 {
     let Some(started) = w.started_at else { return 1.0 };
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,8 +55,6 @@
     pub started_at: Option<Time>,
     /// Deliveries of this gatekeeper that are out.
     pub out: u32,
-    /// What the others have out there, by its load reports.
-    pub others: f64,
     /// Its latency over what is usual for the fleet.
     pub slowness: f64,
     /// Since when deliveries are out with no answer of any kind.
@@ -163,8 +161,6 @@
     pub max_deliveries: u32,
     pub start_share: f64,
     pub warm_within: Span,
-    /// Where a load report says what a worker holds.
-    pub held_field: Option<usize>,
     pub retry_subscription: Span,
 }
 
