--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -93,7 +93,7 @@
                     code => return Err(format!("list: no scope has the code {code}")),
                 };
                 match (gatekeeper, scope) {
-                    (Some(g), Some(scope)) => g.listed(now, scope, list, port),
+                    (Some(g), Some(scope)) => g.listed(now, scope, list),
                     (Some(g), None) => g.list_failed(port),
                     (None, _) => {}
                 }
@@ -117,11 +117,12 @@
                 }
             }
             19 => {
-                let (inv, no) = (InvId(c.u32()?), DeliveryNo(c.u8()?));
-                let took = c.span()?;
+                let inv = InvId(c.u32()?);
+                c.u8()?;
+                c.span()?;
                 let worker = c.worker()?;
                 if let Some(g) = gatekeeper.as_mut() {
-                    g.stream_started(now, inv, no, worker, took);
+                    g.stream_started(now, inv, worker);
                 }
             }
             20 => {
@@ -145,7 +146,7 @@
             21 => {
                 let inv = InvId(c.u32()?);
                 if let Some(g) = gatekeeper.as_mut() {
-                    g.expired(now, inv, port);
+                    g.expired(inv, port);
                 }
             }
             22 => {
@@ -157,10 +158,10 @@
             23 => {
                 let worker = c.worker()?;
                 let outcome = c.outcome()?;
-                let took = c.span()?;
-                let load = c.load()?;
+                c.span()?;
+                c.load()?;
                 if let Some(g) = gatekeeper.as_mut() {
-                    g.probed(now, worker, outcome, took, &load, port);
+                    g.probed(now, worker, outcome, port);
                 }
             }
             24 => {
@@ -177,7 +178,7 @@
                 let total = c.f32()?;
                 c.span()?;
                 if let Some(g) = gatekeeper.as_mut() {
-                    g.counted(now, name, outcome, total, port);
+                    g.counted(now, name, outcome, total);
                 }
             }
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -61,6 +61,10 @@
 const FRESH: f64 = 0.1;
 /// The time over which the rate of sending is reckoned.
 const RATE_OVER: f64 = 2.0;
+/// What a cold worker may be sent at once.
+const COLD_BURST: f64 = 2.0;
+/// Before any latency is known, this part of the objective is taken for usual.
+const USUAL_AT_FIRST: f64 = 0.2;
 
 const TAG_DELIVERY: u64 = 1;
 const TAG_REPORT: u64 = 2;
@@ -100,7 +104,6 @@
     };
     Figures {
         gatekeepers: f64::from(s.gatekeepers.max(1)),
-        zone: s.zone,
         margin: s.step.times(2.0) + Span::from_millis(2),
         operations: s
             .operations
@@ -120,6 +123,7 @@
         max_deliveries: s.max_deliveries.max(1),
         start_share: s.start_share.clamp(0.01, 1.0),
         warm_within: s.warm_within,
+        trickle: 1.0 / s.fall.secs().max(1.0) / f64::from(s.gatekeepers.max(1)),
         retry_subscription: s.must_ask_in.times(0.1).max(Span::from_millis(200)),
     }
 }
@@ -130,22 +134,11 @@
             port.subscribe();
         }
         let figures = derive(settings);
-        let usual: Vec<f64> = figures.operations.iter().map(|o| o.objective.secs() * 0.2).collect();
-        let instance = Instance {
-            spare: SPARE_MOST,
-            send_rate: 0.0,
-            sent_at: now,
-            swept_at: now,
-            late_share: 0.0,
-            usual,
-            out: 0,
-            limit: None,
-            cut_at: now,
-        };
+        let usual = figures.operations.iter().map(|o| o.objective.secs() * USUAL_AT_FIRST).collect();
         Gatekeeper {
             figures,
             rng: Rng::new(seed),
-            instance,
+            instance: Instance { spare: SPARE_MOST, sent_at: now, usual, ..Instance::default() },
             workers: BTreeMap::new(),
             customers: BTreeMap::new(),
             invocations: HashMap::new(),
@@ -176,16 +169,12 @@
 
         // The worker: none free means that the fleet is full, and one more would only be late.
         let mut invocation = Invocation {
-            stage: Stage::Taken,
             operation: arrival.operation,
             customer: arrival.customer,
             units,
             arrived_at: now,
             valid_until: arrival.valid_until,
-            deliveries: 0,
-            tried: Vec::new(),
-            unproven: 0,
-            may_have_run: None,
+            ..Invocation::default()
         };
         if now + self.figures.margin >= arrival.valid_until {
             return port.throttle(inv, None);
@@ -243,24 +232,14 @@
             self.figures.gatekeepers
         };
         let customer = self.customers.entry(arrival.customer).or_insert_with(|| Customer {
-            plan: arrival.plan,
-            spread,
+            // The store is full at first; what the others take of it is guessed until a total tells.
             tokens: plan.burst,
-            reckoned_at: now,
-            // Empty at first, so that a restart never fills it.
-            ceiling: 0.0,
-            out: 0,
-            seen_at: now,
-            unreported: 0.0,
-            report_due: false,
-            shared: Shared { window: 0, total: 0.0, lost: 0.0, in_call: None, unsure: 0.0 },
-            // Until a total tells better, the others are thought to do as this one does.
             others_rate: FIRST_USE * plan.rate.unwrap_or(0.0) * (1.0 - 1.0 / spread),
             own_rate: FIRST_USE * plan.rate.unwrap_or(0.0) / spread,
-            own_since: 0.0,
-            guessed: 0.0,
+            reckoned_at: now,
             told_at: now,
-            throttled_until: now,
+            // The ceiling's store starts empty, so that a restart never fills it.
+            ..Customer::default()
         });
         customer.plan = arrival.plan;
         customer.spread = customer.spread.max(spread);
@@ -288,7 +267,7 @@
         refill(customer, plan, now);
         let window = now.periods(plan.window);
         if customer.shared.window != window {
-            customer.shared = Shared { window, total: 0.0, lost: 0.0, in_call: None, unsure: 0.0 };
+            customer.shared = Shared { window, ..Shared::default() };
             // What was guessed for the time before the window stays charged.
             let begun = now - Time::from_nanos(window * plan.window.nanos());
             customer.guessed = customer.guessed.min(customer.others_rate * begun.secs());
@@ -301,14 +280,7 @@
         port.add_to_count(count_name(id, window), plan.keep, amount as f32);
     }
 
-    pub fn counted(
-        &mut self,
-        now: Time,
-        name: CountName,
-        outcome: Outcome,
-        total: f32,
-        _port: &mut impl Port,
-    ) {
+    pub fn counted(&mut self, now: Time, name: CountName, outcome: Outcome, total: f32) {
         let id = CustomerId(name.0 & CUSTOMER_BITS);
         let Some(customer) = self.customers.get_mut(&id) else { return };
         if name != count_name(id, customer.shared.window) {
@@ -336,6 +308,7 @@
         if f64::from(self.instance.out) >= self.limit() {
             return None;
         }
+        self.share_out(now);
         let silent = self.silence();
         let mut healthy = Vec::new();
         let mut doubtful = Vec::new();
@@ -405,8 +378,7 @@
         w.cold_budget -= 1.0;
         let is_copy = i.stage == Stage::Out;
         let no = DeliveryNo(i.deliveries as u8);
-        let delivery =
-            Delivery { worker: id, sent_at: now, operation: i.operation, customer: i.customer, is_copy };
+        let delivery = Delivery { worker: id, sent_at: now, operation: i.operation, customer: i.customer };
         self.deliveries.insert((inv, no), delivery);
         i.deliveries += 1;
         i.tried.push(id);
@@ -416,27 +388,28 @@
         if let Some(c) = self.customers.get_mut(&i.customer) {
             c.out += 1;
         }
-        self.note_sent(now);
+        let gap = (now - self.instance.sent_at).secs();
+        self.instance.sent_at = now;
+        self.instance.send_rate = self.instance.send_rate * (-gap / RATE_OVER).exp() + 1.0 / RATE_OVER;
         port.deliver(inv, id, i.valid_until.saturating_sub(self.figures.margin));
-        let usual = Span::from_secs(self.instance.usual[i.operation.0 as usize] * COPY_AFTER);
-        let objective = self.figures.operations[i.operation.0 as usize].objective;
-        let check = usual.max(objective.times(0.2)).min(objective.times(0.6));
-        if self.figures.operations[i.operation.0 as usize].repeat != Repeat::NonIdempotent {
+        let operation = &self.figures.operations[i.operation.0 as usize];
+        if self.figures.second_copies && operation.repeat != Repeat::NonIdempotent {
+            let usual = Span::from_secs(self.instance.usual[i.operation.0 as usize] * COPY_AFTER);
+            let check = usual.max(operation.objective.times(0.2)).min(operation.objective.times(0.6));
             port.set_timer(check, tag(TAG_DELIVERY, u64::from(inv.0) << 8 | u64::from(no.0)));
         }
     }
 
-    /// Keeps the rate of sending, and shares it out to the cold workers by what they can do now.
-    fn note_sent(&mut self, now: Time) {
-        let gap = (now - self.instance.sent_at).secs();
-        self.instance.sent_at = now;
-        self.instance.send_rate = self.instance.send_rate * (-gap / RATE_OVER).exp() + 1.0 / RATE_OVER;
-        let figures = &self.figures;
-        let able: f64 = self.workers.values().map(|w| w.heft * warmth(figures, w, now)).sum();
+    /// A cold worker may get what its part of the sending is by what it can do now, and no burst: then it
+    /// is no busier than the rest, however many gatekeepers do the same. Where nothing is sent yet, one
+    /// delivery in each stated time by all of them together finds out.
+    fn share_out(&mut self, now: Time) {
+        let f = &self.figures;
+        let able: f64 = self.workers.values().map(|w| w.heft * warmth(f, w, now)).sum();
         let share = self.instance.send_rate / able.max(1e-9);
         for w in self.workers.values_mut().filter(|w| w.started_at.is_some()) {
-            let able = w.heft * warmth(figures, w, now);
-            w.cold_budget = (w.cold_budget + share * able * (now - w.cold_at).secs()).min(2.0);
+            let rate = (share * w.heft * warmth(f, w, now)).max(f.trickle);
+            w.cold_budget = (w.cold_budget + rate * (now - w.cold_at).secs()).min(COLD_BURST);
             w.cold_at = now;
         }
     }
@@ -469,10 +442,8 @@
         }
         if i.stage == Stage::Doubled {
             step(&mut i, Stage::Out);
-            self.invocations.insert(e.inv, i);
-            return;
         }
-        if i.stage == Stage::Streaming {
+        if i.stage == Stage::Streaming || self.outstanding(e.inv, &i).next().is_some() {
             self.invocations.insert(e.inv, i);
             return;
         }
@@ -482,27 +453,10 @@
 
     /// Nothing is out: another delivery, or the final answer at once.
     fn go_on(&mut self, now: Time, inv: InvId, mut i: Invocation, outcome: Outcome, port: &mut impl Port) {
-        let operation = &self.figures.operations[i.operation.0 as usize];
-        let repeat = operation.repeat;
-        let may_repeat = match repeat {
-            Repeat::NonIdempotent => i.may_have_run.is_none(),
-            _ => true,
-        };
-        let usual = Span::from_secs(self.instance.usual[i.operation.0 as usize]);
-        let useful_until = if operation.late_pays {
-            i.valid_until
-        } else {
-            i.valid_until.min(i.arrived_at + operation.objective)
-        };
-        let in_time = now + usual < useful_until && now + self.figures.margin < i.valid_until;
-        let tries_left = i.deliveries < self.figures.max_deliveries && outcome != Outcome::Moot;
-        if may_repeat && in_time && tries_left && self.instance.spare >= 1.0 {
-            if let Some(worker) = self.pick(now, &i) {
-                self.instance.spare -= 1.0;
-                self.deliver(now, inv, &mut i, worker, port);
-                self.invocations.insert(inv, i);
-                return;
-            }
+        let repeat = self.figures.operations[i.operation.0 as usize].repeat;
+        if outcome != Outcome::Moot && self.deliver_again(now, inv, &mut i, port) {
+            self.invocations.insert(inv, i);
+            return;
         }
         let harmless =
             i.may_have_run.is_none() || matches!(repeat, Repeat::Idempotent | Repeat::Tokened(Group::All, _));
@@ -514,11 +468,14 @@
         }
     }
 
-    fn cancel_rest(&mut self, inv: InvId, i: &Invocation, port: &mut impl Port) {
-        for no in (0..i.deliveries).map(|n| DeliveryNo(n as u8)) {
-            if self.figures.cancel && self.deliveries.contains_key(&(inv, no)) {
-                port.cancel(inv, no);
-            }
+    fn outstanding(&self, inv: InvId, i: &Invocation) -> impl Iterator<Item = DeliveryNo> {
+        let nos = (0..i.deliveries).map(|n| DeliveryNo(n as u8));
+        nos.filter(move |no| self.deliveries.contains_key(&(inv, *no)))
+    }
+
+    fn cancel_rest(&self, inv: InvId, i: &Invocation, port: &mut impl Port) {
+        if self.figures.cancel {
+            self.outstanding(inv, i).for_each(|no| port.cancel(inv, no));
         }
     }
 
@@ -530,18 +487,14 @@
         // A time-out tells of load only where the worker has answered others meanwhile; else of a
         // worker that is cut off or dead, which says nothing of the rest.
         let was_quiet = w.quiet_since <= delivery.sent_at;
-        if !e.outcome.never_ran()
-            && e.outcome != Outcome::Reset
-            && !(e.outcome == Outcome::TimedOut && was_quiet)
-        {
+        let answered = matches!(e.outcome, Outcome::Succeeded | Outcome::Errored);
+        let heard = answered || matches!(e.outcome, Outcome::Full | Outcome::Reset);
+        if answered || !was_quiet && matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled) {
             self.adapt_limit(now, delivery.operation.0 as usize, took);
         }
         let Some(w) = self.workers.get_mut(&delivery.worker) else { return };
         w.out = w.out.saturating_sub(1);
-        if !matches!(
-            e.outcome,
-            Outcome::Moot | Outcome::TimedOut | Outcome::Cancelled | Outcome::ConnectFailed
-        ) {
+        if heard {
             w.quiet_since = now;
         }
         let usual = &mut self.instance.usual[delivery.operation.0 as usize];
@@ -577,15 +530,7 @@
         }
     }
 
-    pub fn probed(
-        &mut self,
-        now: Time,
-        id: WorkerId,
-        outcome: Outcome,
-        _took: Span,
-        _load: &[f32],
-        port: &mut impl Port,
-    ) {
+    pub fn probed(&mut self, now: Time, id: WorkerId, outcome: Outcome, port: &mut impl Port) {
         let Some(w) = self.workers.get_mut(&id) else { return };
         w.probe_out = false;
         if outcome == Outcome::Succeeded {
@@ -596,14 +541,14 @@
         }
     }
 
-    pub fn expired(&mut self, _now: Time, inv: InvId, port: &mut impl Port) {
+    pub fn expired(&mut self, inv: InvId, port: &mut impl Port) {
         if let Some(mut i) = self.invocations.remove(&inv) {
             step(&mut i, Stage::Answered);
             self.cancel_rest(inv, &i, port);
         }
     }
 
-    pub fn stream_started(&mut self, now: Time, inv: InvId, _no: DeliveryNo, worker: WorkerId, _took: Span) {
+    pub fn stream_started(&mut self, now: Time, inv: InvId, worker: WorkerId) {
         if let Some(w) = self.workers.get_mut(&worker) {
             w.quiet_since = now;
         }
@@ -621,10 +566,8 @@
                 self.check_delivery(now, InvId((value >> 8) as u32), DeliveryNo(value as u8), port)
             }
             TAG_REPORT => self.report(now, CustomerId(value), port),
-            TAG_WORKER => {
-                if self.workers.get(&WorkerId(value)).is_some_and(|w| w.probe_out) {
-                    port.probe(WorkerId(value));
-                }
+            TAG_WORKER if self.workers.get(&WorkerId(value)).is_some_and(|w| w.probe_out) => {
+                port.probe(WorkerId(value));
             }
             TAG_SUBSCRIBE => port.subscribe(),
             _ => {}
@@ -633,23 +576,35 @@
 
     /// A delivery that is late for its operation gets a second copy, where that is allowed.
     fn check_delivery(&mut self, now: Time, inv: InvId, no: DeliveryNo, port: &mut impl Port) {
-        if !self.deliveries.contains_key(&(inv, no)) || !self.figures.second_copies {
+        if !self.deliveries.contains_key(&(inv, no)) {
             return;
         }
         let Some(mut i) = self.invocations.remove(&inv) else { return };
-        let objective = self.figures.operations[i.operation.0 as usize].objective;
-        let usual = Span::from_secs(self.instance.usual[i.operation.0 as usize]);
-        let tries_left = i.deliveries < self.figures.max_deliveries;
-        let useful = now + usual < i.arrived_at + objective && now + self.figures.margin < i.valid_until;
-        if i.stage == Stage::Out && tries_left && useful && self.instance.spare >= 1.0 {
-            if let Some(worker) = self.pick(now, &i) {
-                self.instance.spare -= 1.0;
-                self.deliver(now, inv, &mut i, worker, port);
-            }
+        if i.stage == Stage::Out {
+            self.deliver_again(now, inv, &mut i, port);
         }
         self.invocations.insert(inv, i);
     }
 
+    /// One more delivery, where it can still be of use and there is something to spare: further deliveries
+    /// multiply the load just when there is none to spare.
+    fn deliver_again(&mut self, now: Time, inv: InvId, i: &mut Invocation, port: &mut impl Port) -> bool {
+        let operation = &self.figures.operations[i.operation.0 as usize];
+        let objective = if operation.late_pays { i.valid_until } else { i.arrived_at + operation.objective };
+        let usual = Span::from_secs(self.instance.usual[i.operation.0 as usize]);
+        let useful = now + usual < objective && now + self.figures.margin < i.valid_until;
+        if operation.repeat == Repeat::NonIdempotent && i.may_have_run.is_some() {
+            return false;
+        }
+        if !useful || i.deliveries >= self.figures.max_deliveries || self.instance.spare < 1.0 {
+            return false;
+        }
+        let Some(worker) = self.pick(now, i) else { return false };
+        self.instance.spare -= 1.0;
+        self.deliver(now, inv, i, worker, port);
+        true
+    }
+
     /// Keeps memory bounded: customers long idle with a full bucket are dropped.
     fn sweep(&mut self, now: Time) {
         if now - self.instance.swept_at < ROUND {
@@ -670,7 +625,7 @@
         port.set_timer(self.figures.retry_subscription, tag(TAG_SUBSCRIBE, 0));
     }
 
-    pub fn listed(&mut self, now: Time, scope: Scope, list: &[Listed], _port: &mut impl Port) {
+    pub fn listed(&mut self, now: Time, scope: Scope, list: &[Listed]) {
         if scope != Scope::Delta {
             self.workers.retain(|id, _| list.iter().any(|l| l.worker == *id));
         }
@@ -779,21 +734,7 @@
 }
 
 fn fresh_worker(now: Time, l: &Listed) -> Worker {
-    Worker {
-        zone: l.zone,
-        cell: l.cell,
-        draining: false,
-        heft: heft(l),
-        started_at: l.started_at,
-        out: 0,
-        slowness: 1.0,
-        quiet_since: now,
-        strikes: 0,
-        avoid_until: now,
-        probe_out: false,
-        cold_budget: 0.0,
-        cold_at: now,
-    }
+    Worker { started_at: l.started_at, slowness: 1.0, cold_at: now, ..Worker::default() }
 }
 
 /// The share of its capacity that a worker is sure to have by now.
--- a/src/rng.rs
+++ b/src/rng.rs
@@ -12,12 +12,12 @@
         // A zero pair would stay zero for ever; the constants only keep it away from there.
         let mut rng = Rng { word: (seed & 0xffff_ffff) ^ 0x9e37_79b9, carry: (seed >> 32) | 1 };
         for _ in 0..8 {
-            rng.next();
+            rng.draw();
         }
         rng
     }
 
-    pub fn next(&mut self) -> u32 {
+    pub fn draw(&mut self) -> u32 {
         let sum = Self::FACTOR * self.word + self.carry;
         self.word = sum & 0xffff_ffff;
         self.carry = sum >> 32;
@@ -26,6 +26,6 @@
 
     /// A number below `n`; 0 where `n` is 0.
     pub fn below(&mut self, n: usize) -> usize {
-        ((u64::from(self.next()) * n as u64) >> 32) as usize
+        ((u64::from(self.draw()) * n as u64) >> 32) as usize
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,14 +10,13 @@
     pub sent_at: Time,
     pub operation: OperationId,
     pub customer: CustomerId,
-    /// A second copy, sent while another was out.
-    pub is_copy: bool,
 }
 
 /// Where an invocation stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Stage {
     /// Taken, and no delivery is out.
+    #[default]
     Taken,
     /// One delivery is out.
     Out,
@@ -30,6 +29,7 @@
 }
 
 /// For one invocation.
+#[derive(Default)]
 pub struct Invocation {
     pub stage: Stage,
     pub operation: OperationId,
@@ -47,6 +47,7 @@
 }
 
 /// For one worker, as long as it is listed.
+#[derive(Default)]
 pub struct Worker {
     pub zone: ZoneId,
     pub cell: CellId,
@@ -69,6 +70,7 @@
 }
 
 /// What a shared count is known to hold for one customer and window.
+#[derive(Default)]
 pub struct Shared {
     pub window: u64,
     /// The last total that came back.
@@ -82,6 +84,7 @@
 }
 
 /// For one customer, until its bucket is full and idle.
+#[derive(Default)]
 pub struct Customer {
     pub plan: PlanId,
     pub spread: f64,
@@ -108,6 +111,7 @@
 }
 
 /// For the instance.
+#[derive(Default)]
 pub struct Instance {
     /// What may still go into further deliveries.
     pub spare: f64,
@@ -149,7 +153,6 @@
 /// What the decisions make of the settings, once, at the start.
 pub struct Figures {
     pub gatekeepers: f64,
-    pub zone: ZoneId,
     pub margin: Span,
     pub operations: Vec<OperationFigures>,
     pub plans: Vec<PlanFigures>,
@@ -161,6 +164,8 @@
     pub max_deliveries: u32,
     pub start_share: f64,
     pub warm_within: Span,
+    /// Deliveries in a second that a cold worker may get in any case.
+    pub trickle: f64,
     pub retry_subscription: Span,
 }
 
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,205 @@
+//! Tables of cases on the decision module.
+
+mod support;
+
+use lynxstair::types::*;
+use support::{Said, World, at, delivered, listed, report_tag, settings};
+
+/// What follows a first delivery that ended so, for each kind of operation.
+#[test]
+fn after_a_failed_delivery() {
+    use Outcome::*;
+    // operation, outcome, workers; then: another delivery, or throttled, or errored
+    let cases = [
+        (0, Errored, 3, "again"),
+        (0, TimedOut, 1, "throttled"),
+        (0, Moot, 3, "throttled"),
+        (1, ConnectFailed, 3, "again"),
+        (1, Full, 3, "again"),
+        (1, Full, 1, "throttled"),
+        (1, Errored, 3, "errored"),
+        (1, TimedOut, 3, "errored"),
+        (1, Reset, 3, "errored"),
+        (1, Cancelled, 3, "errored"),
+        (2, Reset, 3, "again"),
+        (2, Reset, 1, "throttled"),
+        // Two workers, but the other one is not of the group that drops repeats.
+        (3, Reset, 0, "errored"),
+        (3, ConnectFailed, 1, "throttled"),
+    ];
+    for (operation, outcome, workers, wanted) in cases {
+        let mut world = World::new(&settings(), workers.max(1));
+        if workers == 0 {
+            let apart = [listed(0, Phase::Ready), listed(5, Phase::Ready)];
+            world.gatekeeper.listed(at(0), Scope::Full, &apart);
+        }
+        let worker = delivered(&world.invoke(10, 1, operation, 0, 1.0, 1.0)).expect("delivered");
+        let said = world.end(60, 1, 0, worker, outcome);
+        let got = match said.last() {
+            Some(Said::Deliver(_, other, _)) if *other != worker => "again",
+            Some(Said::Throttle(..)) => "throttled",
+            Some(Said::Error(_)) => "errored",
+            _ => "nothing",
+        };
+        assert_eq!(got, wanted, "operation {operation}, {outcome:?}, {workers} workers: {said:?}");
+        // The answer is final: nothing more is said for it.
+        if wanted != "again" {
+            assert_eq!(world.end(70, 1, 0, worker, outcome), []);
+            world.gatekeeper.expired(InvId(1), &mut world.ear);
+            assert_eq!(world.said(), []);
+        }
+    }
+}
+
+/// How many of ten units at once are let through, by spread and odd figures.
+#[test]
+fn the_bucket_at_the_start() {
+    // plan, spread, units of each; then how many of ten go on
+    let cases = [
+        (0, 1.0, 1.0, 8),
+        // Until a total tells better, the others are thought to do the same at the same time.
+        (0, 2.0, 1.0, 4),
+        (0, 0.0, 1.0, 4),
+        (0, f32::NAN, 1.0, 4),
+        (0, 1.0, f32::NAN, 8),
+        (0, 1.0, 0.0, 10),
+        // No rate, no quota. A ceiling's part starts empty: a restart must not fill it.
+        (2, 2.0, 1.0, 10),
+        (1, 2.0, 1.0, 0),
+        (7, 1.0, 1.0, 0),
+    ];
+    for (plan, spread, units, wanted) in cases {
+        let mut world = World::new(&settings(), 4);
+        let passed = (0..10).filter(|n| delivered(&world.invoke(1, *n, 0, plan, units, spread)).is_some());
+        assert_eq!(passed.count(), wanted, "plan {plan}, spread {spread}, units {units}");
+    }
+}
+
+/// A ceiling's part fills at an even part of its rate, and to an even part of its store.
+#[test]
+fn a_ceiling_is_spent_by_even_parts() {
+    for (waited_ms, wanted) in [(1000, 1), (3000, 5), (60_000, 7)] {
+        let mut world = World::new(&settings(), 4);
+        world.invoke(0, 99, 0, 1, 1.0, 2.0);
+        let at_once = |n: &u32| delivered(&world.invoke(waited_ms, *n, 0, 1, 1.0, 2.0)).is_some();
+        assert_eq!((0..20).filter(at_once).count(), wanted, "after {waited_ms} ms");
+    }
+}
+
+/// What a report's answer does to the next report and to the customer.
+#[test]
+fn totals() {
+    use Outcome::*;
+    // The answers in turn (outcome, total); then what the last report adds, and whether the customer goes on.
+    type Answers = &'static [(Outcome, f32)];
+    let cases: [(Answers, f32, bool); 6] = [
+        (&[(Succeeded, 2.0)], 0.0, true),
+        (&[(Full, 0.0)], 2.0, true),
+        // A time-out may have been added; the next total tells that it was not.
+        (&[(TimedOut, 0.0), (Succeeded, 0.0)], 2.0, true),
+        (&[(TimedOut, 0.0), (Succeeded, 2.0)], 0.0, true),
+        // Past burst + rate x window, all throttle until the window ends.
+        (&[(Succeeded, 100.0)], 0.0, false),
+        // A counter that comes back empty lifts no throttle and forgets nothing.
+        (&[(Succeeded, 27.0), (Succeeded, 3.0)], 0.0, false),
+    ];
+    for (answers, wanted, goes_on) in cases {
+        let mut world = World::new(&settings(), 4);
+        world.invoke(1, 1, 0, 0, 1.0, 2.0);
+        world.invoke(1, 2, 0, 0, 1.0, 2.0);
+        let mut ms = 1001;
+        for (outcome, total) in answers {
+            let said = world.timer(ms, report_tag(1));
+            let Some(Said::Add(name, _)) = said.last() else { panic!("no report: {said:?}") };
+            world.gatekeeper.counted(at(ms), *name, *outcome, *total);
+            ms += 1000;
+        }
+        assert_eq!(world.timer(ms, report_tag(1)).len(), 1);
+        ms += 1000;
+        let goes = delivered(&world.invoke(ms, 50, 0, 0, 0.5, 2.0)).is_some();
+        assert_eq!(goes, goes_on, "{answers:?}");
+        let mut world = World::new(&settings(), 4);
+        world.invoke(1, 1, 0, 0, 2.0, 2.0);
+        let mut last = 0.0;
+        for (n, (outcome, total)) in answers.iter().chain([&(Succeeded, 0.0)]).enumerate() {
+            let said = world.timer(1001 + n as u64, report_tag(1));
+            let Some(Said::Add(name, amount)) = said.last() else { panic!("no report: {said:?}") };
+            last = *amount;
+            world.gatekeeper.counted(at(1001), *name, *outcome, *total);
+        }
+        assert_eq!(last, wanted, "{answers:?}");
+    }
+}
+
+/// Where nothing may be sent, the answer is a throttle at once.
+#[test]
+fn workers_that_may_not_be_sent_to() {
+    let cases: [(&str, Vec<Listed>, Scope, bool); 5] = [
+        ("ready", vec![listed(0, Phase::Ready)], Scope::Full, true),
+        ("draining", vec![listed(0, Phase::Draining)], Scope::Delta, false),
+        ("gone", vec![listed(0, Phase::Gone)], Scope::Delta, false),
+        ("not listed any more", vec![], Scope::Full, false),
+        // Just started and cold: it gets its part of what is sent, and nothing is.
+        ("cold", vec![Listed { started_at: Some(at(5)), ..listed(0, Phase::Ready) }], Scope::Delta, false),
+    ];
+    for (name, list, scope, wanted) in cases {
+        let mut world = World::new(&settings(), 1);
+        world.gatekeeper.listed(at(5), scope, &list);
+        let said = world.invoke(6, 1, 0, 0, 1.0, 1.0);
+        assert_eq!(delivered(&said).is_some(), wanted, "{name}");
+        assert!(wanted || matches!(said[..], [Said::Throttle(InvId(1), Some(_))]), "{name}: {said:?}");
+    }
+}
+
+/// A fleet that just started as a whole is still tried, a little.
+#[test]
+fn a_cold_fleet_is_found_out() {
+    let mut world = World::new(&settings(), 1);
+    let cold = Listed { started_at: Some(at(5)), ..listed(0, Phase::Ready) };
+    world.gatekeeper.listed(at(5), Scope::Delta, &[cold]);
+    let tried =
+        (0..40).filter(|n| delivered(&world.invoke(6 + u64::from(*n) * 125, *n, 0, 2, 1.0, 1.0)).is_some());
+    assert!((1..=3).contains(&tried.count()));
+}
+
+/// A worker that turns away at once looks idle by the counts; it is avoided all the same.
+#[test]
+fn a_worker_that_fails_is_avoided() {
+    for outcome in [Outcome::Full, Outcome::ConnectFailed, Outcome::Reset] {
+        let mut world = World::new(&settings(), 2);
+        let worker = delivered(&world.invoke(1, 1, 0, 2, 1.0, 1.0)).expect("delivered");
+        world.end(2, 1, 0, worker, outcome);
+        for n in 2..20 {
+            assert_ne!(delivered(&world.invoke(3, n, 0, 2, 1.0, 1.0)), Some(worker), "{outcome:?}");
+        }
+    }
+}
+
+/// A delivery that is late gets a second copy where that is allowed, and the slower one is cancelled.
+#[test]
+fn second_copies() {
+    for (allowed, operation, wanted) in [(true, 0, true), (false, 0, false), (true, 1, false)] {
+        let mut world = World::new(&Settings { second_copies: allowed, ..settings() }, 3);
+        let worker = delivered(&world.invoke(1, 1, operation, 0, 1.0, 1.0)).expect("delivered");
+        let check = TimerTag(1 << 56 | 1 << 8);
+        let is_set = world.timers.contains(&check);
+        let copy = if is_set { delivered(&world.timer(500, check)) } else { None };
+        assert_eq!(copy.is_some() && copy != Some(worker), wanted && operation == 0, "{allowed} {operation}");
+        if let Some(copy) = copy {
+            assert_eq!(
+                world.end(550, 1, 1, copy, Outcome::Succeeded),
+                [Said::Cancel(InvId(1), DeliveryNo(0))]
+            );
+        }
+    }
+}
+
+/// The same calls and seed give the same answers.
+#[test]
+fn the_same_again() {
+    let run = || {
+        let mut world = World::new(&settings(), 9);
+        (0..200).flat_map(|n| world.invoke(u64::from(n), n, 0, 2, 1.0, 2.0)).collect::<Vec<_>>()
+    };
+    assert_eq!(run(), run());
+}
