--- a/src/policy.rs
+++ b/src/policy.rs
@@ -10,8 +10,8 @@
 use crate::port::Port;
 use crate::rng::Rng;
 use crate::state::{
-    Customer, Delivery, DeliveryKey, Figures, Instance, Invocation, OperationFigures, PlanFigures, Shared,
-    Stage, Worker,
+    Customer, Delivery, DeliveryKey, Figures, Instance, Invocation, OperationFigures, PlanFigures, SIZES,
+    Shared, Stage, Worker,
 };
 use crate::types::{
     Arrival, CountName, CustomerId, DeliveryNo, Ended, Group, InvId, Listed, Outcome, Phase, Plan, Repeat,
@@ -54,7 +54,7 @@
 /// Silence of this many usual latencies speaks against a worker.
 const SILENT: f64 = 4.0;
 /// A second copy goes out after this many usual latencies.
-const COPY_AFTER: f64 = 3.0;
+const COPY_AFTER: f64 = 6.0;
 /// The most that one latency counts, in what is usual.
 const SLOWEST: f64 = 10.0;
 /// The weight of a new sample in a running mean.
@@ -134,7 +134,8 @@
             port.subscribe();
         }
         let figures = derive(settings);
-        let usual = figures.operations.iter().map(|o| o.objective.secs() * USUAL_AT_FIRST).collect();
+        let usual = |o: &OperationFigures| [o.objective.secs() * USUAL_AT_FIRST; SIZES];
+        let usual = figures.operations.iter().map(usual).collect();
         Gatekeeper {
             figures,
             rng: Rng::new(seed),
@@ -331,12 +332,15 @@
         }
         let a = open[self.rng.below(open.len())];
         let b = open[self.rng.below(open.len())];
-        Some(if self.cost(now, b) < self.cost(now, a) { b } else { a })
+        let own = self.usual(invocation).secs();
+        Some(if self.cost(now, b, own) < self.cost(now, a, own) { b } else { a })
     }
 
-    fn cost(&self, now: Time, id: WorkerId) -> f64 {
+    /// What is out at a worker counts by the time that is usual for it: one large invocation keeps a
+    /// worker as busy as many small ones.
+    fn cost(&self, now: Time, id: WorkerId, own: f64) -> f64 {
         let w = &self.workers[&id];
-        f64::from(w.out + 1) * w.slowness / (w.heft * warmth(&self.figures, w, now))
+        (w.load + own) * w.slowness / (w.heft * warmth(&self.figures, w, now))
     }
 
     /// How many deliveries may be out. Each gatekeeper finds its own part by the latencies that come back,
@@ -363,22 +367,36 @@
         }
     }
 
+    /// The usual latency for an operation and size.
+    fn usual(&self, i: &Invocation) -> Span {
+        Span::from_secs(self.instance.usual[i.operation.0 as usize][size_of(i.units)])
+    }
+
     fn silence(&self) -> Span {
-        let usual = self.instance.usual.iter().copied().fold(0.0, f64::max);
+        let usual = self.instance.usual.iter().map(|sizes| sizes[1]).fold(0.0, f64::max);
         Span::from_secs(usual * SILENT)
     }
 
     fn deliver(&mut self, now: Time, inv: InvId, i: &mut Invocation, id: WorkerId, port: &mut impl Port) {
+        let weight = self.usual(i).secs();
         let w = self.workers.get_mut(&id).expect("picked from these");
         if w.out == 0 {
             w.quiet_since = now;
         }
         w.out += 1;
+        w.load += weight;
         self.instance.out += 1;
         w.cold_budget -= 1.0;
         let is_copy = i.stage == Stage::Out;
         let no = DeliveryNo(i.deliveries as u8);
-        let delivery = Delivery { worker: id, sent_at: now, operation: i.operation, customer: i.customer };
+        let delivery = Delivery {
+            worker: id,
+            sent_at: now,
+            operation: i.operation,
+            size: size_of(i.units),
+            weight,
+            customer: i.customer,
+        };
         self.deliveries.insert((inv, no), delivery);
         i.deliveries += 1;
         i.tried.push(id);
@@ -394,7 +412,7 @@
         port.deliver(inv, id, i.valid_until.saturating_sub(self.figures.margin));
         let operation = &self.figures.operations[i.operation.0 as usize];
         if self.figures.second_copies && operation.repeat != Repeat::NonIdempotent {
-            let usual = Span::from_secs(self.instance.usual[i.operation.0 as usize] * COPY_AFTER);
+            let usual = Span::from_secs(weight * COPY_AFTER);
             let check = usual.max(operation.objective.times(0.2)).min(operation.objective.times(0.6));
             port.set_timer(check, tag(TAG_DELIVERY, u64::from(inv.0) << 8 | u64::from(no.0)));
         }
@@ -494,10 +512,11 @@
         }
         let Some(w) = self.workers.get_mut(&delivery.worker) else { return };
         w.out = w.out.saturating_sub(1);
+        w.load = if w.out == 0 { 0.0 } else { (w.load - delivery.weight).max(0.0) };
         if heard {
             w.quiet_since = now;
         }
-        let usual = &mut self.instance.usual[delivery.operation.0 as usize];
+        let usual = &mut self.instance.usual[delivery.operation.0 as usize][delivery.size];
         match e.outcome {
             Outcome::Succeeded | Outcome::Errored => {
                 w.strikes = 0;
@@ -591,7 +610,7 @@
     fn deliver_again(&mut self, now: Time, inv: InvId, i: &mut Invocation, port: &mut impl Port) -> bool {
         let operation = &self.figures.operations[i.operation.0 as usize];
         let objective = if operation.late_pays { i.valid_until } else { i.arrived_at + operation.objective };
-        let usual = Span::from_secs(self.instance.usual[i.operation.0 as usize]);
+        let usual = self.usual(i);
         let useful = now + usual < objective && now + self.figures.margin < i.valid_until;
         if operation.repeat == Repeat::NonIdempotent && i.may_have_run.is_some() {
             return false;
@@ -636,9 +655,7 @@
             }
             let w = self.workers.entry(l.worker).or_insert_with(|| fresh_worker(now, l));
             if w.started_at != l.started_at {
-                let out = w.out;
-                *w = fresh_worker(now, l);
-                w.out = out;
+                *w = Worker { out: w.out, load: w.load, ..fresh_worker(now, l) };
             }
             w.draining = l.phase == Phase::Draining;
             w.heft = heft(l);
@@ -729,6 +746,11 @@
 
 // ---- workers ----
 
+/// Sizes of one operation are told apart in steps of a unit, up to the last.
+fn size_of(units: f64) -> usize {
+    (units.ceil() as usize).min(SIZES - 1)
+}
+
 fn heft(l: &Listed) -> f64 {
     if l.heft.is_finite() && l.heft > 0.0 { f64::from(l.heft) } else { 1.0 }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,11 +4,17 @@
     CellId, CustomerId, DeliveryNo, InvId, OperationId, PlanId, Repeat, Span, Time, WorkerId, ZoneId,
 };
 
+/// How many sizes of an operation are told apart.
+pub const SIZES: usize = 17;
+
 /// For one delivery.
 pub struct Delivery {
     pub worker: WorkerId,
     pub sent_at: Time,
     pub operation: OperationId,
+    pub size: usize,
+    /// What was usual for it, in seconds.
+    pub weight: f64,
     pub customer: CustomerId,
 }
 
@@ -56,6 +62,8 @@
     pub started_at: Option<Time>,
     /// Deliveries of this gatekeeper that are out.
     pub out: u32,
+    /// The same by what is usual for each, in seconds.
+    pub load: f64,
     /// Its latency over what is usual for the fleet.
     pub slowness: f64,
     /// Since when deliveries are out with no answer of any kind.
@@ -119,8 +127,8 @@
     pub send_rate: f64,
     pub sent_at: Time,
     pub swept_at: Time,
-    /// What is usual for each operation, in seconds.
-    pub usual: Vec<f64>,
+    /// What is usual for each operation and size, in seconds.
+    pub usual: Vec<[f64; SIZES]>,
     /// Of the deliveries that ended lately, the share that took too much of the objective.
     pub late_share: f64,
     /// Deliveries out, how many may be out, and the last cut of that.
