Copy late deliveries only from workers in doubt

Cause: copies of deliveries that are late only because the fleet is busy add load. Told apart: the worker goes on answering others. Where copies are barred, the delivery is cancelled first.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,8 +53,8 @@
 const AVOID_MOST: f64 = 8.0;
 /// Silence of this many usual latencies speaks against a worker.
 const SILENT: f64 = 4.0;
-/// A second copy goes out after this many usual latencies.
-const COPY_AFTER: f64 = 6.0;
+/// A delivery is looked at again after this many usual latencies.
+const COPY_AFTER: f64 = 4.0;
 /// The most that one latency counts, in what is usual.
 const SLOWEST: f64 = 10.0;
 /// The weight of a new sample in a running mean.
@@ -64,7 +64,7 @@
 /// What a cold worker may be sent at once.
 const COLD_BURST: f64 = 2.0;
 /// Before any latency is known, this part of the objective is taken for usual.
-const USUAL_AT_FIRST: f64 = 0.2;
+const USUAL_AT_FIRST: f64 = 0.1;
 
 const TAG_DELIVERY: u64 = 1;
 const TAG_REPORT: u64 = 2;
@@ -310,7 +310,6 @@
             return None;
         }
         self.share_out(now);
-        let silent = self.silence();
         let mut healthy = Vec::new();
         let mut doubtful = Vec::new();
         let mut any_healthy = false;
@@ -318,7 +317,7 @@
             if w.draining || invocation.tried.contains(&id) || !in_group(&self.figures, invocation, w, now) {
                 continue;
             }
-            let is_healthy = now >= w.avoid_until && (w.out == 0 || now - w.quiet_since < silent);
+            let is_healthy = now >= w.avoid_until && !is_silent(w, now);
             any_healthy |= is_healthy;
             if !has_cold_budget(&self.figures, w, now) {
                 continue;
@@ -372,11 +371,6 @@
         Span::from_secs(self.instance.usual[i.operation.0 as usize][size_of(i.units)])
     }
 
-    fn silence(&self) -> Span {
-        let usual = self.instance.usual.iter().map(|sizes| sizes[1]).fold(0.0, f64::max);
-        Span::from_secs(usual * SILENT)
-    }
-
     fn deliver(&mut self, now: Time, inv: InvId, i: &mut Invocation, id: WorkerId, port: &mut impl Port) {
         let weight = self.usual(i).secs();
         let w = self.workers.get_mut(&id).expect("picked from these");
@@ -411,7 +405,7 @@
         self.instance.send_rate = self.instance.send_rate * (-gap / RATE_OVER).exp() + 1.0 / RATE_OVER;
         port.deliver(inv, id, i.valid_until.saturating_sub(self.figures.margin));
         let operation = &self.figures.operations[i.operation.0 as usize];
-        if self.figures.second_copies && operation.repeat != Repeat::NonIdempotent {
+        if operation.repeat != Repeat::NonIdempotent {
             let usual = Span::from_secs(weight * COPY_AFTER);
             let check = usual.max(operation.objective.times(0.2)).min(operation.objective.times(0.6));
             port.set_timer(check, tag(TAG_DELIVERY, u64::from(inv.0) << 8 | u64::from(no.0)));
@@ -593,14 +587,20 @@
         }
     }
 
-    /// A delivery that is late for its operation gets a second copy, where that is allowed.
+    /// A delivery that is late at a worker in doubt, dead or cut off, is sent elsewhere. One that is late at
+    /// a worker that goes on answering is left alone: a copy would only add to the load that made it late.
     fn check_delivery(&mut self, now: Time, inv: InvId, no: DeliveryNo, port: &mut impl Port) {
-        if !self.deliveries.contains_key(&(inv, no)) {
+        let Some(delivery) = self.deliveries.get(&(inv, no)) else { return };
+        let worker = self.workers.get(&delivery.worker);
+        if worker.is_some_and(|w| now >= w.avoid_until && !is_silent(w, now)) {
             return;
         }
         let Some(mut i) = self.invocations.remove(&inv) else { return };
-        if i.stage == Stage::Out {
+        if i.stage == Stage::Out && self.figures.second_copies {
             self.deliver_again(now, inv, &mut i, port);
+        } else if i.stage == Stage::Out && self.figures.cancel && self.instance.spare >= 1.0 {
+            // Its end as cancelled makes room for the next.
+            port.cancel(inv, no);
         }
         self.invocations.insert(inv, i);
     }
@@ -759,6 +759,11 @@
     Worker { started_at: l.started_at, slowness: 1.0, cold_at: now, ..Worker::default() }
 }
 
+/// Nothing came back for several times what is usual for what is out there.
+fn is_silent(w: &Worker, now: Time) -> bool {
+    w.out > 0 && (now - w.quiet_since).secs() > SILENT * w.load / f64::from(w.out)
+}
+
 /// The share of its capacity that a worker is sure to have by now.
 fn warmth(f: &Figures, w: &Worker, now: Time) -> f64 {
     let Some(started) = w.started_at else { return 1.0 };
