Send cold workers up to 0.6 of the multiple that pushes them over

Symptom: 60% throttled with room during a deploy, while new workers answered in 70 ms with one in hand. Cause: they got only what the slowest warming allows. Told from overload: their reported load and latency were the lowest of the fleet. Change: the budget goes up to 0.6 of the stated multiple, and the pick goes by latencies. It could do harm where send rates jump within the stated time.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -61,6 +61,8 @@
 const FRESH: f64 = 0.1;
 /// The time over which the rate of sending is reckoned.
 const RATE_OVER: f64 = 2.0;
+/// The part of the multiple that pushes a cold worker over that is made use of.
+const COLD_PART: f64 = 0.6;
 /// What a cold worker may be sent at once.
 const COLD_BURST: f64 = 2.0;
 /// Before any latency is known, this part of the objective is taken for usual.
@@ -123,6 +125,7 @@
         max_deliveries: s.max_deliveries.max(1),
         start_share: s.start_share.clamp(0.01, 1.0),
         warm_within: s.warm_within,
+        cold_headroom: (s.fall_multiple * COLD_PART).max(1.0),
         trickle: 1.0 / s.fall.secs().max(1.0) / f64::from(s.gatekeepers.max(1)),
         retry_subscription: s.must_ask_in.times(0.1).max(Span::from_millis(200)),
     }
@@ -332,14 +335,14 @@
         let a = open[self.rng.below(open.len())];
         let b = open[self.rng.below(open.len())];
         let own = self.usual(invocation).secs();
-        Some(if self.cost(now, b, own) < self.cost(now, a, own) { b } else { a })
+        Some(if self.cost(b, own) < self.cost(a, own) { b } else { a })
     }
 
     /// What is out at a worker counts by the time that is usual for it: one large invocation keeps a
-    /// worker as busy as many small ones.
-    fn cost(&self, now: Time, id: WorkerId, own: f64) -> f64 {
+    /// worker as busy as many small ones. Cold workers show as slow ones; their budget keeps them safe.
+    fn cost(&self, id: WorkerId, own: f64) -> f64 {
         let w = &self.workers[&id];
-        (w.load + own) * w.slowness / (w.heft * warmth(&self.figures, w, now))
+        (w.load + own) * w.slowness / w.heft
     }
 
     /// How many deliveries may be out. Each gatekeeper finds its own part by the latencies that come back,
@@ -420,7 +423,8 @@
         let able: f64 = self.workers.values().map(|w| w.heft * warmth(f, w, now)).sum();
         let share = self.instance.send_rate / able.max(1e-9);
         for w in self.workers.values_mut().filter(|w| w.started_at.is_some()) {
-            let rate = (share * w.heft * warmth(f, w, now)).max(f.trickle);
+            let able = (warmth(f, w, now) * f.cold_headroom).min(1.0);
+            let rate = (share * w.heft * able).max(f.trickle);
             w.cold_budget = (w.cold_budget + rate * (now - w.cold_at).secs()).min(COLD_BURST);
             w.cold_at = now;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -172,6 +172,8 @@
     pub max_deliveries: u32,
     pub start_share: f64,
     pub warm_within: Span,
+    /// How far over what it is sure to do a cold worker may be sent.
+    pub cold_headroom: f64,
     /// Deliveries in a second that a cold worker may get in any case.
     pub trickle: f64,
     pub retry_subscription: Span,
