Tell clients to come back soon where the fleet is full

Change: advice of 0.3 usual latencies where the fleet is full. Could harm where clients in great numbers hammer a gatekeeper; throttling costs it little.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,6 +41,8 @@
 const LATE_FEW: f64 = 0.15;
 /// Deliveries out per worker at first, by all gatekeepers together.
 const FIRST_LIMIT: f64 = 6.0;
+/// Where the fleet is full, a client is told to come back after this many usual latencies.
+const COME_BACK: f64 = 0.3;
 const LEAST_LIMIT: f64 = 2.5;
 /// A cut, and how long the next has to wait for its effect.
 const CUT: f64 = 0.9;
@@ -184,7 +186,8 @@
             return port.throttle(inv, None);
         }
         let Some(worker) = self.pick(now, &invocation) else {
-            return port.throttle(inv, self.advice(ROUND));
+            // A place is free once a delivery ends; a client that waits longer comes too late.
+            return port.throttle(inv, self.advice(self.usual(&invocation).times(COME_BACK)));
         };
 
         // The charge, then the delivery.
@@ -478,7 +481,7 @@
             i.may_have_run.is_none() || matches!(repeat, Repeat::Idempotent | Repeat::Tokened(Group::All, _));
         step(&mut i, Stage::Answered);
         if harmless {
-            port.throttle(inv, self.advice(ROUND));
+            port.throttle(inv, self.advice(self.usual(&i).times(COME_BACK)));
         } else {
             port.error(inv);
         }
