--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,13 +30,13 @@
 /// The use of its rate that a new customer is taken for, and how much more than evenly the others may be
 /// taken to let through for what is let through here.
 const FIRST_USE: f64 = 0.3;
-const RATIO_MOST: f64 = 2.0;
+const RATIO_MOST: f64 = 4.0;
 /// The weight of a new total in the rates of use.
-const FRESH_USE: f64 = 0.5;
+const FRESH_USE: f64 = 0.3;
 const IDLE: Span = Span::from_millis(20_000);
 /// A delivery is too slow over this part of the latency objective; many such cut the instance's limit,
 /// few let it grow.
-const TOO_SLOW: f64 = 0.5;
+const TOO_SLOW: f64 = 0.4;
 const LATE_MANY: f64 = 0.25;
 const LATE_FEW: f64 = 0.15;
 /// Deliveries out per worker at first, by all gatekeepers together.
