--- a/src/policy.rs
+++ b/src/policy.rs
@@ -281,8 +281,9 @@
             customer.told_at = customer.told_at.max(now.saturating_sub(begun));
             customer.own_since = customer.unreported;
         }
-        let amount = customer.unreported;
+        let amount = customer.unreported + customer.shared.unadded;
         customer.unreported = 0.0;
+        customer.shared.unadded = 0.0;
         customer.shared.in_call = Some(amount);
         port.add_to_count(count_name(id, window), plan.keep, amount as f32);
     }
@@ -300,8 +301,9 @@
                 refill(customer, plan, now);
                 hear_total(customer, plan, now, f64::from(total), amount);
             }
-            // Known not to be added: it goes with the next report.
-            Outcome::Full | Outcome::ConnectFailed => customer.unreported += amount,
+            // Known not to be added: it goes with the next report of this window. Later ones leave it out:
+            // reports piled up while the counter was down would pass the allowance all at once.
+            Outcome::Full | Outcome::ConnectFailed => customer.shared.unadded += amount,
             // Perhaps added. Counted twice it would throttle a customer inside its quota; not
             // counted, a little more is let through: the next total tells which.
             _ => customer.shared.unsure += amount,
@@ -715,8 +717,8 @@
 /// the next total puts it right.
 fn guess_others(c: &mut Customer, now: Time) {
     let gap = (now - c.told_at).min(GUESS_STANDS).secs();
-    let ratio = c.others_rate / c.own_rate.max(1e-9);
-    let guess = (c.others_rate * gap).max(ratio.min(RATIO_MOST * (c.spread - 1.0)) * c.own_since);
+    let ratio = (c.others_rate / c.own_rate.max(1e-9)).min(RATIO_MOST * (c.spread - 1.0));
+    let guess = (c.others_rate * gap).max(ratio * c.own_since);
     let more = (guess - c.guessed).clamp(0.0, c.tokens.max(0.0));
     c.guessed += more;
     c.tokens -= more;
@@ -734,7 +736,7 @@
     let others = (total - s.total - amount).max(0.0);
     let landed = others.min(s.unsure);
     if others + 0.001 < s.unsure {
-        c.unreported += s.unsure - others;
+        s.unadded += s.unsure - others;
     }
     s.unsure = 0.0;
     s.total = total;
--- a/src/state.rs
+++ b/src/state.rs
@@ -85,6 +85,8 @@
     pub total: f64,
     /// What a counter that came back empty had held before.
     pub lost: f64,
+    /// Known not to have been added.
+    pub unadded: f64,
     /// Sent in a call with no answer yet.
     pub in_call: Option<f64>,
     /// Sent in calls that were never answered: it may have been added.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -131,6 +131,21 @@
     }
 }
 
+/// What the counter turned away goes with the next report of the window, and with none after it.
+#[test]
+fn reports_that_were_turned_away() {
+    for (waited_ms, wanted) in [(1000, 3.0), (11_000, 1.0)] {
+        let mut world = World::new(&settings(), 4);
+        world.invoke(1, 1, 0, 0, 2.0, 2.0);
+        let said = world.timer(1001, report_tag(1));
+        let Some(Said::Add(name, _)) = said.last() else { panic!("no report: {said:?}") };
+        world.gatekeeper.counted(at(1002), *name, Outcome::Full, 0.0);
+        world.invoke(1001 + waited_ms, 2, 0, 0, 1.0, 2.0);
+        let said = world.timer(1002 + waited_ms, report_tag(1));
+        assert!(matches!(said[..], [Said::Add(_, amount)] if amount == wanted), "{waited_ms}: {said:?}");
+    }
+}
+
 /// Where nothing may be sent, the answer is a throttle at once.
 #[test]
 fn workers_that_may_not_be_sent_to() {
