Feed cold workers by what others carried, not by what is sent now

Symptom: 90% throttled with room during a deploy, one worker at 4.8 times the mean. Cause: sending falls in a jam, the budgets of cold workers fall with it, and the warm ones jam more. Told from plain overload: few workers got most. Change: the budget goes by the most that came back in the last seconds per heft; draining workers leave the limit.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -63,6 +63,8 @@
 const FRESH: f64 = 0.1;
 /// The time over which the rate of sending is reckoned.
 const RATE_OVER: f64 = 2.0;
+/// How long the most that was carried counts.
+const CARRIED_OVER: f64 = 8.0;
 /// The part of the multiple that pushes a cold worker over that is made use of.
 const COLD_PART: f64 = 0.6;
 /// What a cold worker may be sent at once.
@@ -144,7 +146,7 @@
         Gatekeeper {
             figures,
             rng: Rng::new(seed),
-            instance: Instance { spare: SPARE_MOST, sent_at: now, usual, ..Instance::default() },
+            instance: Instance { spare: SPARE_MOST, carried_at: now, usual, ..Instance::default() },
             workers: BTreeMap::new(),
             customers: BTreeMap::new(),
             invocations: HashMap::new(),
@@ -353,7 +355,7 @@
     /// How many deliveries may be out. Each gatekeeper finds its own part by the latencies that come back,
     /// and never goes under its even part of what keeps the workers busy.
     fn limit(&mut self) -> f64 {
-        let part = self.workers.len() as f64 / self.figures.gatekeepers;
+        let part = self.workers.values().filter(|w| !w.draining).count() as f64 / self.figures.gatekeepers;
         self.instance.limit.get_or_insert(FIRST_LIMIT * part).max(LEAST_LIMIT * part).max(1.0)
     }
 
@@ -408,9 +410,6 @@
         if let Some(c) = self.customers.get_mut(&i.customer) {
             c.out += 1;
         }
-        let gap = (now - self.instance.sent_at).secs();
-        self.instance.sent_at = now;
-        self.instance.send_rate = self.instance.send_rate * (-gap / RATE_OVER).exp() + 1.0 / RATE_OVER;
         port.deliver(inv, id, i.valid_until.saturating_sub(self.figures.margin));
         let operation = &self.figures.operations[i.operation.0 as usize];
         if operation.repeat != Repeat::NonIdempotent {
@@ -420,21 +419,32 @@
         }
     }
 
-    /// A cold worker may get what its part of the sending is by what it can do now, and no burst: then it
-    /// is no busier than the rest, however many gatekeepers do the same. Where nothing is sent yet, one
-    /// delivery in each stated time by all of them together finds out.
+    /// A cold worker may get what others of its size carry, by what it can do now, and no burst: however many
+    /// gatekeepers do the same. What they carry is what came back, not what was sent, and the most of the
+    /// last seconds: where the rest jams, the cold ones must not be starved too. Where nothing is known, one
+    /// delivery in each stated time by all gatekeepers together finds out.
     fn share_out(&mut self, now: Time) {
         let f = &self.figures;
-        let able: f64 = self.workers.values().map(|w| w.heft * warmth(f, w, now)).sum();
-        let share = self.instance.send_rate / able.max(1e-9);
         for w in self.workers.values_mut().filter(|w| w.started_at.is_some()) {
             let able = (warmth(f, w, now) * f.cold_headroom).min(1.0);
-            let rate = (share * w.heft * able).max(f.trickle);
+            let rate = (self.instance.carried * w.heft * able).max(f.trickle);
             w.cold_budget = (w.cold_budget + rate * (now - w.cold_at).secs()).min(COLD_BURST);
             w.cold_at = now;
         }
     }
 
+    /// Keeps what came back in a second, and the most of it for each part of the fleet that was able to.
+    fn note_carried(&mut self, now: Time) {
+        let f = &self.figures;
+        let able: f64 = self.workers.values().map(|w| w.heft * warmth(f, w, now)).sum();
+        let instance = &mut self.instance;
+        let gap = (now - instance.carried_at).secs();
+        instance.carried_at = now;
+        instance.rate = instance.rate * (-gap / RATE_OVER).exp() + 1.0 / RATE_OVER;
+        instance.carried =
+            (instance.carried * (-gap / CARRIED_OVER).exp()).max(instance.rate / able.max(1e-9));
+    }
+
     // ---- what becomes of deliveries ----
 
     pub fn delivery_ended(&mut self, now: Time, e: &Ended, port: &mut impl Port) {
@@ -443,6 +453,9 @@
         if let Some(customer) = self.customers.get_mut(&delivery.customer) {
             customer.out = customer.out.saturating_sub(1);
         }
+        if e.outcome == Outcome::Succeeded {
+            self.note_carried(now);
+        }
         let Some(mut i) = self.invocations.remove(&e.inv) else { return };
         if let Some(actual) = e.actual.filter(|_| e.outcome == Outcome::Succeeded)
             && let Some(customer) = self.customers.get_mut(&i.customer)
--- a/src/state.rs
+++ b/src/state.rs
@@ -125,9 +125,10 @@
 pub struct Instance {
     /// What may still go into further deliveries.
     pub spare: f64,
-    /// Deliveries in a second, lately.
-    pub send_rate: f64,
-    pub sent_at: Time,
+    /// Deliveries that succeed in a second, lately, and the most of it for a unit of heft.
+    pub rate: f64,
+    pub carried: f64,
+    pub carried_at: Time,
     pub swept_at: Time,
     /// What is usual for each operation and size, in seconds.
     pub usual: Vec<[f64; SIZES]>,
