Draw the two from workers no busier than the mean

Symptom: 40% throttled with room, little late, workers with 4 and with 13 out side by side. Cause: two drawn from all load a busy worker now and then while others idle, and in overload that idle time is missing. Told from a wrong limit: scans of the limit's figures gained nothing. Could harm where many gatekeepers see the same idle worker.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -67,6 +67,8 @@
 const CARRIED_OVER: f64 = 8.0;
 /// The part of the multiple that pushes a cold worker over that is made use of.
 const COLD_PART: f64 = 0.6;
+/// Workers over this many times the mean cost are not drawn; a little over 1 for the rounding.
+const NO_BUSIER: f64 = 1.0001;
 /// What a cold worker may be sent at once.
 const COLD_BURST: f64 = 2.0;
 /// Before any latency is known, this part of the objective is taken for usual.
@@ -335,13 +337,17 @@
             if is_healthy { &mut healthy } else { &mut doubtful }.push(id);
         }
         // Where every worker is in doubt, the doubt is more likely about the way there.
-        let open = if any_healthy { healthy } else { doubtful };
+        let mut open = if any_healthy { healthy } else { doubtful };
+        // Two drawn from all would still now and then load a busy worker while others idle: in overload
+        // that idle time is what is missing. So only workers no busier than the mean are drawn.
+        let own = self.usual(invocation).secs();
+        let mean = open.iter().map(|id| self.cost(*id, own)).sum::<f64>() / open.len().max(1) as f64;
+        open.retain(|id| self.cost(*id, own) <= mean * NO_BUSIER);
         if open.is_empty() {
             return None;
         }
         let a = open[self.rng.below(open.len())];
         let b = open[self.rng.below(open.len())];
-        let own = self.usual(invocation).secs();
         Some(if self.cost(b, own) < self.cost(a, own) { b } else { a })
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -190,6 +190,19 @@
     }
 }
 
+/// Of workers alike, none gets a second delivery before each has one.
+#[test]
+fn the_pick_fills_evenly() {
+    for workers in [2, 5, 9] {
+        let mut world = World::new(&settings(), workers);
+        let mut got: Vec<_> =
+            (0..workers as u32).filter_map(|n| delivered(&world.invoke(1, n, 0, 2, 1.0, 1.0))).collect();
+        got.sort();
+        got.dedup();
+        assert_eq!(got.len() as u64, workers);
+    }
+}
+
 /// A delivery that is late at a worker that answers nothing is sent elsewhere; one at a worker that goes on
 /// answering others is left alone, and so is a non-idempotent one.
 #[test]
