--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,6 +22,8 @@
 const ROUND: Span = Span::from_millis(1000);
 /// A window is several rounds long, as in the paper.
 const WINDOW_ROUNDS: f64 = 10.0;
+/// Tokens asked for over the units, for a plan whose use beyond the quota costs all it is worth.
+const SURER: f64 = 0.8;
 /// The longest that a count may be kept.
 const LONGEST_KEPT: Span = Span::from_millis(60_000);
 /// How long a guess at the others' use stands without a new total; then the bucket gets its even part.
@@ -103,6 +105,7 @@
             rate: Some(rate).filter(|r| *r > 0.0),
             burst,
             open: p.open,
+            surer: 1.0 + SURER * positive(p.beyond_costs),
             ceiling_rate: positive(p.ceiling_rate),
             ceiling_burst: positive(p.ceiling_burst),
             window,
@@ -213,10 +216,12 @@
         if now < customer.throttled_until {
             return Err(ROUND);
         }
+        // The dearer what is sent on beyond the quota, the surer it has to be inside.
+        let wanted = (units * plan.surer).min(plan.burst).max(units);
         if let Some(rate) = plan.rate
-            && customer.tokens < units
+            && customer.tokens < wanted
         {
-            return Err(Span::from_secs((units - customer.tokens) / rate));
+            return Err(Span::from_secs((wanted - customer.tokens) / rate));
         }
         // Ceilings hold without agreement: each gatekeeper spends its even part only.
         if plan.ceiling_rate > 0.0 && customer.ceiling < units {
@@ -697,14 +702,12 @@
 
 /// Every change of an invocation's stage goes through here.
 fn step(i: &mut Invocation, to: Stage) {
-    let legal = match (i.stage, to) {
-        (Stage::Answered, _) => false,
-        (_, Stage::Answered) => true,
-        (Stage::Taken, Stage::Out) | (Stage::Out, Stage::Taken | Stage::Doubled) => true,
-        (Stage::Doubled, Stage::Out) => true,
-        (Stage::Out | Stage::Doubled, Stage::Streaming) => true,
-        (Stage::Streaming, Stage::Taken) => true,
-        _ => false,
+    let legal = match i.stage {
+        Stage::Taken => matches!(to, Stage::Out | Stage::Answered),
+        Stage::Out => to != Stage::Out,
+        Stage::Doubled => matches!(to, Stage::Out | Stage::Streaming | Stage::Answered),
+        Stage::Streaming => matches!(to, Stage::Streaming | Stage::Answered),
+        Stage::Answered => false,
     };
     debug_assert!(legal, "{:?} to {to:?}", i.stage);
     i.stage = to;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -67,6 +67,9 @@
         (2, 2.0, 1.0, 10),
         (1, 2.0, 1.0, 0),
         (7, 1.0, 1.0, 0),
+        // Dear beyond the quota: the last unit is not sure enough. More than the burst never goes on.
+        (3, 1.0, 1.0, 7),
+        (3, 1.0, 9.0, 0),
     ];
     for (plan, spread, units, wanted) in cases {
         let mut world = World::new(&settings(), 4);
