--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,8 +22,6 @@
 const ROUND: Span = Span::from_millis(1000);
 /// A window is several rounds long, as in the paper.
 const WINDOW_ROUNDS: f64 = 10.0;
-/// Tokens asked for over the units, for a plan whose use beyond the quota costs all it is worth.
-const SURER: f64 = 0.8;
 /// The longest that a count may be kept.
 const LONGEST_KEPT: Span = Span::from_millis(60_000);
 /// How long a guess at the others' use stands without a new total; then the bucket gets its even part.
@@ -105,7 +103,6 @@
             rate: Some(rate).filter(|r| *r > 0.0),
             burst,
             open: p.open,
-            surer: 1.0 + SURER * positive(p.beyond_costs),
             ceiling_rate: positive(p.ceiling_rate),
             ceiling_burst: positive(p.ceiling_burst),
             window,
@@ -216,12 +213,10 @@
         if now < customer.throttled_until {
             return Err(ROUND);
         }
-        // The dearer what is sent on beyond the quota, the surer it has to be inside.
-        let wanted = (units * plan.surer).min(plan.burst).max(units);
         if let Some(rate) = plan.rate
-            && customer.tokens < wanted
+            && customer.tokens < units
         {
-            return Err(Span::from_secs((wanted - customer.tokens) / rate));
+            return Err(Span::from_secs((units - customer.tokens) / rate));
         }
         // Ceilings hold without agreement: each gatekeeper spends its even part only.
         if plan.ceiling_rate > 0.0 && customer.ceiling < units {
@@ -598,7 +593,8 @@
         if let Some(w) = self.workers.get_mut(&worker) {
             w.quiet_since = now;
         }
-        if let Some(i) = self.invocations.get_mut(&inv) {
+        // Two copies may start at once; the first has the client.
+        if let Some(i) = self.invocations.get_mut(&inv).filter(|i| i.stage != Stage::Streaming) {
             step(i, Stage::Streaming);
         }
     }
@@ -706,7 +702,7 @@
         Stage::Taken => matches!(to, Stage::Out | Stage::Answered),
         Stage::Out => to != Stage::Out,
         Stage::Doubled => matches!(to, Stage::Out | Stage::Streaming | Stage::Answered),
-        Stage::Streaming => matches!(to, Stage::Streaming | Stage::Answered),
+        Stage::Streaming => to == Stage::Answered,
         Stage::Answered => false,
     };
     debug_assert!(legal, "{:?} to {to:?}", i.stage);
--- a/src/state.rs
+++ b/src/state.rs
@@ -154,8 +154,6 @@
     pub rate: Option<f64>,
     pub burst: f64,
     pub open: u32,
-    /// The tokens that have to be there, in units of the invocation.
-    pub surer: f64,
     pub ceiling_rate: f64,
     pub ceiling_burst: f64,
     pub window: Span,
