--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,8 +37,8 @@
 /// A delivery is too slow over this part of the latency objective; many such cut the instance's limit,
 /// few let it grow.
 const TOO_SLOW: f64 = 0.4;
-const LATE_MANY: f64 = 0.25;
-const LATE_FEW: f64 = 0.15;
+const LATE_MANY: f64 = 0.2;
+const LATE_FEW: f64 = 0.1;
 /// Deliveries out per worker at first, by all gatekeepers together.
 const FIRST_LIMIT: f64 = 6.0;
 /// Where the fleet is full, a client is told to come back after this many usual latencies.
