--- a/src/policy.rs
+++ b/src/policy.rs
@@ -10,8 +10,8 @@
 use crate::port::Port;
 use crate::rng::Rng;
 use crate::state::{
-    Customer, Delivery, DeliveryKey, Figures, Instance, Invocation, OperationFigures, PlanFigures, SIZES,
-    Shared, Stage, Worker,
+    Customer, Delivery, DeliveryKey, Figures, Instance, Invocation, OperationFigures, PlanFigures, Shared,
+    Stage, Worker,
 };
 use crate::types::{
     Arrival, CountName, CustomerId, DeliveryNo, Ended, Group, InvId, Listed, Outcome, Phase, Plan, Repeat,
@@ -71,6 +71,8 @@
 const NO_BUSIER: f64 = 1.0001;
 /// What a cold worker may be sent at once.
 const COLD_BURST: f64 = 2.0;
+/// How many sizes of an operation are told apart; larger ones go with the last.
+const SIZES: usize = 17;
 /// Before any latency is known, this part of the objective is taken for usual.
 const USUAL_AT_FIRST: f64 = 0.1;
 
@@ -143,7 +145,7 @@
             port.subscribe();
         }
         let figures = derive(settings);
-        let usual = |o: &OperationFigures| [o.objective.secs() * USUAL_AT_FIRST; SIZES];
+        let usual = |o: &OperationFigures| vec![o.objective.secs() * USUAL_AT_FIRST; SIZES];
         let usual = figures.operations.iter().map(usual).collect();
         Gatekeeper {
             figures,
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,9 +4,6 @@
     CellId, CustomerId, DeliveryNo, InvId, OperationId, PlanId, Repeat, Span, Time, WorkerId, ZoneId,
 };
 
-/// How many sizes of an operation are told apart.
-pub const SIZES: usize = 17;
-
 /// For one delivery.
 pub struct Delivery {
     pub worker: WorkerId,
@@ -131,7 +128,7 @@
     pub carried_at: Time,
     pub swept_at: Time,
     /// What is usual for each operation and size, in seconds.
-    pub usual: Vec<[f64; SIZES]>,
+    pub usual: Vec<Vec<f64>>,
     /// Of the deliveries that ended lately, the share that took too much of the objective.
     pub late_share: f64,
     /// Deliveries out, how many may be out, and the last cut of that.
