--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,15 +24,15 @@
 const WINDOW_ROUNDS: f64 = 10.0;
 /// The longest that a count may be kept.
 const LONGEST_KEPT: Span = Span::from_millis(60_000);
-/// How long a guess at the others' use stands without a new total; then the bucket gets its even part.
+/// How long the others are charged for going on as they did, without a new total.
 const GUESS_STANDS: Span = Span::from_millis(3000);
-/// A customer not heard of for this long is dropped once its bucket is full.
 /// The use of its rate that a new customer is taken for, and how much more than evenly the others may be
 /// taken to let through for what is let through here.
 const FIRST_USE: f64 = 0.3;
 const RATIO_MOST: f64 = 4.0;
 /// The weight of a new total in the rates of use.
 const FRESH_USE: f64 = 0.3;
+/// A customer not heard of for this long is dropped once its bucket is full.
 const IDLE: Span = Span::from_millis(20_000);
 /// A delivery is too slow over this part of the latency objective; many such cut the instance's limit,
 /// few let it grow.
@@ -41,9 +41,10 @@
 const LATE_FEW: f64 = 0.1;
 /// Deliveries out per worker at first, by all gatekeepers together.
 const FIRST_LIMIT: f64 = 6.0;
+/// The same at the least, so that long work alone does not idle the workers.
+const LEAST_LIMIT: f64 = 2.5;
 /// Where the fleet is full, a client is told to come back after this many usual latencies.
 const COME_BACK: f64 = 0.3;
-const LEAST_LIMIT: f64 = 2.5;
 /// A cut, and how long the next has to wait for its effect.
 const CUT: f64 = 0.9;
 const CUT_EVERY: Span = Span::from_millis(150);
@@ -61,7 +62,7 @@
 const SLOWEST: f64 = 10.0;
 /// The weight of a new sample in a running mean.
 const FRESH: f64 = 0.1;
-/// The time over which the rate of sending is reckoned.
+/// The time over which the rate of what comes back is reckoned.
 const RATE_OVER: f64 = 2.0;
 /// How long the most that was carried counts.
 const CARRIED_OVER: f64 = 8.0;
@@ -130,7 +131,7 @@
         cancel: s.cancel,
         retry_after: Some(s.max_retry_after).filter(|_| s.retry_after),
         second_copies: s.second_copies,
-        max_deliveries: s.max_deliveries.max(1),
+        max_deliveries: s.max_deliveries.max(1) as usize,
         start_share: s.start_share.clamp(0.01, 1.0),
         warm_within: s.warm_within,
         cold_headroom: (s.fall_multiple * COLD_PART).max(1.0),
@@ -331,7 +332,7 @@
             if w.draining || invocation.tried.contains(&id) || !in_group(&self.figures, invocation, w, now) {
                 continue;
             }
-            let is_healthy = now >= w.avoid_until && !is_silent(w, now);
+            let is_healthy = !is_in_doubt(w, now);
             any_healthy |= is_healthy;
             if !has_cold_budget(&self.figures, w, now) {
                 continue;
@@ -400,7 +401,7 @@
         self.instance.out += 1;
         w.cold_budget -= 1.0;
         let is_copy = i.stage == Stage::Out;
-        let no = DeliveryNo(i.deliveries as u8);
+        let no = DeliveryNo(i.tried.len() as u8);
         let delivery = Delivery {
             worker: id,
             sent_at: now,
@@ -410,7 +411,6 @@
             customer: i.customer,
         };
         self.deliveries.insert((inv, no), delivery);
-        i.deliveries += 1;
         i.tried.push(id);
         i.unproven += 1;
         i.may_have_run.get_or_insert((now, w.zone, w.cell));
@@ -511,7 +511,7 @@
     }
 
     fn outstanding(&self, inv: InvId, i: &Invocation) -> impl Iterator<Item = DeliveryNo> {
-        let nos = (0..i.deliveries).map(|n| DeliveryNo(n as u8));
+        let nos = (0..i.tried.len()).map(|n| DeliveryNo(n as u8));
         nos.filter(move |no| self.deliveries.contains_key(&(inv, *no)))
     }
 
@@ -541,17 +541,16 @@
             w.quiet_since = now;
         }
         let usual = &mut self.instance.usual[delivery.operation.0 as usize][delivery.size];
+        let sample = (took / usual.max(1e-6)).min(SLOWEST);
         match e.outcome {
             Outcome::Succeeded | Outcome::Errored => {
                 w.strikes = 0;
                 w.avoid_until = w.avoid_until.min(now);
-                let sample = (took / usual.max(1e-6)).min(SLOWEST);
                 w.slowness += if sample > w.slowness { FRESH * 2.0 } else { FRESH } * (sample - w.slowness);
                 *usual += FRESH * 0.2 * (took - *usual);
             }
             Outcome::TimedOut if was_quiet => self.strike(now, delivery.worker, port),
             Outcome::TimedOut | Outcome::Cancelled => {
-                let sample = (took / usual.max(1e-6)).min(SLOWEST);
                 w.slowness += FRESH * 2.0 * (sample - w.slowness).max(0.0);
             }
             // A worker that turns away at once looks idle by the counts: it is avoided like one that fails.
@@ -623,7 +622,7 @@
     fn check_delivery(&mut self, now: Time, inv: InvId, no: DeliveryNo, port: &mut impl Port) {
         let Some(delivery) = self.deliveries.get(&(inv, no)) else { return };
         let worker = self.workers.get(&delivery.worker);
-        if worker.is_some_and(|w| now >= w.avoid_until && !is_silent(w, now)) {
+        if worker.is_some_and(|w| !is_in_doubt(w, now)) {
             return;
         }
         let Some(mut i) = self.invocations.remove(&inv) else { return };
@@ -646,7 +645,7 @@
         if operation.repeat == Repeat::NonIdempotent && i.may_have_run.is_some() {
             return false;
         }
-        if !useful || i.deliveries >= self.figures.max_deliveries || self.instance.spare < 1.0 {
+        if !useful || i.tried.len() >= self.figures.max_deliveries || self.instance.spare < 1.0 {
             return false;
         }
         let Some(worker) = self.pick(now, i) else { return false };
@@ -788,9 +787,10 @@
     Worker { started_at: l.started_at, slowness: 1.0, cold_at: now, ..Worker::default() }
 }
 
-/// Nothing came back for several times what is usual for what is out there.
-fn is_silent(w: &Worker, now: Time) -> bool {
-    w.out > 0 && (now - w.quiet_since).secs() > SILENT * w.load / f64::from(w.out)
+/// It failed lately, or nothing came back for several times what is usual for what is out there.
+fn is_in_doubt(w: &Worker, now: Time) -> bool {
+    let is_silent = w.out > 0 && (now - w.quiet_since).secs() > SILENT * w.load / f64::from(w.out);
+    now < w.avoid_until || is_silent
 }
 
 /// The share of its capacity that a worker is sure to have by now.
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,8 +40,7 @@
     pub units: f64,
     pub arrived_at: Time,
     pub valid_until: Time,
-    pub deliveries: u32,
-    /// The workers tried, in the order of the deliveries.
+    /// The workers tried, one for each delivery, in their order.
     pub tried: Vec<WorkerId>,
     /// Deliveries not proved never to have run.
     pub unproven: u32,
@@ -169,7 +168,7 @@
     pub cancel: bool,
     pub retry_after: Option<Span>,
     pub second_copies: bool,
-    pub max_deliveries: u32,
+    pub max_deliveries: usize,
     pub start_share: f64,
     pub warm_within: Span,
     /// How far over what it is sure to do a cold worker may be sent.
