--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,6 +43,8 @@
 const FIRST_LIMIT: f64 = 6.0;
 /// The same at the least, so that long work alone does not idle the workers.
 const LEAST_LIMIT: f64 = 2.5;
+/// Room over the limit for what comes in by chance, in square roots of it.
+const CHANCE: f64 = 1.0;
 /// Where the fleet is full, a client is told to come back after this many usual latencies.
 const COME_BACK: f64 = 0.3;
 /// A cut, and how long the next has to wait for its effect.
@@ -321,7 +323,9 @@
 
     /// Two drawn at random; the one that this gatekeeper's own counts favour.
     fn pick(&mut self, now: Time, invocation: &Invocation) -> Option<WorkerId> {
-        if f64::from(self.instance.out) >= self.limit() {
+        // What comes in by chance spreads by the square root of its mean: a limit of few needs room for it.
+        let limit = self.limit();
+        if f64::from(self.instance.out) >= (limit + CHANCE * limit.sqrt()).max(1.0) {
             return None;
         }
         self.share_out(now);
@@ -365,7 +369,7 @@
     /// and never goes under its even part of what keeps the workers busy.
     fn limit(&mut self) -> f64 {
         let part = self.workers.values().filter(|w| !w.draining).count() as f64 / self.figures.gatekeepers;
-        self.instance.limit.get_or_insert(FIRST_LIMIT * part).max(LEAST_LIMIT * part).max(1.0)
+        self.instance.limit.get_or_insert(FIRST_LIMIT * part).max(LEAST_LIMIT * part)
     }
 
     /// Where many latencies eat up the objective, all gatekeepers together send too much. A share of
@@ -378,10 +382,10 @@
         instance.late_share += FRESH * (late - instance.late_share);
         if instance.late_share > LATE_MANY && now - instance.cut_at > CUT_EVERY {
             instance.cut_at = now;
-            instance.limit = Some((limit.min(f64::from(instance.out) + 1.0) * CUT).max(1.0));
+            instance.limit = Some(limit.min(f64::from(instance.out) + 1.0) * CUT);
         } else if instance.late_share < LATE_FEW && f64::from(instance.out) > limit * 0.7 {
-            let step = (self.workers.len() as f64 / self.figures.gatekeepers).max(1.0);
-            instance.limit = Some(limit + step / limit);
+            let step = self.workers.len() as f64 / self.figures.gatekeepers;
+            instance.limit = Some(limit + step / limit.max(1.0));
         }
     }
 
