Pace the calls to the counter by how many fail; read only where calls are to spare

Cause: at full size 76 to 99.9% of the calls had no answer, and half only read: the line was always full, so no gatekeeper ever heard a total.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,6 +26,13 @@
 const LONGEST_KEPT: Span = Span::from_millis(60_000);
 /// How long the others are charged for going on as they did, without a new total.
 const GUESS_STANDS: Span = Span::from_millis(3000);
+/// Calls to the counter in a second, at the least and at the most, and what an answer and a failure make of it.
+const CALLS_LEAST: f64 = 0.3;
+const CALLS_MOST: f64 = 200.0;
+const CALLS_UP: f64 = 1.05;
+const CALLS_DOWN: f64 = 0.7;
+/// Calls that must be to spare for one that only reads.
+const READ_ONLY_OVER: f64 = 2.0;
 /// The use of its rate that a new customer is taken for, and how much more than evenly the others may be
 /// taken to let through for what is let through here.
 const FIRST_USE: f64 = 0.3;
@@ -153,7 +160,7 @@
         Gatekeeper {
             figures,
             rng: Rng::new(seed),
-            instance: Instance { spare: SPARE_MOST, carried_at: now, usual, ..Instance::default() },
+            instance: Instance { spare: SPARE_MOST, carried_at: now, usual, call_rate: CALLS_MOST, ..Instance::default() },
             workers: BTreeMap::new(),
             customers: BTreeMap::new(),
             invocations: HashMap::new(),
@@ -277,9 +284,17 @@
         let Some(customer) = self.customers.get_mut(&id) else { return };
         let plan = &self.figures.plans[customer.plan.0 as usize];
         customer.report_due = false;
-        if customer.shared.in_call.is_some() {
+        let amount = customer.unreported + customer.shared.unadded;
+        // A call that only reads is let go where calls are scarce; one that adds waits for another round.
+        let wanted = if amount == 0.0 { READ_ONLY_OVER } else { 1.0 };
+        let scarce = !self.instance.may_call(now, wanted);
+        if scarce && amount == 0.0 {
+            return;
+        }
+        if customer.shared.in_call.is_some() || scarce {
             return self.ask_for_report(id, port);
         }
+        self.instance.calls -= 1.0;
         refill(customer, plan, now);
         let window = now.periods(plan.window);
         if customer.shared.window != window {
@@ -304,6 +319,10 @@
             return;
         }
         let Some(amount) = customer.shared.in_call.take() else { return };
+        // Calls that fail tell that all gatekeepers together ask too much of the counter.
+        let instance = &mut self.instance;
+        instance.call_rate *= if outcome == Outcome::Succeeded { CALLS_UP } else { CALLS_DOWN };
+        instance.call_rate = instance.call_rate.clamp(CALLS_LEAST, CALLS_MOST);
         let plan = &self.figures.plans[customer.plan.0 as usize];
         match outcome {
             Outcome::Succeeded if total.is_finite() => {
@@ -699,6 +718,16 @@
     }
 }
 
+impl Instance {
+    /// Whether so many calls to the counter are to spare.
+    fn may_call(&mut self, now: Time, wanted: f64) -> bool {
+        let gained = self.call_rate * (now - self.calls_at).secs();
+        self.calls = (self.calls + gained).min(self.call_rate.max(READ_ONLY_OVER));
+        self.calls_at = now;
+        self.calls >= wanted
+    }
+}
+
 // ---- the state machine ----
 
 /// Every change of an invocation's stage goes through here.
--- a/src/state.rs
+++ b/src/state.rs
@@ -126,6 +126,10 @@
     pub carried: f64,
     pub carried_at: Time,
     pub swept_at: Time,
+    /// Calls to the counter to spare, when that was reckoned, and how many come in a second.
+    pub calls: f64,
+    pub calls_at: Time,
+    pub call_rate: f64,
     /// What is usual for each operation and size, in seconds.
     pub usual: Vec<Vec<f64>>,
     /// Of the deliveries that ended lately, the share that took too much of the objective.
