--- a/src/policy.rs
+++ b/src/policy.rs
@@ -366,22 +366,30 @@
         let mut open = if any_healthy { healthy } else { doubtful };
         // Two drawn from all would still now and then load a busy worker while others idle: in overload
         // that idle time is what is missing. So only workers no busier than the mean are drawn.
-        let own = self.usual(invocation).secs();
-        let mean = open.iter().map(|id| self.cost(*id, own)).sum::<f64>() / open.len().max(1) as f64;
-        open.retain(|id| self.cost(*id, own) <= mean * NO_BUSIER);
-        if open.is_empty() {
-            return None;
-        }
-        let a = open[self.rng.below(open.len())];
-        let b = open[self.rng.below(open.len())];
-        Some(if self.cost(b, own) < self.cost(a, own) { b } else { a })
+        let mean = open.iter().map(|id| self.cost(*id)).sum::<f64>() / open.len().max(1) as f64;
+        open.retain(|id| self.cost(*id) <= mean * NO_BUSIER);
+        let a = self.draw(&open)?;
+        let b = self.draw(&open)?;
+        Some(if self.cost(b) < self.cost(a) { b } else { a })
+    }
+
+    /// One at random, by what each can do. Where a gatekeeper has next to nothing out its counts tell nothing:
+    /// all gatekeepers would then take to the same few workers that are larger or seem faster.
+    fn draw(&mut self, open: &[WorkerId]) -> Option<WorkerId> {
+        let able = |id: &WorkerId| self.workers[id].heft / self.workers[id].slowness.max(0.1);
+        let mut point = self.rng.unit() * open.iter().map(able).sum::<f64>();
+        let drawn = open.iter().find(|id| {
+            point -= able(id);
+            point < 0.0
+        });
+        drawn.or(open.last()).copied()
     }
 
     /// What is out at a worker counts by the time that is usual for it: one large invocation keeps a
     /// worker as busy as many small ones. Cold workers show as slow ones; their budget keeps them safe.
-    fn cost(&self, id: WorkerId, own: f64) -> f64 {
+    fn cost(&self, id: WorkerId) -> f64 {
         let w = &self.workers[&id];
-        (w.load + own) * w.slowness / w.heft
+        w.load * w.slowness / w.heft
     }
 
     /// How many deliveries may be out. Each gatekeeper finds its own part by the latencies that come back,
--- a/src/rng.rs
+++ b/src/rng.rs
@@ -24,8 +24,8 @@
         self.word as u32
     }
 
-    /// A number below `n`; 0 where `n` is 0.
-    pub fn below(&mut self, n: usize) -> usize {
-        ((u64::from(self.draw()) * n as u64) >> 32) as usize
+    /// A number from 0 to under 1.
+    pub fn unit(&mut self) -> f64 {
+        f64::from(self.draw()) / 4_294_967_296.0
     }
 }
