--- a/src/policy.rs
+++ b/src/policy.rs
@@ -376,7 +376,7 @@
     /// One at random, by what each can do. Where a gatekeeper has next to nothing out its counts tell nothing:
     /// all gatekeepers would then take to the same few workers that are larger or seem faster.
     fn draw(&mut self, open: &[WorkerId]) -> Option<WorkerId> {
-        let able = |id: &WorkerId| self.workers[id].heft / self.workers[id].slowness.max(0.1);
+        let able = |id: &WorkerId| self.workers[id].heft / self.workers[id].slowness.max(0.1).powi(2);
         let mut point = self.rng.unit() * open.iter().map(able).sum::<f64>();
         let drawn = open.iter().find(|id| {
             point -= able(id);
