--- a/src/policy.rs
+++ b/src/policy.rs
@@ -67,6 +67,9 @@
 const SILENT: f64 = 4.0;
 /// A delivery is looked at again after this many usual latencies.
 const COPY_AFTER: f64 = 4.0;
+/// A beat that comes this much late tells that the gatekeeper stood still.
+const BEAT: Span = Span::from_millis(200);
+const STOOD: Span = Span::from_millis(100);
 /// The most that one latency counts, in what is usual.
 const SLOWEST: f64 = 10.0;
 /// The weight of a new sample in a running mean.
@@ -90,6 +93,7 @@
 const TAG_REPORT: u64 = 2;
 const TAG_WORKER: u64 = 3;
 const TAG_SUBSCRIBE: u64 = 4;
+const TAG_BEAT: u64 = 5;
 
 fn tag(kind: u64, value: u64) -> TimerTag {
     TimerTag(kind << 56 | value)
@@ -154,13 +158,21 @@
         if settings.list_is_asked {
             port.subscribe();
         }
+        port.set_timer(BEAT, tag(TAG_BEAT, 0));
         let figures = derive(settings);
         let usual = |o: &OperationFigures| vec![o.objective.secs() * USUAL_AT_FIRST; SIZES];
         let usual = figures.operations.iter().map(usual).collect();
         Gatekeeper {
             figures,
             rng: Rng::new(seed),
-            instance: Instance { spare: SPARE_MOST, carried_at: now, usual, call_rate: CALLS_MOST, ..Instance::default() },
+            instance: Instance {
+                spare: SPARE_MOST,
+                carried_at: now,
+                usual,
+                call_rate: CALLS_MOST,
+                beat_due: now + BEAT,
+                ..Instance::default()
+            },
             workers: BTreeMap::new(),
             customers: BTreeMap::new(),
             invocations: HashMap::new(),
@@ -178,6 +190,7 @@
         ) else {
             return port.error(inv);
         };
+        self.look_up(now);
         self.sweep(now);
         let units =
             if arrival.units.is_finite() && arrival.units >= 0.0 { f64::from(arrival.units) } else { 1.0 };
@@ -344,7 +357,13 @@
     fn pick(&mut self, now: Time, invocation: &Invocation) -> Option<WorkerId> {
         // What comes in by chance spreads by the square root of its mean: a limit of few needs room for it.
         let limit = self.limit();
-        if f64::from(self.instance.out) >= (limit + CHANCE * limit.sqrt()).max(1.0) {
+        // What came while the gatekeeper stood still has a claim to what it did not send meanwhile.
+        let missed = if now == self.instance.woke_at {
+            self.instance.stood.secs() / self.usual(invocation).secs().max(1e-3)
+        } else {
+            0.0
+        };
+        if f64::from(self.instance.out) >= (limit * (1.0 + missed) + CHANCE * limit.sqrt()).max(1.0) {
             return None;
         }
         self.share_out(now);
@@ -487,6 +506,7 @@
     // ---- what becomes of deliveries ----
 
     pub fn delivery_ended(&mut self, now: Time, e: &Ended, port: &mut impl Port) {
+        self.look_up(now);
         let Some(delivery) = self.deliveries.remove(&(e.inv, e.no)) else { return };
         self.learn(now, e, &delivery, port);
         if let Some(customer) = self.customers.get_mut(&delivery.customer) {
@@ -562,7 +582,8 @@
         let was_quiet = w.quiet_since <= delivery.sent_at;
         let answered = matches!(e.outcome, Outcome::Succeeded | Outcome::Errored);
         let heard = answered || matches!(e.outcome, Outcome::Full | Outcome::Reset);
-        if answered || !was_quiet && matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled) {
+        let awake = now != self.instance.woke_at;
+        if awake && (answered || !was_quiet && matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled)) {
             self.adapt_limit(now, delivery.operation.0 as usize, took);
         }
         let Some(w) = self.workers.get_mut(&delivery.worker) else { return };
@@ -577,6 +598,9 @@
             Outcome::Succeeded | Outcome::Errored => {
                 w.strikes = 0;
                 w.avoid_until = w.avoid_until.min(now);
+                if !awake {
+                    return;
+                }
                 w.slowness += if sample > w.slowness { FRESH * 2.0 } else { FRESH } * (sample - w.slowness);
                 *usual += FRESH * 0.2 * (took - *usual);
             }
@@ -634,8 +658,10 @@
     // ---- timers ----
 
     pub fn timer(&mut self, now: Time, t: TimerTag, port: &mut impl Port) {
+        self.look_up(now);
         let value = t.0 & ((1 << 56) - 1);
         match t.0 >> 56 {
+            TAG_BEAT => self.beat(now, port),
             TAG_DELIVERY => {
                 self.check_delivery(now, InvId((value >> 8) as u32), DeliveryNo(value as u8), port)
             }
@@ -685,6 +711,23 @@
         true
     }
 
+    fn beat(&mut self, now: Time, port: &mut impl Port) {
+        self.instance.beat_due = now + BEAT;
+        port.set_timer(BEAT, tag(TAG_BEAT, 0));
+    }
+
+    /// A gatekeeper that stood still finds all that came meanwhile at once. How long that lay there says
+    /// nothing of the workers, and their silence was its own.
+    fn look_up(&mut self, now: Time) {
+        let instance = &mut self.instance;
+        if now - instance.beat_due < STOOD || now == instance.woke_at {
+            return;
+        }
+        instance.woke_at = now;
+        instance.stood = now - instance.beat_due + BEAT.times(0.5);
+        self.workers.values_mut().for_each(|w| w.quiet_since = now);
+    }
+
     /// Keeps memory bounded: customers long idle with a full bucket are dropped.
     fn sweep(&mut self, now: Time) {
         if now - self.instance.swept_at < ROUND {
--- a/src/state.rs
+++ b/src/state.rs
@@ -130,6 +130,10 @@
     pub calls: f64,
     pub calls_at: Time,
     pub call_rate: f64,
+    /// When the next beat is due; when the gatekeeper last found that it had stood still, and how long.
+    pub beat_due: Time,
+    pub woke_at: Time,
+    pub stood: Span,
     /// What is usual for each operation and size, in seconds.
     pub usual: Vec<Vec<f64>>,
     /// Of the deliveries that ended lately, the share that took too much of the objective.
