--- a/src/policy.rs
+++ b/src/policy.rs
@@ -162,6 +162,7 @@
         let figures = derive(settings);
         let usual = |o: &OperationFigures| vec![o.objective.secs() * USUAL_AT_FIRST; SIZES];
         let usual = figures.operations.iter().map(usual).collect();
+        let patience = settings.operations.iter().map(|o| o.integration_timeout.secs()).collect();
         Gatekeeper {
             figures,
             rng: Rng::new(seed),
@@ -171,6 +172,7 @@
                 usual,
                 call_rate: CALLS_MOST,
                 beat_due: now + BEAT,
+                patience,
                 ..Instance::default()
             },
             workers: BTreeMap::new(),
@@ -207,11 +209,11 @@
             operation: arrival.operation,
             customer: arrival.customer,
             units,
-            arrived_at: now,
+            arrived_at: now.saturating_sub(self.lay(now, arrival)),
             valid_until: arrival.valid_until,
             ..Invocation::default()
         };
-        if now + self.figures.margin >= arrival.valid_until {
+        if !self.is_useful(now, &invocation) {
             return port.throttle(inv, None);
         }
         let Some(worker) = self.pick(now, &invocation) else {
@@ -231,6 +233,25 @@
         self.invocations.insert(inv, invocation);
     }
 
+    /// How long an arrival lay while the gatekeeper stood still: clients of one operation give up after
+    /// about the same time, so what is missing of that has passed.
+    fn lay(&mut self, now: Time, arrival: &Arrival) -> Span {
+        let left = (arrival.valid_until - now).secs();
+        let patience = &mut self.instance.patience[arrival.operation.0 as usize];
+        if now != self.instance.woke_at {
+            *patience += FRESH * (left - *patience);
+            return Span::default();
+        }
+        Span::from_secs((*patience - left).max(0.0)).min(self.instance.stood)
+    }
+
+    /// Whether an answer can still come in time for what it is worth.
+    fn is_useful(&self, now: Time, i: &Invocation) -> bool {
+        let operation = &self.figures.operations[i.operation.0 as usize];
+        let objective = if operation.late_pays { i.valid_until } else { i.arrived_at + operation.objective };
+        now + self.usual(i) < objective && now + self.figures.margin < i.valid_until
+    }
+
     /// Whether the customer may go on; else when it should come back.
     fn admits(&self, now: Time, arrival: &Arrival, units: f64) -> Result<(), Span> {
         let customer = &self.customers[&arrival.customer];
@@ -696,13 +717,10 @@
     /// multiply the load just when there is none to spare.
     fn deliver_again(&mut self, now: Time, inv: InvId, i: &mut Invocation, port: &mut impl Port) -> bool {
         let operation = &self.figures.operations[i.operation.0 as usize];
-        let objective = if operation.late_pays { i.valid_until } else { i.arrived_at + operation.objective };
-        let usual = self.usual(i);
-        let useful = now + usual < objective && now + self.figures.margin < i.valid_until;
         if operation.repeat == Repeat::NonIdempotent && i.may_have_run.is_some() {
             return false;
         }
-        if !useful || i.tried.len() >= self.figures.max_deliveries || self.instance.spare < 1.0 {
+        if !self.is_useful(now, i) || i.tried.len() >= self.figures.max_deliveries || self.instance.spare < 1.0 {
             return false;
         }
         let Some(worker) = self.pick(now, i) else { return false };
--- a/src/state.rs
+++ b/src/state.rs
@@ -134,6 +134,8 @@
     pub beat_due: Time,
     pub woke_at: Time,
     pub stood: Span,
+    /// How long the clients of each operation wait for one try, in seconds.
+    pub patience: Vec<f64>,
     /// What is usual for each operation and size, in seconds.
     pub usual: Vec<Vec<f64>>,
     /// Of the deliveries that ended lately, the share that took too much of the objective.
