--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,8 +37,8 @@
 /// taken to let through for what is let through here.
 const FIRST_USE: f64 = 0.3;
 const RATIO_MOST: f64 = 4.0;
-/// The weight of a new total in the rates of use.
-const FRESH_USE: f64 = 0.3;
+/// The time over which the rates of use are reckoned.
+const USE_OVER: f64 = 2.5;
 /// A customer not heard of for this long is dropped once its bucket is full.
 const IDLE: Span = Span::from_millis(20_000);
 /// A delivery is too slow over this part of the latency objective; many such cut the instance's limit,
@@ -291,10 +291,11 @@
         let customer = self.customers.entry(arrival.customer).or_insert_with(|| Customer {
             // The store is full at first; what the others take of it is guessed until a total tells.
             tokens: plan.burst,
+            told_tokens: plan.burst,
             others_rate: FIRST_USE * plan.rate.unwrap_or(0.0) * (1.0 - 1.0 / spread),
             own_rate: FIRST_USE * plan.rate.unwrap_or(0.0) / spread,
             reckoned_at: now,
-            told_at: now,
+            made_at: now,
             // The ceiling's store starts empty, so that a restart never fills it.
             ..Customer::default()
         });
@@ -333,11 +334,6 @@
         let window = now.periods(plan.window);
         if customer.shared.window != window {
             customer.shared = Shared { window, ..Shared::default() };
-            // What was guessed for the time before the window stays charged.
-            let begun = now - Time::from_nanos(window * plan.window.nanos());
-            customer.guessed = customer.guessed.min(customer.others_rate * begun.secs());
-            customer.told_at = customer.told_at.max(now.saturating_sub(begun));
-            customer.own_since = customer.unreported;
         }
         let amount = customer.unreported + customer.shared.unadded;
         customer.unreported = 0.0;
@@ -837,7 +833,7 @@
 /// which comes in at all gatekeepers at once; it does harm where one comes in at this one only, until
 /// the next total puts it right.
 fn guess_others(c: &mut Customer, now: Time) {
-    let gap = (now - c.told_at).min(GUESS_STANDS).secs();
+    let gap = (now - c.told_at.unwrap_or(c.made_at)).min(GUESS_STANDS).secs();
     let ratio = (c.others_rate / c.own_rate.max(1e-9)).min(RATIO_MOST * (c.spread - 1.0));
     let guess = (c.others_rate * gap).max(ratio * c.own_since);
     let more = (guess - c.guessed).clamp(0.0, c.tokens.max(0.0));
@@ -862,13 +858,21 @@
     s.unsure = 0.0;
     s.total = total;
     let others = others - landed;
-    let gap = (now - c.told_at).secs().max(0.1);
-    c.others_rate += FRESH_USE * (others / gap - c.others_rate);
-    c.own_rate += FRESH_USE * (amount / gap - c.own_rate);
-    c.own_since = c.unreported;
-    c.tokens = (c.tokens + c.guessed - others).clamp(0.0, plan.burst);
+    // The total tells of the time since the last one, or since the window began. Before that the others are
+    // taken to have gone on as they did; a customer that is new here had a full store when it began.
+    let begun = Time::from_nanos(s.window * plan.window.nanos());
+    let unseen = (begun - c.told_at.unwrap_or(begun)).secs();
+    let stretch = (now - c.told_at.unwrap_or(begun).max(begun)).secs();
+    let rate = plan.rate.unwrap_or(0.0);
+    let store = (c.told_tokens + (rate - c.others_rate) * unseen).clamp(0.0, plan.burst);
+    c.tokens = (store + rate * stretch - c.own_since - others).clamp(0.0, plan.burst);
+    let weight = stretch / (stretch + USE_OVER);
+    c.others_rate += weight * (others / stretch.max(0.01) - c.others_rate);
+    c.own_rate += weight * (c.own_since / stretch.max(0.01) - c.own_rate);
+    c.told_tokens = c.tokens;
+    c.own_since = 0.0;
     c.guessed = 0.0;
-    c.told_at = now;
+    c.told_at = Some(now);
     if s.total + s.lost > plan.allowance {
         c.throttled_until = Time::from_nanos((s.window + 1) * plan.window.nanos());
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -112,7 +112,10 @@
     /// Let through here since the last total, and what was charged for the others on a guess.
     pub own_since: f64,
     pub guessed: f64,
-    pub told_at: Time,
+    /// The last total, and what the bucket then held; none for a customer that is new here.
+    pub told_at: Option<Time>,
+    pub told_tokens: f64,
+    pub made_at: Time,
     pub throttled_until: Time,
 }
 
