--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,7 +51,10 @@
 /// The same at the least, so that long work alone does not idle the workers.
 const LEAST_LIMIT: f64 = 2.5;
 /// Room over the limit for what comes in by chance, in square roots of it.
-const CHANCE: f64 = 1.0;
+const CHANCE: f64 = 2.0;
+const ROOM: f64 = 4.0;
+/// The time over which the mean of what is out is reckoned.
+const MEAN_OVER: f64 = 2.0;
 /// Where the fleet is full, a client is told to come back after this many usual latencies.
 const COME_BACK: f64 = 0.3;
 /// A cut, and how long the next has to wait for its effect.
@@ -380,7 +383,9 @@
         } else {
             0.0
         };
-        if f64::from(self.instance.out) >= (limit * (1.0 + missed) + CHANCE * limit.sqrt()).max(1.0) {
+        let mean = self.instance.mean_out(now);
+        let room = (ROOM * (limit - mean)).min(CHANCE * limit.sqrt());
+        if f64::from(self.instance.out) >= limit * (1.0 + missed) + room {
             return None;
         }
         self.share_out(now);
@@ -465,6 +470,7 @@
         }
         w.out += 1;
         w.load += weight;
+        self.instance.mean_out(now);
         self.instance.out += 1;
         w.cold_budget -= 1.0;
         let is_copy = i.stage == Stage::Out;
@@ -592,6 +598,7 @@
     /// What the end of a delivery tells of its worker.
     fn learn(&mut self, now: Time, e: &Ended, delivery: &Delivery, port: &mut impl Port) {
         let took = e.took.secs();
+        self.instance.mean_out(now);
         self.instance.out = self.instance.out.saturating_sub(1);
         let Some(w) = self.workers.get(&delivery.worker) else { return };
         // A time-out tells of load only where the worker has answered others meanwhile; else of a
@@ -784,6 +791,14 @@
 }
 
 impl Instance {
+    /// How many deliveries were out in the mean of the last seconds.
+    fn mean_out(&mut self, now: Time) -> f64 {
+        let gap = (now - self.mean_at).secs();
+        self.mean_at = now;
+        self.mean += (f64::from(self.out) - self.mean) * (1.0 - (-gap / MEAN_OVER).exp());
+        self.mean
+    }
+
     /// Whether so many calls to the counter are to spare.
     fn may_call(&mut self, now: Time, wanted: f64) -> bool {
         let gained = self.call_rate * (now - self.calls_at).secs();
--- a/src/state.rs
+++ b/src/state.rs
@@ -146,6 +146,8 @@
     /// Deliveries out, how many may be out, and the last cut of that.
     pub out: u32,
     pub limit: Option<f64>,
+    pub mean: f64,
+    pub mean_at: Time,
     pub cut_at: Time,
 }
 
