--- a/src/policy.rs
+++ b/src/policy.rs
@@ -384,7 +384,7 @@
             0.0
         };
         let mean = self.instance.mean_out(now);
-        let room = (ROOM * (limit - mean)).min(CHANCE * limit.sqrt());
+        let room = (ROOM * (limit - mean)).max(-1.0).min(CHANCE * limit.sqrt());
         if f64::from(self.instance.out) >= limit * (1.0 + missed) + room {
             return None;
         }
