--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,7 +43,7 @@
 const IDLE: Span = Span::from_millis(20_000);
 /// A delivery is too slow over this part of the latency objective; many such cut the instance's limit,
 /// few let it grow.
-const TOO_SLOW: f64 = 0.4;
+const TOO_SLOW: f64 = 0.6;
 const LATE_MANY: f64 = 0.2;
 const LATE_FEW: f64 = 0.1;
 /// Deliveries out per worker at first, by all gatekeepers together.
