--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,11 +21,11 @@
 /// How often a customer's use is reported (design page).
 const ROUND: Span = Span::from_millis(1000);
 /// A window is several rounds long, as in the paper.
-const WINDOW_ROUNDS: f64 = 20.0;
+const WINDOW_ROUNDS: f64 = 10.0;
 /// The longest that a count may be kept.
 const LONGEST_KEPT: Span = Span::from_millis(60_000);
 /// How long the others are charged for going on as they did, without a new total.
-const GUESS_STANDS: Span = Span::from_millis(12_000);
+const GUESS_STANDS: Span = Span::from_millis(3000);
 /// Calls to the counter in a second, at the least and at the most, and what an answer and a failure make of it.
 const CALLS_LEAST: f64 = 0.3;
 const CALLS_MOST: f64 = 200.0;
@@ -37,13 +37,13 @@
 /// taken to let through for what is let through here.
 const FIRST_USE: f64 = 0.3;
 const RATIO_MOST: f64 = 4.0;
-/// The time over which the rates of use are reckoned.
-const USE_OVER: f64 = 2.5;
+/// The weight of a new total in the rates of use.
+const FRESH_USE: f64 = 0.3;
 /// A customer not heard of for this long is dropped once its bucket is full.
 const IDLE: Span = Span::from_millis(20_000);
 /// A delivery is too slow over this part of the latency objective; many such cut the instance's limit,
 /// few let it grow.
-const TOO_SLOW: f64 = 0.6;
+const TOO_SLOW: f64 = 0.4;
 const LATE_MANY: f64 = 0.2;
 const LATE_FEW: f64 = 0.1;
 /// Deliveries out per worker at first, by all gatekeepers together.
@@ -51,10 +51,7 @@
 /// The same at the least, so that long work alone does not idle the workers.
 const LEAST_LIMIT: f64 = 2.5;
 /// Room over the limit for what comes in by chance, in square roots of it.
-const CHANCE: f64 = 2.0;
-const ROOM: f64 = 4.0;
-/// The time over which the mean of what is out is reckoned.
-const MEAN_OVER: f64 = 2.0;
+const CHANCE: f64 = 1.0;
 /// Where the fleet is full, a client is told to come back after this many usual latencies.
 const COME_BACK: f64 = 0.3;
 /// A cut, and how long the next has to wait for its effect.
@@ -294,11 +291,10 @@
         let customer = self.customers.entry(arrival.customer).or_insert_with(|| Customer {
             // The store is full at first; what the others take of it is guessed until a total tells.
             tokens: plan.burst,
-            told_tokens: plan.burst,
             others_rate: FIRST_USE * plan.rate.unwrap_or(0.0) * (1.0 - 1.0 / spread),
             own_rate: FIRST_USE * plan.rate.unwrap_or(0.0) / spread,
             reckoned_at: now,
-            made_at: now,
+            told_at: now,
             // The ceiling's store starts empty, so that a restart never fills it.
             ..Customer::default()
         });
@@ -337,6 +333,11 @@
         let window = now.periods(plan.window);
         if customer.shared.window != window {
             customer.shared = Shared { window, ..Shared::default() };
+            // What was guessed for the time before the window stays charged.
+            let begun = now - Time::from_nanos(window * plan.window.nanos());
+            customer.guessed = customer.guessed.min(customer.others_rate * begun.secs());
+            customer.told_at = customer.told_at.max(now.saturating_sub(begun));
+            customer.own_since = customer.unreported;
         }
         let amount = customer.unreported + customer.shared.unadded;
         customer.unreported = 0.0;
@@ -383,9 +384,7 @@
         } else {
             0.0
         };
-        let mean = self.instance.mean_out(now);
-        let room = (ROOM * (limit - mean)).max(-1.0).min(CHANCE * limit.sqrt());
-        if f64::from(self.instance.out) >= limit * (1.0 + missed) + room {
+        if f64::from(self.instance.out) >= (limit * (1.0 + missed) + CHANCE * limit.sqrt()).max(1.0) {
             return None;
         }
         self.share_out(now);
@@ -470,7 +469,6 @@
         }
         w.out += 1;
         w.load += weight;
-        self.instance.mean_out(now);
         self.instance.out += 1;
         w.cold_budget -= 1.0;
         let is_copy = i.stage == Stage::Out;
@@ -598,7 +596,6 @@
     /// What the end of a delivery tells of its worker.
     fn learn(&mut self, now: Time, e: &Ended, delivery: &Delivery, port: &mut impl Port) {
         let took = e.took.secs();
-        self.instance.mean_out(now);
         self.instance.out = self.instance.out.saturating_sub(1);
         let Some(w) = self.workers.get(&delivery.worker) else { return };
         // A time-out tells of load only where the worker has answered others meanwhile; else of a
@@ -791,14 +788,6 @@
 }
 
 impl Instance {
-    /// How many deliveries were out in the mean of the last seconds.
-    fn mean_out(&mut self, now: Time) -> f64 {
-        let gap = (now - self.mean_at).secs();
-        self.mean_at = now;
-        self.mean += (f64::from(self.out) - self.mean) * (1.0 - (-gap / MEAN_OVER).exp());
-        self.mean
-    }
-
     /// Whether so many calls to the counter are to spare.
     fn may_call(&mut self, now: Time, wanted: f64) -> bool {
         let gained = self.call_rate * (now - self.calls_at).secs();
@@ -848,7 +837,7 @@
 /// which comes in at all gatekeepers at once; it does harm where one comes in at this one only, until
 /// the next total puts it right.
 fn guess_others(c: &mut Customer, now: Time) {
-    let gap = (now - c.told_at.unwrap_or(c.made_at)).min(GUESS_STANDS).secs();
+    let gap = (now - c.told_at).min(GUESS_STANDS).secs();
     let ratio = (c.others_rate / c.own_rate.max(1e-9)).min(RATIO_MOST * (c.spread - 1.0));
     let guess = (c.others_rate * gap).max(ratio * c.own_since);
     let more = (guess - c.guessed).clamp(0.0, c.tokens.max(0.0));
@@ -873,21 +862,13 @@
     s.unsure = 0.0;
     s.total = total;
     let others = others - landed;
-    // The total tells of the time since the last one, or since the window began. Before that the others are
-    // taken to have gone on as they did; a customer that is new here had a full store when it began.
-    let begun = Time::from_nanos(s.window * plan.window.nanos());
-    let unseen = (begun - c.told_at.unwrap_or(begun)).secs();
-    let stretch = (now - c.told_at.unwrap_or(begun).max(begun)).secs();
-    let rate = plan.rate.unwrap_or(0.0);
-    let store = (c.told_tokens + (rate - c.others_rate) * unseen).clamp(0.0, plan.burst);
-    c.tokens = (store + rate * stretch - c.own_since - others).clamp(0.0, plan.burst);
-    let weight = stretch / (stretch + USE_OVER);
-    c.others_rate += weight * (others / stretch.max(0.01) - c.others_rate);
-    c.own_rate += weight * (c.own_since / stretch.max(0.01) - c.own_rate);
-    c.told_tokens = c.tokens;
-    c.own_since = 0.0;
+    let gap = (now - c.told_at).secs().max(0.1);
+    c.others_rate += FRESH_USE * (others / gap - c.others_rate);
+    c.own_rate += FRESH_USE * (amount / gap - c.own_rate);
+    c.own_since = c.unreported;
+    c.tokens = (c.tokens + c.guessed - others).clamp(0.0, plan.burst);
     c.guessed = 0.0;
-    c.told_at = Some(now);
+    c.told_at = now;
     if s.total + s.lost > plan.allowance {
         c.throttled_until = Time::from_nanos((s.window + 1) * plan.window.nanos());
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -112,10 +112,7 @@
     /// Let through here since the last total, and what was charged for the others on a guess.
     pub own_since: f64,
     pub guessed: f64,
-    /// The last total, and what the bucket then held; none for a customer that is new here.
-    pub told_at: Option<Time>,
-    pub told_tokens: f64,
-    pub made_at: Time,
+    pub told_at: Time,
     pub throttled_until: Time,
 }
 
@@ -146,8 +143,6 @@
     /// Deliveries out, how many may be out, and the last cut of that.
     pub out: u32,
     pub limit: Option<f64>,
-    pub mean: f64,
-    pub mean_at: Time,
     pub cut_at: Time,
 }
 
