Windows of twenty rounds, and a guess at the others that stands for 12 s

Cause: a gatekeeper among hundreds hears of a customer every ten seconds at most; after 3 s it took the others for quiet, and each window began with a fresh burst.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,11 +21,11 @@
 /// How often a customer's use is reported (design page).
 const ROUND: Span = Span::from_millis(1000);
 /// A window is several rounds long, as in the paper.
-const WINDOW_ROUNDS: f64 = 10.0;
+const WINDOW_ROUNDS: f64 = 20.0;
 /// The longest that a count may be kept.
 const LONGEST_KEPT: Span = Span::from_millis(60_000);
 /// How long the others are charged for going on as they did, without a new total.
-const GUESS_STANDS: Span = Span::from_millis(3000);
+const GUESS_STANDS: Span = Span::from_millis(12_000);
 /// Calls to the counter in a second, at the least and at the most, and what an answer and a failure make of it.
 const CALLS_LEAST: f64 = 0.3;
 const CALLS_MOST: f64 = 200.0;
