--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,7 +25,7 @@
 /// The longest that a count may be kept.
 const LONGEST_KEPT: Span = Span::from_millis(60_000);
 /// How long the others are charged for going on as they did, without a new total.
-const GUESS_STANDS: Span = Span::from_millis(12_000);
+const GUESS_STANDS: Span = Span::from_millis(30_000);
 /// Calls to the counter in a second, at the least and at the most, and what an answer and a failure make of it.
 const CALLS_LEAST: f64 = 0.3;
 const CALLS_MOST: f64 = 200.0;
@@ -37,6 +37,7 @@
 /// taken to let through for what is let through here.
 const FIRST_USE: f64 = 0.3;
 const RATIO_MOST: f64 = 4.0;
+const DEBT: f64 = 0.0;
 /// The weight of a new total in the rates of use.
 const FRESH_USE: f64 = 0.3;
 /// A customer not heard of for this long is dropped once its bucket is full.
@@ -223,9 +224,10 @@
 
         // The charge, then the delivery.
         let customer = self.customers.get_mut(&arrival.customer).expect("reckoned above");
+        let plan = &self.figures.plans[arrival.plan.0 as usize];
         customer.tokens -= units;
         customer.own_since += units;
-        guess_others(customer, now);
+        guess_others(customer, plan, now);
         customer.ceiling -= units;
         customer.unreported += units;
         self.instance.spare = (self.instance.spare + SPARE_EACH).min(SPARE_MOST);
@@ -829,18 +831,18 @@
     c.ceiling = (c.ceiling + part * gap).min(plan.ceiling_burst / c.spread * 0.999);
     let Some(rate) = plan.rate else { return };
     c.tokens = (c.tokens + rate * gap).min(plan.burst);
-    guess_others(c, now);
+    guess_others(c, plan, now);
 }
 
 /// Between totals the others are charged by the larger of two guesses: that they go on as they did, and
 /// that they do with this gatekeeper's traffic as they did before. The latter answers a sudden flood,
 /// which comes in at all gatekeepers at once; it does harm where one comes in at this one only, until
 /// the next total puts it right.
-fn guess_others(c: &mut Customer, now: Time) {
+fn guess_others(c: &mut Customer, plan: &PlanFigures, now: Time) {
     let gap = (now - c.told_at).min(GUESS_STANDS).secs();
     let ratio = (c.others_rate / c.own_rate.max(1e-9)).min(RATIO_MOST * (c.spread - 1.0));
     let guess = (c.others_rate * gap).max(ratio * c.own_since);
-    let more = (guess - c.guessed).clamp(0.0, c.tokens.max(0.0));
+    let more = (guess - c.guessed).clamp(0.0, (c.tokens + DEBT * plan.burst).max(0.0));
     c.guessed += more;
     c.tokens -= more;
 }
