--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,7 +25,7 @@
 /// The longest that a count may be kept.
 const LONGEST_KEPT: Span = Span::from_millis(60_000);
 /// How long the others are charged for going on as they did, without a new total.
-const GUESS_STANDS: Span = Span::from_millis(30_000);
+const GUESS_STANDS: Span = Span::from_millis(600_000);
 /// Calls to the counter in a second, at the least and at the most, and what an answer and a failure make of it.
 const CALLS_LEAST: f64 = 0.3;
 const CALLS_MOST: f64 = 200.0;
@@ -36,7 +36,7 @@
 /// The use of its rate that a new customer is taken for, and how much more than evenly the others may be
 /// taken to let through for what is let through here.
 const FIRST_USE: f64 = 0.3;
-const RATIO_MOST: f64 = 4.0;
+const RATIO_MOST: f64 = 1.5;
 const DEBT: f64 = 0.0;
 /// The weight of a new total in the rates of use.
 const FRESH_USE: f64 = 0.3;
