--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,8 +24,10 @@
 const WINDOW_ROUNDS: f64 = 20.0;
 /// The longest that a count may be kept.
 const LONGEST_KEPT: Span = Span::from_millis(60_000);
-/// How long the others are charged for going on as they did, without a new total.
-const GUESS_STANDS: Span = Span::from_millis(600_000);
+/// How long the others are charged for going on as they did, without a new total, for each of
+/// them up to so many: the more gatekeepers, the more seldom each of them hears.
+const GUESS_STANDS: Span = Span::from_millis(3000);
+const GUESS_MOST: f64 = 10.0;
 /// Calls to the counter in a second, at the least and at the most, and what an answer and a failure make of it.
 const CALLS_LEAST: f64 = 0.3;
 const CALLS_MOST: f64 = 200.0;
@@ -33,11 +35,8 @@
 const CALLS_DOWN: f64 = 0.7;
 /// Calls that must be to spare for one that only reads.
 const READ_ONLY_OVER: f64 = 2.0;
-/// The use of its rate that a new customer is taken for, and how much more than evenly the others may be
-/// taken to let through for what is let through here.
+/// The use of its rate that a new customer is taken for.
 const FIRST_USE: f64 = 0.3;
-const RATIO_MOST: f64 = 1.5;
-const DEBT: f64 = 0.0;
 /// The weight of a new total in the rates of use.
 const FRESH_USE: f64 = 0.3;
 /// A customer not heard of for this long is dropped once its bucket is full.
@@ -224,10 +223,9 @@
 
         // The charge, then the delivery.
         let customer = self.customers.get_mut(&arrival.customer).expect("reckoned above");
-        let plan = &self.figures.plans[arrival.plan.0 as usize];
         customer.tokens -= units;
         customer.own_since += units;
-        guess_others(customer, plan, now);
+        guess_others(customer, now);
         customer.ceiling -= units;
         customer.unreported += units;
         self.instance.spare = (self.instance.spare + SPARE_EACH).min(SPARE_MOST);
@@ -294,7 +292,6 @@
             // The store is full at first; what the others take of it is guessed until a total tells.
             tokens: plan.burst,
             others_rate: FIRST_USE * plan.rate.unwrap_or(0.0) * (1.0 - 1.0 / spread),
-            own_rate: FIRST_USE * plan.rate.unwrap_or(0.0) / spread,
             reckoned_at: now,
             told_at: now,
             // The ceiling's store starts empty, so that a restart never fills it.
@@ -722,7 +719,10 @@
         if operation.repeat == Repeat::NonIdempotent && i.may_have_run.is_some() {
             return false;
         }
-        if !self.is_useful(now, i) || i.tried.len() >= self.figures.max_deliveries || self.instance.spare < 1.0 {
+        if !self.is_useful(now, i)
+            || i.tried.len() >= self.figures.max_deliveries
+            || self.instance.spare < 1.0
+        {
             return false;
         }
         let Some(worker) = self.pick(now, i) else { return false };
@@ -831,18 +831,16 @@
     c.ceiling = (c.ceiling + part * gap).min(plan.ceiling_burst / c.spread * 0.999);
     let Some(rate) = plan.rate else { return };
     c.tokens = (c.tokens + rate * gap).min(plan.burst);
-    guess_others(c, plan, now);
+    guess_others(c, now);
 }
 
 /// Between totals the others are charged by the larger of two guesses: that they go on as they did, and
-/// that they do with this gatekeeper's traffic as they did before. The latter answers a sudden flood,
-/// which comes in at all gatekeepers at once; it does harm where one comes in at this one only, until
-/// the next total puts it right.
-fn guess_others(c: &mut Customer, plan: &PlanFigures, now: Time) {
-    let gap = (now - c.told_at).min(GUESS_STANDS).secs();
-    let ratio = (c.others_rate / c.own_rate.max(1e-9)).min(RATIO_MOST * (c.spread - 1.0));
-    let guess = (c.others_rate * gap).max(ratio * c.own_since);
-    let more = (guess - c.guessed).clamp(0.0, (c.tokens + DEBT * plan.burst).max(0.0));
+/// that each of them does as this one. The latter answers a sudden flood, which comes in at all gatekeepers
+/// at once; it does harm where one comes in at this one only, until the next total puts it right.
+fn guess_others(c: &mut Customer, now: Time) {
+    let gap = (now - c.told_at).min(GUESS_STANDS.times((c.spread - 1.0).min(GUESS_MOST))).secs();
+    let guess = (c.others_rate * gap).max((c.spread - 1.0) * c.own_since);
+    let more = (guess - c.guessed).clamp(0.0, c.tokens.max(0.0));
     c.guessed += more;
     c.tokens -= more;
 }
@@ -866,7 +864,6 @@
     let others = others - landed;
     let gap = (now - c.told_at).secs().max(0.1);
     c.others_rate += FRESH_USE * (others / gap - c.others_rate);
-    c.own_rate += FRESH_USE * (amount / gap - c.own_rate);
     c.own_since = c.unreported;
     c.tokens = (c.tokens + c.guessed - others).clamp(0.0, plan.burst);
     c.guessed = 0.0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -107,8 +107,6 @@
     pub shared: Shared,
     /// What the other gatekeepers let through in a second, by the totals.
     pub others_rate: f64,
-    /// The same of this gatekeeper.
-    pub own_rate: f64,
     /// Let through here since the last total, and what was charged for the others on a guess.
     pub own_since: f64,
     pub guessed: f64,
