--- a/crates/adapter/tests/frames.rs
+++ b/crates/adapter/tests/frames.rs
@@ -35,11 +35,14 @@
 #[test]
 fn good_and_bad_input() {
     let empty_reply: Vec<u8> = [12u32, 0, 1].iter().flat_map(|n| n.to_le_bytes()).collect();
+    // An instance that comes up sets the timer of its beat.
+    let mut beat: Vec<u8> = [33u32, 1, 1].iter().flat_map(|n| n.to_le_bytes()).collect();
+    beat.extend([20, 3, 0, 0, 0, 0, 194, 235, 11, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 5]);
     let huge_list = [27, 0, 0xff, 0xff, 0xff, 0xff];
     let cases: Vec<(&str, Vec<u8>, bool, &[u8])> = vec![
         ("no input", vec![], true, &[]),
         ("an empty batch", frame(0, &[]), true, &empty_reply),
-        ("settings with keys unknown", frame(1, &up(br#"{"what":{"is":[1]},"me":1}"#)), true, &empty_reply),
+        ("settings with keys unknown", frame(1, &up(br#"{"what":{"is":[1]},"me":1}"#)), true, &beat),
         ("an unknown instance", frame(1, &[25, 9, 0, 0, 0]), true, &empty_reply),
         ("a length cut short", vec![20, 0], false, &[]),
         ("a frame cut short", frame(0, &[])[..10].to_vec(), false, &[]),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -15,7 +15,7 @@
 };
 use crate::types::{
     Arrival, CountName, CustomerId, DeliveryNo, Ended, Group, InvId, Listed, Outcome, Phase, Plan, Repeat,
-    Scope, Settings, Span, Time, TimerTag, WorkerId,
+    Scope, Settings, Span, Time, TimerTag, Wake, WorkerId,
 };
 
 /// How often a customer's use is reported (design page).
@@ -89,16 +89,6 @@
 /// Before any latency is known, this part of the objective is taken for usual.
 const USUAL_AT_FIRST: f64 = 0.1;
 
-const TAG_DELIVERY: u64 = 1;
-const TAG_REPORT: u64 = 2;
-const TAG_WORKER: u64 = 3;
-const TAG_SUBSCRIBE: u64 = 4;
-const TAG_BEAT: u64 = 5;
-
-fn tag(kind: u64, value: u64) -> TimerTag {
-    TimerTag(kind << 56 | value)
-}
-
 pub struct Gatekeeper {
     figures: Figures,
     rng: Rng,
@@ -110,17 +100,16 @@
 }
 
 fn derive(s: &Settings) -> Figures {
-    let positive = |x: f64| if x.is_finite() { x.max(0.0) } else { 0.0 };
     let plan = |p: &Plan| {
-        let (rate, burst) = (positive(p.rate), positive(p.burst));
+        let (rate, burst) = (p.rate.max(0.0), p.burst.max(0.0));
         let fill = Span::from_secs(if rate > 0.0 { burst / rate } else { 0.0 });
         let window = fill.max(ROUND.times(WINDOW_ROUNDS)).min(LONGEST_KEPT.times(0.5));
         PlanFigures {
             rate: Some(rate).filter(|r| *r > 0.0),
             burst,
             open: p.open,
-            ceiling_rate: positive(p.ceiling_rate),
-            ceiling_burst: positive(p.ceiling_burst),
+            ceiling_rate: p.ceiling_rate.max(0.0),
+            ceiling_burst: p.ceiling_burst.max(0.0),
             window,
             allowance: burst + rate * window.secs(),
             keep: (window.times(2.0)).min(LONGEST_KEPT),
@@ -158,7 +147,7 @@
         if settings.list_is_asked {
             port.subscribe();
         }
-        port.set_timer(BEAT, tag(TAG_BEAT, 0));
+        port.set_timer(BEAT, Wake::Beat.tag());
         let figures = derive(settings);
         let usual = |o: &OperationFigures| vec![o.objective.secs() * USUAL_AT_FIRST; SIZES];
         let usual = figures.operations.iter().map(usual).collect();
@@ -194,8 +183,7 @@
         };
         self.look_up(now);
         self.sweep(now);
-        let units =
-            if arrival.units.is_finite() && arrival.units >= 0.0 { f64::from(arrival.units) } else { 1.0 };
+        let units = arrival.units();
 
         // The quota: the window's throttle, then the local bucket, then the guards.
         self.reckon(now, arrival);
@@ -283,11 +271,7 @@
     /// Brings a customer's stores up to now; makes them for one that is new.
     fn reckon(&mut self, now: Time, arrival: &Arrival) {
         let plan = &self.figures.plans[arrival.plan.0 as usize];
-        let spread = if arrival.spread.is_finite() && arrival.spread >= 1.0 {
-            f64::from(arrival.spread).min(self.figures.gatekeepers)
-        } else {
-            self.figures.gatekeepers
-        };
+        let spread = arrival.spread_among(self.figures.gatekeepers);
         let customer = self.customers.entry(arrival.customer).or_insert_with(|| Customer {
             // The store is full at first; what the others take of it is guessed until a total tells.
             tokens: plan.burst,
@@ -309,7 +293,7 @@
         let has_rate = self.figures.plans[customer.plan.0 as usize].rate.is_some();
         if self.figures.counter && has_rate && customer.spread > 1.0 && !customer.report_due {
             customer.report_due = true;
-            port.set_timer(ROUND, tag(TAG_REPORT, id.0));
+            port.set_timer(ROUND, Wake::Report(id).tag());
         }
     }
 
@@ -484,7 +468,7 @@
         i.tried.push(id);
         i.unproven += 1;
         i.may_have_run.get_or_insert((now, w.zone, w.cell));
-        step(i, if is_copy { Stage::Doubled } else { Stage::Out });
+        i.step(if is_copy { Stage::Doubled } else { Stage::Out });
         if let Some(c) = self.customers.get_mut(&i.customer) {
             c.out += 1;
         }
@@ -493,7 +477,7 @@
         if operation.repeat != Repeat::NonIdempotent {
             let usual = Span::from_secs(weight * COPY_AFTER);
             let check = usual.max(operation.objective.times(0.2)).min(operation.objective.times(0.6));
-            port.set_timer(check, tag(TAG_DELIVERY, u64::from(inv.0) << 8 | u64::from(no.0)));
+            port.set_timer(check, Wake::Delivery(inv, no).tag());
         }
     }
 
@@ -550,17 +534,17 @@
             }
         }
         if e.last || e.outcome == Outcome::Succeeded {
-            step(&mut i, Stage::Answered);
+            i.step(Stage::Answered);
             return self.cancel_rest(e.inv, &i, port);
         }
         if i.stage == Stage::Doubled {
-            step(&mut i, Stage::Out);
+            i.step(Stage::Out);
         }
         if i.stage == Stage::Streaming || self.outstanding(e.inv, &i).next().is_some() {
             self.invocations.insert(e.inv, i);
             return;
         }
-        step(&mut i, Stage::Taken);
+        i.step(Stage::Taken);
         self.go_on(now, e.inv, i, e.outcome, port);
     }
 
@@ -573,7 +557,7 @@
         }
         let harmless =
             i.may_have_run.is_none() || matches!(repeat, Repeat::Idempotent | Repeat::Tokened(Group::All, _));
-        step(&mut i, Stage::Answered);
+        i.step(Stage::Answered);
         if harmless {
             port.throttle(inv, self.advice(self.usual(&i).times(COME_BACK)));
         } else {
@@ -643,7 +627,7 @@
         w.avoid_until = w.avoid_until.max(now + wait);
         if self.figures.probes && !w.probe_out {
             w.probe_out = true;
-            port.set_timer(wait, tag(TAG_WORKER, id.0));
+            port.set_timer(wait, Wake::Worker(id).tag());
         }
     }
 
@@ -660,7 +644,7 @@
 
     pub fn expired(&mut self, inv: InvId, port: &mut impl Port) {
         if let Some(mut i) = self.invocations.remove(&inv) {
-            step(&mut i, Stage::Answered);
+            i.step(Stage::Answered);
             self.cancel_rest(inv, &i, port);
         }
     }
@@ -671,7 +655,7 @@
         }
         // Two copies may start at once; the first has the client.
         if let Some(i) = self.invocations.get_mut(&inv).filter(|i| i.stage != Stage::Streaming) {
-            step(i, Stage::Streaming);
+            i.step(Stage::Streaming);
         }
     }
 
@@ -679,17 +663,12 @@
 
     pub fn timer(&mut self, now: Time, t: TimerTag, port: &mut impl Port) {
         self.look_up(now);
-        let value = t.0 & ((1 << 56) - 1);
-        match t.0 >> 56 {
-            TAG_BEAT => self.beat(now, port),
-            TAG_DELIVERY => {
-                self.check_delivery(now, InvId((value >> 8) as u32), DeliveryNo(value as u8), port)
-            }
-            TAG_REPORT => self.report(now, CustomerId(value), port),
-            TAG_WORKER if self.workers.get(&WorkerId(value)).is_some_and(|w| w.probe_out) => {
-                port.probe(WorkerId(value));
-            }
-            TAG_SUBSCRIBE => port.subscribe(),
+        match Wake::of(t) {
+            Some(Wake::Beat) => self.beat(now, port),
+            Some(Wake::Delivery(inv, no)) => self.check_delivery(now, inv, no, port),
+            Some(Wake::Report(id)) => self.report(now, id, port),
+            Some(Wake::Worker(id)) if self.workers.get(&id).is_some_and(|w| w.probe_out) => port.probe(id),
+            Some(Wake::Subscribe) => port.subscribe(),
             _ => {}
         }
     }
@@ -733,7 +712,7 @@
 
     fn beat(&mut self, now: Time, port: &mut impl Port) {
         self.instance.beat_due = now + BEAT;
-        port.set_timer(BEAT, tag(TAG_BEAT, 0));
+        port.set_timer(BEAT, Wake::Beat.tag());
     }
 
     /// A gatekeeper that stood still finds all that came meanwhile at once. How long that lay there says
@@ -765,7 +744,7 @@
     // ---- the list of workers ----
 
     pub fn list_failed(&mut self, port: &mut impl Port) {
-        port.set_timer(self.figures.retry_subscription, tag(TAG_SUBSCRIBE, 0));
+        port.set_timer(self.figures.retry_subscription, Wake::Subscribe.tag());
     }
 
     pub fn listed(&mut self, now: Time, scope: Scope, list: &[Listed]) {
@@ -782,7 +761,7 @@
                 *w = Worker { out: w.out, load: w.load, ..fresh_worker(now, l) };
             }
             w.draining = l.phase == Phase::Draining;
-            w.heft = heft(l);
+            w.heft = l.heft();
             w.zone = l.zone;
             w.cell = l.cell;
         }
@@ -799,21 +778,6 @@
     }
 }
 
-// ---- the state machine ----
-
-/// Every change of an invocation's stage goes through here.
-fn step(i: &mut Invocation, to: Stage) {
-    let legal = match i.stage {
-        Stage::Taken => matches!(to, Stage::Out | Stage::Answered),
-        Stage::Out => to != Stage::Out,
-        Stage::Doubled => matches!(to, Stage::Out | Stage::Streaming | Stage::Answered),
-        Stage::Streaming => to == Stage::Answered,
-        Stage::Answered => false,
-    };
-    debug_assert!(legal, "{:?} to {to:?}", i.stage);
-    i.stage = to;
-}
-
 // ---- stores and counts ----
 
 const CUSTOMER_BITS: u64 = (1 << 34) - 1;
@@ -880,10 +844,6 @@
     (units.ceil() as usize).min(SIZES - 1)
 }
 
-fn heft(l: &Listed) -> f64 {
-    if l.heft.is_finite() && l.heft > 0.0 { f64::from(l.heft) } else { 1.0 }
-}
-
 fn fresh_worker(now: Time, l: &Listed) -> Worker {
     Worker { started_at: l.started_at, slowness: 1.0, cold_at: now, ..Worker::default() }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -48,6 +48,21 @@
     pub may_have_run: Option<(Time, ZoneId, CellId)>,
 }
 
+impl Invocation {
+    /// Every change of an invocation's stage goes through here.
+    pub fn step(&mut self, to: Stage) {
+        let legal = match self.stage {
+            Stage::Taken => matches!(to, Stage::Out | Stage::Answered),
+            Stage::Out => to != Stage::Out,
+            Stage::Doubled => matches!(to, Stage::Out | Stage::Streaming | Stage::Answered),
+            Stage::Streaming => to == Stage::Answered,
+            Stage::Answered => false,
+        };
+        debug_assert!(legal, "{:?} to {to:?}", self.stage);
+        self.stage = to;
+    }
+}
+
 /// For one worker, as long as it is listed.
 #[derive(Default)]
 pub struct Worker {
--- a/src/types.rs
+++ b/src/types.rs
@@ -104,6 +104,42 @@
     TimerTag(u64);
 }
 
+/// What a timer is set for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wake {
+    Delivery(InvId, DeliveryNo),
+    Report(CustomerId),
+    Worker(WorkerId),
+    Subscribe,
+    Beat,
+}
+
+impl Wake {
+    /// As the number that the timer gives back.
+    pub fn tag(self) -> TimerTag {
+        let (kind, value) = match self {
+            Wake::Delivery(inv, no) => (1, u64::from(inv.0) << 8 | u64::from(no.0)),
+            Wake::Report(customer) => (2, customer.0),
+            Wake::Worker(worker) => (3, worker.0),
+            Wake::Subscribe => (4, 0),
+            Wake::Beat => (5, 0),
+        };
+        TimerTag(kind << 56 | value)
+    }
+
+    pub fn of(tag: TimerTag) -> Option<Self> {
+        let value = tag.0 & ((1 << 56) - 1);
+        match tag.0 >> 56 {
+            1 => Some(Wake::Delivery(InvId((value >> 8) as u32), DeliveryNo(value as u8))),
+            2 => Some(Wake::Report(CustomerId(value))),
+            3 => Some(Wake::Worker(WorkerId(value))),
+            4 => Some(Wake::Subscribe),
+            5 => Some(Wake::Beat),
+            _ => None,
+        }
+    }
+}
+
 /// How a delivery, a probe or a counter call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -151,6 +187,13 @@
     pub started_at: Option<Time>,
 }
 
+impl Listed {
+    /// What a worker weighs against others; 1 where that is not told.
+    pub fn heft(&self) -> f64 {
+        if self.heft.is_finite() && self.heft > 0.0 { f64::from(self.heft) } else { 1.0 }
+    }
+}
+
 /// An invocation as it arrives.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
@@ -164,6 +207,19 @@
     pub units: f32,
 }
 
+impl Arrival {
+    /// The units that it counts; one where that is not told.
+    pub fn units(&self) -> f64 {
+        if self.units.is_finite() && self.units >= 0.0 { f64::from(self.units) } else { 1.0 }
+    }
+
+    /// At how many of so many gatekeepers the customer comes in; at all where that is not told.
+    pub fn spread_among(&self, gatekeepers: f64) -> f64 {
+        let told = self.spread.is_finite() && self.spread >= 1.0;
+        if told { f64::from(self.spread).min(gatekeepers) } else { gatekeepers }
+    }
+}
+
 /// The end of a delivery.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended<'a> {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -218,7 +218,7 @@
         if answers {
             world.end(690, 2, 0, worker, Outcome::Succeeded);
         }
-        let check = TimerTag(1 << 56 | 1 << 8);
+        let check = Wake::Delivery(InvId(1), DeliveryNo(0)).tag();
         assert_eq!(world.timers.contains(&check), operation == 0);
         let said = if operation == 0 { world.timer(700, check) } else { vec![] };
         let got = match said.first() {
@@ -238,7 +238,7 @@
 fn a_stream_that_started() {
     let mut world = World::new(&settings(), 3);
     let worker = delivered(&world.invoke(1, 1, 0, 0, 1.0, 1.0)).expect("delivered");
-    let copy = delivered(&world.timer(700, TimerTag(1 << 56 | 1 << 8))).expect("copied");
+    let copy = delivered(&world.timer(700, Wake::Delivery(InvId(1), DeliveryNo(0)).tag())).expect("copied");
     world.gatekeeper.stream_started(at(710), InvId(1), worker);
     world.gatekeeper.stream_started(at(711), InvId(1), copy);
     assert_eq!(world.end(720, 1, 1, copy, Outcome::Moot), []);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -111,7 +111,7 @@
     pub fn pass(&mut self, ms: u64) {
         while (self.beats + 1) * 200 <= ms {
             self.beats += 1;
-            self.gatekeeper.timer(at(self.beats * 200), TimerTag(5 << 56), &mut self.ear);
+            self.gatekeeper.timer(at(self.beats * 200), Wake::Beat.tag(), &mut self.ear);
         }
         self.said();
     }
@@ -190,5 +190,5 @@
 
 /// The tag of the report that is due for a customer.
 pub fn report_tag(customer: u64) -> TimerTag {
-    TimerTag(2 << 56 | customer)
+    Wake::Report(CustomerId(customer)).tag()
 }
