--- a/src/policy.rs
+++ b/src/policy.rs
@@ -587,7 +587,7 @@
         let answered = matches!(e.outcome, Outcome::Succeeded | Outcome::Errored);
         let heard = answered || matches!(e.outcome, Outcome::Full | Outcome::Reset);
         let awake = now != self.instance.woke_at;
-        if awake && (answered || !was_quiet && matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled)) {
+        if awake && answered {
             self.adapt_limit(now, delivery.operation.0 as usize, took);
         }
         let Some(w) = self.workers.get_mut(&delivery.worker) else { return };
