--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,8 +14,8 @@
     Stage, Worker,
 };
 use crate::types::{
-    Arrival, CountName, CustomerId, DeliveryNo, Ended, Group, InvId, Listed, Outcome, Phase, Plan, Repeat,
-    Scope, Settings, Span, Time, TimerTag, Wake, WorkerId,
+    Arrival, CountName, CustomerId, DeliveryNo, Ended, Group, InvId, Listed, OperationId, Outcome, Phase,
+    Plan, PlanId, Repeat, Scope, Settings, Span, Time, TimerTag, Wake, WorkerId,
 };
 
 /// How often a customer's use is reported (design page).
@@ -60,9 +60,11 @@
 /// Further deliveries that one invocation pays for, and the most that can be saved up.
 const SPARE_EACH: f64 = 0.1;
 const SPARE_MOST: f64 = 10.0;
-/// How long a worker is avoided after a failure; doubled with each in a row, to the most.
-const AVOID: Span = Span::from_millis(500);
-const AVOID_MOST: f64 = 8.0;
+/// How long a worker is avoided after one that speaks against all of it.
+const AVOID: Span = Span::from_millis(1000);
+/// What one failure and one success make of a worker's doubt for a kind of work, and how long that lasts.
+const FAILED: f64 = 0.5;
+const DOUBT_OVER: f64 = 10.0;
 /// Silence of this many usual latencies speaks against a worker.
 const SILENT: f64 = 4.0;
 /// A delivery is looked at again after this many usual latencies.
@@ -195,6 +197,7 @@
         // The worker: none free means that the fleet is full, and one more would only be late.
         let mut invocation = Invocation {
             operation: arrival.operation,
+            plan: arrival.plan,
             customer: arrival.customer,
             units,
             arrived_at: now.saturating_sub(self.lay(now, arrival)),
@@ -391,15 +394,20 @@
         // that idle time is what is missing. So only workers no busier than the mean are drawn.
         let mean = open.iter().map(|id| self.cost(*id)).sum::<f64>() / open.len().max(1) as f64;
         open.retain(|id| self.cost(*id) <= mean * NO_BUSIER);
-        let a = self.draw(&open)?;
-        let b = self.draw(&open)?;
+        let kind = (invocation.operation, invocation.plan);
+        let a = self.draw(now, &open, kind)?;
+        let b = self.draw(now, &open, kind)?;
         Some(if self.cost(b) < self.cost(a) { b } else { a })
     }
 
     /// One at random, by what each can do. Where a gatekeeper has next to nothing out its counts tell nothing:
     /// all gatekeepers would then take to the same few workers that are larger or seem faster.
-    fn draw(&mut self, open: &[WorkerId]) -> Option<WorkerId> {
-        let able = |id: &WorkerId| self.workers[id].heft / self.workers[id].slowness.max(0.1).powi(2);
+    fn draw(&mut self, now: Time, open: &[WorkerId], kind: (OperationId, PlanId)) -> Option<WorkerId> {
+        let able = |id: &WorkerId| {
+            let w = &self.workers[id];
+            let sure = w.doubts.get(&kind).map_or(1.0, |d| 1.0 - doubt_now(*d, now));
+            w.heft * (sure / w.slowness.max(0.1)).powi(2)
+        };
         let mut point = self.rng.unit() * open.iter().map(able).sum::<f64>();
         let drawn = open.iter().find(|id| {
             point -= able(id);
@@ -459,7 +467,7 @@
         let delivery = Delivery {
             worker: id,
             sent_at: now,
-            operation: i.operation,
+            kind: (i.operation, i.plan),
             size: size_of(i.units),
             weight,
             customer: i.customer,
@@ -588,7 +596,7 @@
         let heard = answered || matches!(e.outcome, Outcome::Full | Outcome::Reset);
         let awake = now != self.instance.woke_at;
         if awake && answered {
-            self.adapt_limit(now, delivery.operation.0 as usize, took);
+            self.adapt_limit(now, delivery.kind.0.0 as usize, took);
         }
         let Some(w) = self.workers.get_mut(&delivery.worker) else { return };
         w.out = w.out.saturating_sub(1);
@@ -596,38 +604,34 @@
         if heard {
             w.quiet_since = now;
         }
-        let usual = &mut self.instance.usual[delivery.operation.0 as usize][delivery.size];
+        // What fails may be one kind of work while the others go on: the doubt is of that kind only.
+        let doubt = w.doubts.entry(delivery.kind).or_default();
+        let failed = if e.outcome == Outcome::Succeeded { 0.0 } else { 1.0 };
+        let share = doubt_now(*doubt, now);
+        *doubt = (share + FAILED * (failed - share), now);
+        let usual = &mut self.instance.usual[delivery.kind.0.0 as usize][delivery.size];
         let sample = (took / usual.max(1e-6)).min(SLOWEST);
         match e.outcome {
-            Outcome::Succeeded | Outcome::Errored => {
-                w.strikes = 0;
-                w.avoid_until = w.avoid_until.min(now);
-                if !awake {
-                    return;
-                }
+            Outcome::Succeeded if awake => {
                 w.slowness += if sample > w.slowness { FRESH * 2.0 } else { FRESH } * (sample - w.slowness);
                 *usual += FRESH * 0.2 * (took - *usual);
             }
-            Outcome::TimedOut if was_quiet => self.strike(now, delivery.worker, port),
-            Outcome::TimedOut | Outcome::Cancelled => {
+            Outcome::TimedOut | Outcome::Cancelled if !was_quiet => {
                 w.slowness += FRESH * 2.0 * (sample - w.slowness).max(0.0);
             }
-            // A worker that turns away at once looks idle by the counts: it is avoided like one that fails.
-            Outcome::Full | Outcome::ConnectFailed | Outcome::Reset => {
-                self.strike(now, delivery.worker, port)
+            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
+                self.avoid(now, delivery.worker, port)
             }
-            Outcome::Moot => {}
+            _ => {}
         }
     }
 
-    fn strike(&mut self, now: Time, id: WorkerId, port: &mut impl Port) {
+    fn avoid(&mut self, now: Time, id: WorkerId, port: &mut impl Port) {
         let Some(w) = self.workers.get_mut(&id) else { return };
-        w.strikes = (w.strikes + 1).min(8);
-        let wait = AVOID.times(f64::from(1u32 << (w.strikes - 1)).min(AVOID_MOST));
-        w.avoid_until = w.avoid_until.max(now + wait);
+        w.avoid_until = now + AVOID;
         if self.figures.probes && !w.probe_out {
             w.probe_out = true;
-            port.set_timer(wait, Wake::Worker(id).tag());
+            port.set_timer(AVOID, Wake::Worker(id).tag());
         }
     }
 
@@ -636,9 +640,8 @@
         w.probe_out = false;
         if outcome == Outcome::Succeeded {
             w.avoid_until = now;
-            w.strikes = 0;
         } else {
-            self.strike(now, id, port);
+            self.avoid(now, id, port);
         }
     }
 
@@ -844,6 +847,11 @@
     (units.ceil() as usize).min(SIZES - 1)
 }
 
+/// The share of a kind of work that failed at a worker lately; it fades where nothing more is heard.
+fn doubt_now((share, at): (f64, Time), now: Time) -> f64 {
+    share * (-(now - at).secs() / DOUBT_OVER).exp()
+}
+
 fn fresh_worker(now: Time, l: &Listed) -> Worker {
     Worker { started_at: l.started_at, slowness: 1.0, cold_at: now, ..Worker::default() }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,7 @@
 //! What an instance remembers, grouped by how long it lives.
 
+use std::collections::BTreeMap;
+
 use crate::types::{
     CellId, CustomerId, DeliveryNo, InvId, OperationId, PlanId, Repeat, Span, Time, WorkerId, ZoneId,
 };
@@ -8,7 +10,7 @@
 pub struct Delivery {
     pub worker: WorkerId,
     pub sent_at: Time,
-    pub operation: OperationId,
+    pub kind: (OperationId, PlanId),
     pub size: usize,
     /// What was usual for it, in seconds.
     pub weight: f64,
@@ -36,6 +38,7 @@
 pub struct Invocation {
     pub stage: Stage,
     pub operation: OperationId,
+    pub plan: PlanId,
     pub customer: CustomerId,
     pub units: f64,
     pub arrived_at: Time,
@@ -79,8 +82,8 @@
     pub slowness: f64,
     /// Since when deliveries are out with no answer of any kind.
     pub quiet_since: Time,
-    /// Failures in a row that speak against the worker.
-    pub strikes: u32,
+    /// The share that failed of each kind of work, and when that was reckoned.
+    pub doubts: BTreeMap<(OperationId, PlanId), (f64, Time)>,
     pub avoid_until: Time,
     pub probe_out: bool,
     /// What may still be sent to it while it is cold, and when that was reckoned.
