--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,11 +11,11 @@
 use crate::rng::Rng;
 use crate::state::{
     Customer, Delivery, DeliveryKey, Figures, Instance, Invocation, OperationFigures, PlanFigures, Shared,
-    Stage, Worker,
+    Stage, Store, Worker,
 };
 use crate::types::{
-    Arrival, CountName, CustomerId, DeliveryNo, Ended, Group, InvId, Listed, OperationId, Outcome, Phase,
-    Plan, PlanId, Repeat, Scope, Settings, Span, Time, TimerTag, Wake, WorkerId,
+    Arrival, CountName, CustomerId, DeliveryNo, Ended, Group, InvId, Listed, Operation, OperationId, Outcome,
+    Phase, Plan, PlanId, Repeat, Scope, Settings, Span, Time, TimerTag, Wake, WorkerId,
 };
 
 /// How often a customer's use is reported (design page).
@@ -41,17 +41,14 @@
 const FRESH_USE: f64 = 0.3;
 /// A customer not heard of for this long is dropped once its bucket is full.
 const IDLE: Span = Span::from_millis(20_000);
-/// A delivery is too slow over this part of the latency objective; many such cut the instance's limit,
-/// few let it grow.
+/// A delivery is late over this part of the latency objective; where more than this share is late, the
+/// instance's limit is cut, and under half of that it grows.
 const TOO_SLOW: f64 = 0.4;
 const LATE_MANY: f64 = 0.2;
-const LATE_FEW: f64 = 0.1;
-/// Deliveries out per worker at first, by all gatekeepers together.
+/// Deliveries out per worker, by all gatekeepers together: at first, and at the least, so that long work
+/// alone does not idle the workers.
 const FIRST_LIMIT: f64 = 6.0;
-/// The same at the least, so that long work alone does not idle the workers.
 const LEAST_LIMIT: f64 = 2.5;
-/// Room over the limit for what comes in by chance, in square roots of it.
-const CHANCE: f64 = 1.0;
 /// Where the fleet is full, a client is told to come back after this many usual latencies.
 const COME_BACK: f64 = 0.3;
 /// A cut, and how long the next has to wait for its effect.
@@ -76,16 +73,14 @@
 const SLOWEST: f64 = 10.0;
 /// The weight of a new sample in a running mean.
 const FRESH: f64 = 0.1;
-/// The time over which the rate of what comes back is reckoned.
+/// Seconds over which the rate of what comes back is reckoned, and for which the most of it counts.
 const RATE_OVER: f64 = 2.0;
-/// How long the most that was carried counts.
 const CARRIED_OVER: f64 = 8.0;
-/// The part of the multiple that pushes a cold worker over that is made use of.
+/// The part of the multiple that pushes a cold worker over that is made use of, and what it may get at once.
 const COLD_PART: f64 = 0.6;
+const COLD_BURST: f64 = 2.0;
 /// Workers over this many times the mean cost are not drawn; a little over 1 for the rounding.
 const NO_BUSIER: f64 = 1.0001;
-/// What a cold worker may be sent at once.
-const COLD_BURST: f64 = 2.0;
 /// How many sizes of an operation are told apart; larger ones go with the last.
 const SIZES: usize = 17;
 /// Before any latency is known, this part of the objective is taken for usual.
@@ -117,18 +112,15 @@
             keep: (window.times(2.0)).min(LONGEST_KEPT),
         }
     };
+    let operation = |o: &Operation| OperationFigures {
+        objective: o.latency_objective,
+        late_pays: o.late_share > 0.0,
+        repeat: o.repeat,
+    };
     Figures {
         gatekeepers: f64::from(s.gatekeepers.max(1)),
         margin: s.step.times(2.0) + Span::from_millis(2),
-        operations: s
-            .operations
-            .iter()
-            .map(|o| OperationFigures {
-                objective: o.latency_objective,
-                late_pays: o.late_share > 0.0,
-                repeat: o.repeat,
-            })
-            .collect(),
+        operations: s.operations.iter().map(operation).collect(),
         plans: s.plans.iter().map(plan).collect(),
         counter: s.counter,
         probes: s.probes,
@@ -177,12 +169,10 @@
 
     pub fn invoke(&mut self, now: Time, arrival: &Arrival, port: &mut impl Port) {
         let inv = arrival.inv;
-        let (Some(_), Some(_)) = (
-            self.figures.operations.get(arrival.operation.0 as usize),
-            self.figures.plans.get(arrival.plan.0 as usize),
-        ) else {
+        let (operations, plans) = (self.figures.operations.len(), self.figures.plans.len());
+        if arrival.operation.0 as usize >= operations || arrival.plan.0 as usize >= plans {
             return port.error(inv);
-        };
+        }
         self.look_up(now);
         self.sweep(now);
         let units = arrival.units();
@@ -214,10 +204,10 @@
 
         // The charge, then the delivery.
         let customer = self.customers.get_mut(&arrival.customer).expect("reckoned above");
-        customer.tokens -= units;
+        customer.tokens.level -= units;
         customer.own_since += units;
         guess_others(customer, now);
-        customer.ceiling -= units;
+        customer.ceiling.level -= units;
         customer.unreported += units;
         self.instance.spare = (self.instance.spare + SPARE_EACH).min(SPARE_MOST);
         self.deliver(now, inv, &mut invocation, worker, port);
@@ -251,13 +241,15 @@
             return Err(ROUND);
         }
         if let Some(rate) = plan.rate
-            && customer.tokens < units
+            && customer.tokens.level < units
         {
-            return Err(Span::from_secs((units - customer.tokens) / rate));
+            return Err(Span::from_secs((units - customer.tokens.level) / rate));
         }
         // Ceilings hold without agreement: each gatekeeper spends its even part only.
-        if plan.ceiling_rate > 0.0 && customer.ceiling < units {
-            return Err(Span::from_secs((units - customer.ceiling) * customer.spread / plan.ceiling_rate));
+        if plan.ceiling_rate > 0.0 && customer.ceiling.level < units {
+            return Err(Span::from_secs(
+                (units - customer.ceiling.level) * customer.spread / plan.ceiling_rate,
+            ));
         }
         if plan.open > 0 && f64::from(customer.out) >= (f64::from(plan.open) / customer.spread).ceil() {
             return Err(ROUND);
@@ -277,9 +269,9 @@
         let spread = arrival.spread_among(self.figures.gatekeepers);
         let customer = self.customers.entry(arrival.customer).or_insert_with(|| Customer {
             // The store is full at first; what the others take of it is guessed until a total tells.
-            tokens: plan.burst,
+            tokens: Store { level: plan.burst, at: now },
             others_rate: FIRST_USE * plan.rate.unwrap_or(0.0) * (1.0 - 1.0 / spread),
-            reckoned_at: now,
+            ceiling: Store { level: 0.0, at: now },
             told_at: now,
             // The ceiling's store starts empty, so that a restart never fills it.
             ..Customer::default()
@@ -307,14 +299,15 @@
         let amount = customer.unreported + customer.shared.unadded;
         // A call that only reads is let go where calls are scarce; one that adds waits for another round.
         let wanted = if amount == 0.0 { READ_ONLY_OVER } else { 1.0 };
-        let scarce = !self.instance.may_call(now, wanted);
+        let most = self.instance.call_rate.max(READ_ONLY_OVER);
+        let scarce = self.instance.calls.fill(now, self.instance.call_rate, most) < wanted;
         if scarce && amount == 0.0 {
             return;
         }
         if customer.shared.in_call.is_some() || scarce {
             return self.ask_for_report(id, port);
         }
-        self.instance.calls -= 1.0;
+        self.instance.calls.level -= 1.0;
         refill(customer, plan, now);
         let window = now.periods(plan.window);
         if customer.shared.window != window {
@@ -370,26 +363,20 @@
         } else {
             0.0
         };
-        if f64::from(self.instance.out) >= (limit * (1.0 + missed) + CHANCE * limit.sqrt()).max(1.0) {
+        if f64::from(self.instance.out) >= (limit * (1.0 + missed) + limit.sqrt()).max(1.0) {
             return None;
         }
         self.share_out(now);
-        let mut healthy = Vec::new();
-        let mut doubtful = Vec::new();
-        let mut any_healthy = false;
-        for (&id, w) in &mut self.workers {
-            if w.draining || invocation.tried.contains(&id) || !in_group(&self.figures, invocation, w, now) {
-                continue;
-            }
-            let is_healthy = !is_in_doubt(w, now);
-            any_healthy |= is_healthy;
-            if !has_cold_budget(&self.figures, w, now) {
-                continue;
-            }
-            if is_healthy { &mut healthy } else { &mut doubtful }.push(id);
-        }
+        let f = &self.figures;
+        let fits = |id: &WorkerId, w: &Worker| {
+            !w.draining && !invocation.tried.contains(id) && in_group(f, invocation, w, now)
+        };
+        let (healthy, doubtful): (Vec<_>, Vec<_>) =
+            self.workers.iter().filter(|(id, w)| fits(id, w)).partition(|(_, w)| !is_in_doubt(w, now));
         // Where every worker is in doubt, the doubt is more likely about the way there.
-        let mut open = if any_healthy { healthy } else { doubtful };
+        let open = if healthy.is_empty() { doubtful } else { healthy };
+        let open = open.into_iter().filter(|(_, w)| has_cold_budget(f, w, now));
+        let mut open: Vec<WorkerId> = open.map(|(id, _)| *id).collect();
         // Two drawn from all would still now and then load a busy worker while others idle: in overload
         // that idle time is what is missing. So only workers no busier than the mean are drawn.
         let mean = open.iter().map(|id| self.cost(*id)).sum::<f64>() / open.len().max(1) as f64;
@@ -441,7 +428,7 @@
         if instance.late_share > LATE_MANY && now - instance.cut_at > CUT_EVERY {
             instance.cut_at = now;
             instance.limit = Some(limit.min(f64::from(instance.out) + 1.0) * CUT);
-        } else if instance.late_share < LATE_FEW && f64::from(instance.out) > limit * 0.7 {
+        } else if instance.late_share < LATE_MANY * 0.5 && f64::from(instance.out) > limit * 0.7 {
             let step = self.workers.len() as f64 / self.figures.gatekeepers;
             instance.limit = Some(limit + step / limit.max(1.0));
         }
@@ -455,13 +442,9 @@
     fn deliver(&mut self, now: Time, inv: InvId, i: &mut Invocation, id: WorkerId, port: &mut impl Port) {
         let weight = self.usual(i).secs();
         let w = self.workers.get_mut(&id).expect("picked from these");
-        if w.out == 0 {
-            w.quiet_since = now;
-        }
-        w.out += 1;
-        w.load += weight;
+        w.sent(now, weight);
         self.instance.out += 1;
-        w.cold_budget -= 1.0;
+        w.cold_budget.level -= 1.0;
         let is_copy = i.stage == Stage::Out;
         let no = DeliveryNo(i.tried.len() as u8);
         let delivery = Delivery {
@@ -498,8 +481,7 @@
         for w in self.workers.values_mut().filter(|w| w.started_at.is_some()) {
             let able = (warmth(f, w, now) * f.cold_headroom).min(1.0);
             let rate = (self.instance.carried * w.heft * able).max(f.trickle);
-            w.cold_budget = (w.cold_budget + rate * (now - w.cold_at).secs()).min(COLD_BURST);
-            w.cold_at = now;
+            w.cold_budget.fill(now, rate, COLD_BURST);
         }
     }
 
@@ -532,7 +514,7 @@
             && let Some(customer) = self.customers.get_mut(&i.customer)
         {
             let more = f64::from(actual) - i.units;
-            customer.tokens -= more;
+            customer.tokens.level -= more;
             customer.unreported += more;
         }
         if e.outcome.never_ran() {
@@ -599,8 +581,7 @@
             self.adapt_limit(now, delivery.kind.0.0 as usize, took);
         }
         let Some(w) = self.workers.get_mut(&delivery.worker) else { return };
-        w.out = w.out.saturating_sub(1);
-        w.load = if w.out == 0 { 0.0 } else { (w.load - delivery.weight).max(0.0) };
+        w.ended(delivery.weight);
         if heard {
             w.quiet_since = now;
         }
@@ -739,7 +720,7 @@
         let plans = &self.figures.plans;
         self.customers.retain(|_, c| {
             refill(c, &plans[c.plan.0 as usize], now);
-            let is_full = c.tokens >= plans[c.plan.0 as usize].burst && c.unreported == 0.0;
+            let is_full = c.tokens.level >= plans[c.plan.0 as usize].burst && c.unreported == 0.0;
             !(is_full && c.out == 0 && !c.report_due && now - c.seen_at > IDLE)
         });
     }
@@ -771,16 +752,6 @@
     }
 }
 
-impl Instance {
-    /// Whether so many calls to the counter are to spare.
-    fn may_call(&mut self, now: Time, wanted: f64) -> bool {
-        let gained = self.call_rate * (now - self.calls_at).secs();
-        self.calls = (self.calls + gained).min(self.call_rate.max(READ_ONLY_OVER));
-        self.calls_at = now;
-        self.calls >= wanted
-    }
-}
-
 // ---- stores and counts ----
 
 const CUSTOMER_BITS: u64 = (1 << 34) - 1;
@@ -792,12 +763,10 @@
 
 /// The bucket refills at the plan's rate, less what the others are thought to take of it.
 fn refill(c: &mut Customer, plan: &PlanFigures, now: Time) {
-    let gap = (now - c.reckoned_at).secs();
-    c.reckoned_at = now;
-    let part = plan.ceiling_rate / c.spread * 0.999;
-    c.ceiling = (c.ceiling + part * gap).min(plan.ceiling_burst / c.spread * 0.999);
+    let part = 0.999 / c.spread;
+    c.ceiling.fill(now, plan.ceiling_rate * part, plan.ceiling_burst * part);
     let Some(rate) = plan.rate else { return };
-    c.tokens = (c.tokens + rate * gap).min(plan.burst);
+    c.tokens.fill(now, rate, plan.burst);
     guess_others(c, now);
 }
 
@@ -807,9 +776,9 @@
 fn guess_others(c: &mut Customer, now: Time) {
     let gap = (now - c.told_at).min(GUESS_STANDS.times((c.spread - 1.0).min(GUESS_MOST))).secs();
     let guess = (c.others_rate * gap).max((c.spread - 1.0) * c.own_since);
-    let more = (guess - c.guessed).clamp(0.0, c.tokens.max(0.0));
+    let more = (guess - c.guessed).clamp(0.0, c.tokens.level.max(0.0));
     c.guessed += more;
-    c.tokens -= more;
+    c.tokens.level -= more;
 }
 
 /// A total came back: the others' part of it is charged here too, in place of what was guessed.
@@ -832,7 +801,7 @@
     let gap = (now - c.told_at).secs().max(0.1);
     c.others_rate += FRESH_USE * (others / gap - c.others_rate);
     c.own_since = c.unreported;
-    c.tokens = (c.tokens + c.guessed - others).clamp(0.0, plan.burst);
+    c.tokens.level = (c.tokens.level + c.guessed - others).clamp(0.0, plan.burst);
     c.guessed = 0.0;
     c.told_at = now;
     if s.total + s.lost > plan.allowance {
@@ -853,7 +822,12 @@
 }
 
 fn fresh_worker(now: Time, l: &Listed) -> Worker {
-    Worker { started_at: l.started_at, slowness: 1.0, cold_at: now, ..Worker::default() }
+    Worker {
+        started_at: l.started_at,
+        slowness: 1.0,
+        cold_budget: Store { level: 0.0, at: now },
+        ..Worker::default()
+    }
 }
 
 /// It failed lately, or nothing came back for several times what is usual for what is out there.
@@ -870,7 +844,7 @@
 }
 
 fn has_cold_budget(f: &Figures, w: &Worker, now: Time) -> bool {
-    warmth(f, w, now) >= 1.0 || w.cold_budget >= 1.0
+    warmth(f, w, now) >= 1.0 || w.cold_budget.level >= 1.0
 }
 
 /// Whether the rules allow this invocation at this worker, by what may have run before.
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,22 @@
     CellId, CustomerId, DeliveryNo, InvId, OperationId, PlanId, Repeat, Span, Time, WorkerId, ZoneId,
 };
 
+/// A store that fills by itself.
+#[derive(Clone, Copy, Default)]
+pub struct Store {
+    pub level: f64,
+    pub at: Time,
+}
+
+impl Store {
+    /// Brings it up to now, at a rate a second and to no more than it holds.
+    pub fn fill(&mut self, now: Time, rate: f64, most: f64) -> f64 {
+        self.level = (self.level + rate * (now - self.at).secs()).min(most);
+        self.at = now;
+        self.level
+    }
+}
+
 /// For one delivery.
 pub struct Delivery {
     pub worker: WorkerId,
@@ -86,9 +102,24 @@
     pub doubts: BTreeMap<(OperationId, PlanId), (f64, Time)>,
     pub avoid_until: Time,
     pub probe_out: bool,
-    /// What may still be sent to it while it is cold, and when that was reckoned.
-    pub cold_budget: f64,
-    pub cold_at: Time,
+    /// What may still be sent to it while it is cold.
+    pub cold_budget: Store,
+}
+
+impl Worker {
+    /// Counts a delivery to it, with what is usual for it in seconds.
+    pub fn sent(&mut self, now: Time, weight: f64) {
+        if self.out == 0 {
+            self.quiet_since = now;
+        }
+        self.out += 1;
+        self.load += weight;
+    }
+
+    pub fn ended(&mut self, weight: f64) {
+        self.out = self.out.saturating_sub(1);
+        self.load = if self.out == 0 { 0.0 } else { (self.load - weight).max(0.0) };
+    }
 }
 
 /// What a shared count is known to hold for one customer and window.
@@ -112,11 +143,10 @@
 pub struct Customer {
     pub plan: PlanId,
     pub spread: f64,
-    /// The bucket, and when it was reckoned.
-    pub tokens: f64,
-    pub reckoned_at: Time,
+    /// The bucket.
+    pub tokens: Store,
     /// This gatekeeper's part of a hard ceiling.
-    pub ceiling: f64,
+    pub ceiling: Store,
     pub out: u32,
     pub seen_at: Time,
     /// Let through and not yet reported.
@@ -142,9 +172,8 @@
     pub carried: f64,
     pub carried_at: Time,
     pub swept_at: Time,
-    /// Calls to the counter to spare, when that was reckoned, and how many come in a second.
-    pub calls: f64,
-    pub calls_at: Time,
+    /// Calls to the counter to spare, and how many come in a second.
+    pub calls: Store,
     pub call_rate: f64,
     /// When the next beat is due; when the gatekeeper last found that it had stood still, and how long.
     pub beat_due: Time,
