--- a/src/policy.rs
+++ b/src/policy.rs
@@ -59,9 +59,11 @@
 const SPARE_MOST: f64 = 10.0;
 /// How long a worker is avoided after one that speaks against all of it.
 const AVOID: Span = Span::from_millis(1000);
-/// What one failure and one success make of a worker's doubt for a kind of work, and how long that lasts.
+/// The weight of one more delivery in the share that fails of a kind of work, the seconds over which that
+/// fades, and the share that is too much.
 const FAILED: f64 = 0.5;
 const DOUBT_OVER: f64 = 10.0;
+const DOUBTED: f64 = 0.4;
 /// Silence of this many usual latencies speaks against a worker.
 const SILENT: f64 = 4.0;
 /// A delivery is looked at again after this many usual latencies.
@@ -368,11 +370,12 @@
         }
         self.share_out(now);
         let f = &self.figures;
+        let kind = (invocation.operation, invocation.plan);
         let fits = |id: &WorkerId, w: &Worker| {
             !w.draining && !invocation.tried.contains(id) && in_group(f, invocation, w, now)
         };
         let (healthy, doubtful): (Vec<_>, Vec<_>) =
-            self.workers.iter().filter(|(id, w)| fits(id, w)).partition(|(_, w)| !is_in_doubt(w, now));
+            self.workers.iter().filter(|(id, w)| fits(id, w)).partition(|(_, w)| !is_in_doubt(w, kind, now));
         // Where every worker is in doubt, the doubt is more likely about the way there.
         let open = if healthy.is_empty() { doubtful } else { healthy };
         let open = open.into_iter().filter(|(_, w)| has_cold_budget(f, w, now));
@@ -381,7 +384,6 @@
         // that idle time is what is missing. So only workers no busier than the mean are drawn.
         let mean = open.iter().map(|id| self.cost(*id)).sum::<f64>() / open.len().max(1) as f64;
         open.retain(|id| self.cost(*id) <= mean * NO_BUSIER);
-        let kind = (invocation.operation, invocation.plan);
         let a = self.draw(now, &open, kind)?;
         let b = self.draw(now, &open, kind)?;
         Some(if self.cost(b) < self.cost(a) { b } else { a })
@@ -392,8 +394,7 @@
     fn draw(&mut self, now: Time, open: &[WorkerId], kind: (OperationId, PlanId)) -> Option<WorkerId> {
         let able = |id: &WorkerId| {
             let w = &self.workers[id];
-            let sure = w.doubts.get(&kind).map_or(1.0, |d| 1.0 - doubt_now(*d, now));
-            w.heft * (sure / w.slowness.max(0.1)).powi(2)
+            w.heft * ((1.0 - w.doubt(kind, now, DOUBT_OVER)) / w.slowness.max(0.1)).powi(2)
         };
         let mut point = self.rng.unit() * open.iter().map(able).sum::<f64>();
         let drawn = open.iter().find(|id| {
@@ -586,10 +587,9 @@
             w.quiet_since = now;
         }
         // What fails may be one kind of work while the others go on: the doubt is of that kind only.
-        let doubt = w.doubts.entry(delivery.kind).or_default();
+        let doubt = w.doubt(delivery.kind, now, DOUBT_OVER);
         let failed = if e.outcome == Outcome::Succeeded { 0.0 } else { 1.0 };
-        let share = doubt_now(*doubt, now);
-        *doubt = (share + FAILED * (failed - share), now);
+        w.doubts.insert(delivery.kind, (doubt + FAILED * (failed - doubt), now));
         let usual = &mut self.instance.usual[delivery.kind.0.0 as usize][delivery.size];
         let sample = (took / usual.max(1e-6)).min(SLOWEST);
         match e.outcome {
@@ -662,7 +662,7 @@
     fn check_delivery(&mut self, now: Time, inv: InvId, no: DeliveryNo, port: &mut impl Port) {
         let Some(delivery) = self.deliveries.get(&(inv, no)) else { return };
         let worker = self.workers.get(&delivery.worker);
-        if worker.is_some_and(|w| !is_in_doubt(w, now)) {
+        if worker.is_some_and(|w| !is_in_doubt(w, delivery.kind, now)) {
             return;
         }
         let Some(mut i) = self.invocations.remove(&inv) else { return };
@@ -816,11 +816,6 @@
     (units.ceil() as usize).min(SIZES - 1)
 }
 
-/// The share of a kind of work that failed at a worker lately; it fades where nothing more is heard.
-fn doubt_now((share, at): (f64, Time), now: Time) -> f64 {
-    share * (-(now - at).secs() / DOUBT_OVER).exp()
-}
-
 fn fresh_worker(now: Time, l: &Listed) -> Worker {
     Worker {
         started_at: l.started_at,
@@ -830,10 +825,11 @@
     }
 }
 
-/// It failed lately, or nothing came back for several times what is usual for what is out there.
-fn is_in_doubt(w: &Worker, now: Time) -> bool {
+/// It failed lately, also by work of the same kind, or nothing came back for several times what is usual for
+/// what is out there.
+fn is_in_doubt(w: &Worker, kind: (OperationId, PlanId), now: Time) -> bool {
     let is_silent = w.out > 0 && (now - w.quiet_since).secs() > SILENT * w.load / f64::from(w.out);
-    now < w.avoid_until || is_silent
+    now < w.avoid_until || is_silent || w.doubt(kind, now, DOUBT_OVER) > DOUBTED
 }
 
 /// The share of its capacity that a worker is sure to have by now.
--- a/src/state.rs
+++ b/src/state.rs
@@ -116,6 +116,11 @@
         self.load += weight;
     }
 
+    /// The share of a kind of work that failed lately; it fades where nothing more is heard.
+    pub fn doubt(&self, kind: (OperationId, PlanId), now: Time, over: f64) -> f64 {
+        self.doubts.get(&kind).map_or(0.0, |(share, at)| share * (-(now - *at).secs() / over).exp())
+    }
+
     pub fn ended(&mut self, weight: f64) {
         self.out = self.out.saturating_sub(1);
         self.load = if self.out == 0 { 0.0 } else { (self.load - weight).max(0.0) };
