--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,7 +55,7 @@
 const CUT: f64 = 0.9;
 const CUT_EVERY: Span = Span::from_millis(150);
 /// Further deliveries that one invocation pays for, and the most that can be saved up.
-const SPARE_EACH: f64 = 0.1;
+const SPARE_EACH: f64 = 0.3;
 const SPARE_MOST: f64 = 10.0;
 /// How long a worker is avoided after one that speaks against all of it.
 const AVOID: Span = Span::from_millis(1000);
