--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,7 +48,10 @@
 /// Deliveries out per worker, by all gatekeepers together: at first, and at the least, so that long work
 /// alone does not idle the workers.
 const FIRST_LIMIT: f64 = 6.0;
-const LEAST_LIMIT: f64 = 2.5;
+const LEAST_LIMIT: f64 = 4.0;
+/// How far what is out may be over the limit while its mean over so many seconds is under it.
+const ROOM: f64 = 4.0;
+const MEAN_OVER: f64 = 2.0;
 /// Where the fleet is full, a client is told to come back after this many usual latencies.
 const COME_BACK: f64 = 0.3;
 /// A cut, and how long the next has to wait for its effect.
@@ -357,7 +360,8 @@
 
     /// Two drawn at random; the one that this gatekeeper's own counts favour.
     fn pick(&mut self, now: Time, invocation: &Invocation) -> Option<WorkerId> {
-        // What comes in by chance spreads by the square root of its mean: a limit of few needs room for it.
+        // What comes in by chance spreads by the square root of its mean: a limit of few needs room for it,
+        // and one of less than one at each of hundreds holds in the mean only.
         let limit = self.limit();
         // What came while the gatekeeper stood still has a claim to what it did not send meanwhile.
         let missed = if now == self.instance.woke_at {
@@ -365,7 +369,8 @@
         } else {
             0.0
         };
-        if f64::from(self.instance.out) >= (limit * (1.0 + missed) + limit.sqrt()).max(1.0) {
+        let room = (ROOM * (limit - self.instance.mean_out(now, MEAN_OVER))).clamp(-1.0, limit.sqrt());
+        if f64::from(self.instance.out) >= limit * (1.0 + missed) + room {
             return None;
         }
         self.share_out(now);
@@ -444,6 +449,7 @@
         let weight = self.usual(i).secs();
         let w = self.workers.get_mut(&id).expect("picked from these");
         w.sent(now, weight);
+        self.instance.mean_out(now, MEAN_OVER);
         self.instance.out += 1;
         w.cold_budget.level -= 1.0;
         let is_copy = i.stage == Stage::Out;
@@ -570,6 +576,7 @@
     /// What the end of a delivery tells of its worker.
     fn learn(&mut self, now: Time, e: &Ended, delivery: &Delivery, port: &mut impl Port) {
         let took = e.took.secs();
+        self.instance.mean_out(now, MEAN_OVER);
         self.instance.out = self.instance.out.saturating_sub(1);
         let Some(w) = self.workers.get(&delivery.worker) else { return };
         // A time-out tells of load only where the worker has answered others meanwhile; else of a
--- a/src/state.rs
+++ b/src/state.rs
@@ -193,9 +193,22 @@
     /// Deliveries out, how many may be out, and the last cut of that.
     pub out: u32,
     pub limit: Option<f64>,
+    /// How many were out lately, in the mean.
+    pub mean: f64,
+    pub mean_at: Time,
     pub cut_at: Time,
 }
 
+impl Instance {
+    /// The running mean of what is out, brought up to now; called before that changes.
+    pub fn mean_out(&mut self, now: Time, over: f64) -> f64 {
+        let gap = (now - self.mean_at).secs();
+        self.mean_at = now;
+        self.mean += (f64::from(self.out) - self.mean) * (1.0 - (-gap / over).exp());
+        self.mean
+    }
+}
+
 /// What the decisions make of an operation's settings.
 pub struct OperationFigures {
     pub objective: Span,
