--- a/src/policy.rs
+++ b/src/policy.rs
@@ -377,14 +377,14 @@
         let f = &self.figures;
         let kind = (invocation.operation, invocation.plan);
         let fits = |id: &WorkerId, w: &Worker| {
-            !w.draining && !invocation.tried.contains(id) && in_group(f, invocation, w, now)
+            let may = !w.draining && !invocation.tried.contains(id) && in_group(f, invocation, w, now);
+            may && has_cold_budget(f, w, now)
         };
         let (healthy, doubtful): (Vec<_>, Vec<_>) =
             self.workers.iter().filter(|(id, w)| fits(id, w)).partition(|(_, w)| !is_in_doubt(w, kind, now));
         // Where every worker is in doubt, the doubt is more likely about the way there.
         let open = if healthy.is_empty() { doubtful } else { healthy };
-        let open = open.into_iter().filter(|(_, w)| has_cold_budget(f, w, now));
-        let mut open: Vec<WorkerId> = open.map(|(id, _)| *id).collect();
+        let mut open: Vec<WorkerId> = open.into_iter().map(|(id, _)| *id).collect();
         // Two drawn from all would still now and then load a busy worker while others idle: in overload
         // that idle time is what is missing. So only workers no busier than the mean are drawn.
         let mean = open.iter().map(|id| self.cost(*id)).sum::<f64>() / open.len().max(1) as f64;
@@ -596,7 +596,8 @@
         // What fails may be one kind of work while the others go on: the doubt is of that kind only.
         let doubt = w.doubt(delivery.kind, now, DOUBT_OVER);
         let failed = if e.outcome == Outcome::Succeeded { 0.0 } else { 1.0 };
-        w.doubts.insert(delivery.kind, (doubt + FAILED * (failed - doubt), now));
+        let weight = if e.outcome == Outcome::TimedOut { FRESH } else { FAILED };
+        w.doubts.insert(delivery.kind, (doubt + weight * (failed - doubt), now));
         let usual = &mut self.instance.usual[delivery.kind.0.0 as usize][delivery.size];
         let sample = (took / usual.max(1e-6)).min(SLOWEST);
         match e.outcome {
