--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,7 +48,7 @@
 /// Deliveries out per worker, by all gatekeepers together: at first, and at the least, so that long work
 /// alone does not idle the workers.
 const FIRST_LIMIT: f64 = 6.0;
-const LEAST_LIMIT: f64 = 4.0;
+const LEAST_LIMIT: f64 = 6.0;
 /// How far what is out may be over the limit while its mean over so many seconds is under it.
 const ROOM: f64 = 4.0;
 const MEAN_OVER: f64 = 2.0;
@@ -362,7 +362,7 @@
     fn pick(&mut self, now: Time, invocation: &Invocation) -> Option<WorkerId> {
         // What comes in by chance spreads by the square root of its mean: a limit of few needs room for it,
         // and one of less than one at each of hundreds holds in the mean only.
-        let limit = self.limit();
+        let limit = self.limit(now);
         // What came while the gatekeeper stood still has a claim to what it did not send meanwhile.
         let missed = if now == self.instance.woke_at {
             self.instance.stood.secs() / self.usual(invocation).secs().max(1e-3)
@@ -418,15 +418,17 @@
 
     /// How many deliveries may be out. Each gatekeeper finds its own part by the latencies that come back,
     /// and never goes under its even part of what keeps the workers busy.
-    fn limit(&mut self) -> f64 {
-        let part = self.workers.values().filter(|w| !w.draining).count() as f64 / self.figures.gatekeepers;
-        self.instance.limit.get_or_insert(FIRST_LIMIT * part).max(LEAST_LIMIT * part)
+    fn limit(&mut self, now: Time) -> f64 {
+        let able = self.workers.values().filter(|w| !w.draining).map(|w| warmth(&self.figures, w, now));
+        let part = able.sum::<f64>() / self.figures.gatekeepers;
+        let least = LEAST_LIMIT * part * (1.0 - self.instance.late_share).powi(2);
+        self.instance.limit.get_or_insert(FIRST_LIMIT * part).max(least)
     }
 
     /// Where many latencies eat up the objective, all gatekeepers together send too much. A share of
     /// them is counted, not their mean: a few workers that are very slow are for the pick to avoid.
     fn adapt_limit(&mut self, now: Time, operation: usize, took: f64) {
-        let limit = self.limit();
+        let limit = self.limit(now);
         let objective = self.figures.operations[operation].objective.secs();
         let instance = &mut self.instance;
         let late = if took > objective * TOO_SLOW { 1.0 } else { 0.0 };
