--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,7 +48,7 @@
 /// Deliveries out per worker, by all gatekeepers together: at first, and at the least, so that long work
 /// alone does not idle the workers.
 const FIRST_LIMIT: f64 = 6.0;
-const LEAST_LIMIT: f64 = 6.0;
+const LEAST_LIMIT: f64 = 4.0;
 /// How far what is out may be over the limit while its mean over so many seconds is under it.
 const ROOM: f64 = 4.0;
 const MEAN_OVER: f64 = 2.0;
@@ -362,7 +362,7 @@
     fn pick(&mut self, now: Time, invocation: &Invocation) -> Option<WorkerId> {
         // What comes in by chance spreads by the square root of its mean: a limit of few needs room for it,
         // and one of less than one at each of hundreds holds in the mean only.
-        let limit = self.limit(now);
+        let limit = self.limit();
         // What came while the gatekeeper stood still has a claim to what it did not send meanwhile.
         let missed = if now == self.instance.woke_at {
             self.instance.stood.secs() / self.usual(invocation).secs().max(1e-3)
@@ -397,11 +397,13 @@
     /// One at random, by what each can do. Where a gatekeeper has next to nothing out its counts tell nothing:
     /// all gatekeepers would then take to the same few workers that are larger or seem faster.
     fn draw(&mut self, now: Time, open: &[WorkerId], kind: (OperationId, PlanId)) -> Option<WorkerId> {
+        let unit = self.rng.unit();
         let able = |id: &WorkerId| {
             let w = &self.workers[id];
-            w.heft * ((1.0 - w.doubt(kind, now, DOUBT_OVER)) / w.slowness.max(0.1)).powi(2)
+            let slow = (w.slowness * self.kind_slowness(w)).max(0.1);
+            w.heft * ((1.0 - w.doubt(kind, now, DOUBT_OVER)) / slow).powi(2)
         };
-        let mut point = self.rng.unit() * open.iter().map(able).sum::<f64>();
+        let mut point = unit * open.iter().map(able).sum::<f64>();
         let drawn = open.iter().find(|id| {
             point -= able(id);
             point < 0.0
@@ -413,22 +415,25 @@
     /// worker as busy as many small ones. Cold workers show as slow ones; their budget keeps them safe.
     fn cost(&self, id: WorkerId) -> f64 {
         let w = &self.workers[&id];
-        w.load * w.slowness / w.heft
+        w.load * w.slowness * self.kind_slowness(w) / w.heft
+    }
+
+    /// Evidence of one worker is scarce where gatekeepers are many; that of its kind of machine is not.
+    fn kind_slowness(&self, w: &Worker) -> f64 {
+        self.instance.kinds.get(&w.kind).copied().unwrap_or(1.0)
     }
 
     /// How many deliveries may be out. Each gatekeeper finds its own part by the latencies that come back,
     /// and never goes under its even part of what keeps the workers busy.
-    fn limit(&mut self, now: Time) -> f64 {
-        let able = self.workers.values().filter(|w| !w.draining).map(|w| warmth(&self.figures, w, now));
-        let part = able.sum::<f64>() / self.figures.gatekeepers;
-        let least = LEAST_LIMIT * part * (1.0 - self.instance.late_share).powi(2);
-        self.instance.limit.get_or_insert(FIRST_LIMIT * part).max(least)
+    fn limit(&mut self) -> f64 {
+        let part = self.workers.values().filter(|w| !w.draining).count() as f64 / self.figures.gatekeepers;
+        self.instance.limit.get_or_insert(FIRST_LIMIT * part).max(LEAST_LIMIT * part)
     }
 
     /// Where many latencies eat up the objective, all gatekeepers together send too much. A share of
     /// them is counted, not their mean: a few workers that are very slow are for the pick to avoid.
     fn adapt_limit(&mut self, now: Time, operation: usize, took: f64) {
-        let limit = self.limit(now);
+        let limit = self.limit();
         let objective = self.figures.operations[operation].objective.secs();
         let instance = &mut self.instance;
         let late = if took > objective * TOO_SLOW { 1.0 } else { 0.0 };
@@ -602,13 +607,17 @@
         w.doubts.insert(delivery.kind, (doubt + weight * (failed - doubt), now));
         let usual = &mut self.instance.usual[delivery.kind.0.0 as usize][delivery.size];
         let sample = (took / usual.max(1e-6)).min(SLOWEST);
+        let kind = self.instance.kinds.entry(w.kind).or_insert(1.0);
         match e.outcome {
             Outcome::Succeeded if awake => {
-                w.slowness += if sample > w.slowness { FRESH * 2.0 } else { FRESH } * (sample - w.slowness);
+                let own = sample / kind.max(0.1);
+                w.slowness += if own > w.slowness { FRESH * 2.0 } else { FRESH } * (own - w.slowness);
+                *kind += FRESH * 0.2 * (sample - *kind);
                 *usual += FRESH * 0.2 * (took - *usual);
             }
             Outcome::TimedOut | Outcome::Cancelled if !was_quiet => {
-                w.slowness += FRESH * 2.0 * (sample - w.slowness).max(0.0);
+                w.slowness += FRESH * 2.0 * (sample / kind.max(0.1) - w.slowness).max(0.0);
+                *kind += FRESH * 0.2 * (sample - *kind).max(0.0);
             }
             Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
                 self.avoid(now, delivery.worker, port)
@@ -758,6 +767,7 @@
             w.heft = l.heft();
             w.zone = l.zone;
             w.cell = l.cell;
+            w.kind = l.kind;
         }
     }
 }
