--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,9 +20,8 @@
 
 /// How often a customer's use is reported (design page).
 const ROUND: Span = Span::from_millis(1000);
-/// A window is several rounds long, as in the paper.
+/// A window is several rounds long, as in the paper; a count may be kept for no more than a minute.
 const WINDOW_ROUNDS: f64 = 20.0;
-/// The longest that a count may be kept.
 const LONGEST_KEPT: Span = Span::from_millis(60_000);
 /// How long the others are charged for going on as they did, without a new total, for each of
 /// them up to so many: the more gatekeepers, the more seldom each of them hears.
@@ -33,11 +32,10 @@
 const CALLS_MOST: f64 = 200.0;
 const CALLS_UP: f64 = 1.05;
 const CALLS_DOWN: f64 = 0.7;
-/// Calls that must be to spare for one that only reads.
+/// What must be to spare of them for one that only reads.
 const READ_ONLY_OVER: f64 = 2.0;
-/// The use of its rate that a new customer is taken for.
+/// The use of its rate that a new customer is taken for, and the weight of a new total in that.
 const FIRST_USE: f64 = 0.3;
-/// The weight of a new total in the rates of use.
 const FRESH_USE: f64 = 0.3;
 /// A customer not heard of for this long is dropped once its bucket is full.
 const IDLE: Span = Span::from_millis(20_000);
@@ -45,16 +43,14 @@
 /// instance's limit is cut, and under half of that it grows.
 const TOO_SLOW: f64 = 0.4;
 const LATE_MANY: f64 = 0.2;
-/// Deliveries out per worker, by all gatekeepers together: at first, and at the least, so that long work
-/// alone does not idle the workers.
-const FIRST_LIMIT: f64 = 6.0;
+/// Deliveries out per worker, by all gatekeepers together, at the least: long work alone idles no worker.
 const LEAST_LIMIT: f64 = 4.0;
 /// How far what is out may be over the limit while its mean over so many seconds is under it.
 const ROOM: f64 = 4.0;
 const MEAN_OVER: f64 = 2.0;
 /// Where the fleet is full, a client is told to come back after this many usual latencies.
 const COME_BACK: f64 = 0.3;
-/// A cut, and how long the next has to wait for its effect.
+/// A cut, and how long the next has to wait.
 const CUT: f64 = 0.9;
 const CUT_EVERY: Span = Span::from_millis(150);
 /// Further deliveries that one invocation pays for, and the most that can be saved up.
@@ -67,16 +63,13 @@
 const FAILED: f64 = 0.5;
 const DOUBT_OVER: f64 = 10.0;
 const DOUBTED: f64 = 0.4;
-/// Silence of this many usual latencies speaks against a worker.
+/// Usual latencies of silence that speak against a worker, and after which a delivery is looked at again.
 const SILENT: f64 = 4.0;
-/// A delivery is looked at again after this many usual latencies.
-const COPY_AFTER: f64 = 4.0;
 /// A beat that comes this much late tells that the gatekeeper stood still.
 const BEAT: Span = Span::from_millis(200);
 const STOOD: Span = Span::from_millis(100);
-/// The most that one latency counts, in what is usual.
+/// The most that one latency counts, in what is usual, and the weight of a new one in a running mean.
 const SLOWEST: f64 = 10.0;
-/// The weight of a new sample in a running mean.
 const FRESH: f64 = 0.1;
 /// Seconds over which the rate of what comes back is reckoned, and for which the most of it counts.
 const RATE_OVER: f64 = 2.0;
@@ -86,9 +79,9 @@
 const COLD_BURST: f64 = 2.0;
 /// Workers over this many times the mean cost are not drawn; a little over 1 for the rounding.
 const NO_BUSIER: f64 = 1.0001;
-/// How many sizes of an operation are told apart; larger ones go with the last.
+/// How many sizes of an operation are told apart, larger ones going with the last; and the part of the
+/// objective that is taken for usual before any latency is known.
 const SIZES: usize = 17;
-/// Before any latency is known, this part of the objective is taken for usual.
 const USUAL_AT_FIRST: f64 = 0.1;
 
 pub struct Gatekeeper {
@@ -364,11 +357,8 @@
         // and one of less than one at each of hundreds holds in the mean only.
         let limit = self.limit();
         // What came while the gatekeeper stood still has a claim to what it did not send meanwhile.
-        let missed = if now == self.instance.woke_at {
-            self.instance.stood.secs() / self.usual(invocation).secs().max(1e-3)
-        } else {
-            0.0
-        };
+        let stood = if now == self.instance.woke_at { self.instance.stood.secs() } else { 0.0 };
+        let missed = stood / self.usual(invocation).secs().max(1e-3);
         let room = (ROOM * (limit - self.instance.mean_out(now, MEAN_OVER))).clamp(-1.0, limit.sqrt());
         if f64::from(self.instance.out) >= limit * (1.0 + missed) + room {
             return None;
@@ -397,13 +387,11 @@
     /// One at random, by what each can do. Where a gatekeeper has next to nothing out its counts tell nothing:
     /// all gatekeepers would then take to the same few workers that are larger or seem faster.
     fn draw(&mut self, now: Time, open: &[WorkerId], kind: (OperationId, PlanId)) -> Option<WorkerId> {
-        let unit = self.rng.unit();
         let able = |id: &WorkerId| {
             let w = &self.workers[id];
-            let slow = (w.slowness * self.kind_slowness(w)).max(0.1);
-            w.heft * ((1.0 - w.doubt(kind, now, DOUBT_OVER)) / slow).powi(2)
+            w.heft * ((1.0 - w.doubt(kind, now, DOUBT_OVER)) / w.slowness.max(0.1)).powi(2)
         };
-        let mut point = unit * open.iter().map(able).sum::<f64>();
+        let mut point = self.rng.unit() * open.iter().map(able).sum::<f64>();
         let drawn = open.iter().find(|id| {
             point -= able(id);
             point < 0.0
@@ -415,19 +403,14 @@
     /// worker as busy as many small ones. Cold workers show as slow ones; their budget keeps them safe.
     fn cost(&self, id: WorkerId) -> f64 {
         let w = &self.workers[&id];
-        w.load * w.slowness * self.kind_slowness(w) / w.heft
-    }
-
-    /// Evidence of one worker is scarce where gatekeepers are many; that of its kind of machine is not.
-    fn kind_slowness(&self, w: &Worker) -> f64 {
-        self.instance.kinds.get(&w.kind).copied().unwrap_or(1.0)
+        w.load * w.slowness / w.heft
     }
 
     /// How many deliveries may be out. Each gatekeeper finds its own part by the latencies that come back,
     /// and never goes under its even part of what keeps the workers busy.
     fn limit(&mut self) -> f64 {
         let part = self.workers.values().filter(|w| !w.draining).count() as f64 / self.figures.gatekeepers;
-        self.instance.limit.get_or_insert(FIRST_LIMIT * part).max(LEAST_LIMIT * part)
+        self.instance.limit.max(LEAST_LIMIT * part)
     }
 
     /// Where many latencies eat up the objective, all gatekeepers together send too much. A share of
@@ -440,10 +423,10 @@
         instance.late_share += FRESH * (late - instance.late_share);
         if instance.late_share > LATE_MANY && now - instance.cut_at > CUT_EVERY {
             instance.cut_at = now;
-            instance.limit = Some(limit.min(f64::from(instance.out) + 1.0) * CUT);
+            instance.limit = limit.min(f64::from(instance.out) + 1.0) * CUT;
         } else if instance.late_share < LATE_MANY * 0.5 && f64::from(instance.out) > limit * 0.7 {
             let step = self.workers.len() as f64 / self.figures.gatekeepers;
-            instance.limit = Some(limit + step / limit.max(1.0));
+            instance.limit = limit + step / limit.max(1.0);
         }
     }
 
@@ -480,7 +463,7 @@
         port.deliver(inv, id, i.valid_until.saturating_sub(self.figures.margin));
         let operation = &self.figures.operations[i.operation.0 as usize];
         if operation.repeat != Repeat::NonIdempotent {
-            let usual = Span::from_secs(weight * COPY_AFTER);
+            let usual = Span::from_secs(weight * SILENT);
             let check = usual.max(operation.objective.times(0.2)).min(operation.objective.times(0.6));
             port.set_timer(check, Wake::Delivery(inv, no).tag());
         }
@@ -544,7 +527,7 @@
         if i.stage == Stage::Doubled {
             i.step(Stage::Out);
         }
-        if i.stage == Stage::Streaming || self.outstanding(e.inv, &i).next().is_some() {
+        if i.stage == Stage::Streaming || !self.outstanding(e.inv, &i).is_empty() {
             self.invocations.insert(e.inv, i);
             return;
         }
@@ -569,15 +552,14 @@
         }
     }
 
-    fn outstanding(&self, inv: InvId, i: &Invocation) -> impl Iterator<Item = DeliveryNo> {
+    fn outstanding(&self, inv: InvId, i: &Invocation) -> Vec<DeliveryNo> {
         let nos = (0..i.tried.len()).map(|n| DeliveryNo(n as u8));
-        nos.filter(move |no| self.deliveries.contains_key(&(inv, *no)))
+        nos.filter(|no| self.deliveries.contains_key(&(inv, *no))).collect()
     }
 
     fn cancel_rest(&self, inv: InvId, i: &Invocation, port: &mut impl Port) {
-        if self.figures.cancel {
-            self.outstanding(inv, i).for_each(|no| port.cancel(inv, no));
-        }
+        let rest = if self.figures.cancel { self.outstanding(inv, i) } else { Vec::new() };
+        rest.into_iter().for_each(|no| port.cancel(inv, no));
     }
 
     /// What the end of a delivery tells of its worker.
@@ -585,39 +567,33 @@
         let took = e.took.secs();
         self.instance.mean_out(now, MEAN_OVER);
         self.instance.out = self.instance.out.saturating_sub(1);
-        let Some(w) = self.workers.get(&delivery.worker) else { return };
-        // A time-out tells of load only where the worker has answered others meanwhile; else of a
-        // worker that is cut off or dead, which says nothing of the rest.
-        let was_quiet = w.quiet_since <= delivery.sent_at;
+        // Time-outs do not count as late: lost answers and dead workers look the same.
         let answered = matches!(e.outcome, Outcome::Succeeded | Outcome::Errored);
-        let heard = answered || matches!(e.outcome, Outcome::Full | Outcome::Reset);
         let awake = now != self.instance.woke_at;
         if awake && answered {
             self.adapt_limit(now, delivery.kind.0.0 as usize, took);
         }
         let Some(w) = self.workers.get_mut(&delivery.worker) else { return };
+        let was_quiet = w.quiet_since <= delivery.sent_at;
         w.ended(delivery.weight);
-        if heard {
+        if answered || matches!(e.outcome, Outcome::Full | Outcome::Reset) {
             w.quiet_since = now;
         }
         // What fails may be one kind of work while the others go on: the doubt is of that kind only.
         let doubt = w.doubt(delivery.kind, now, DOUBT_OVER);
         let failed = if e.outcome == Outcome::Succeeded { 0.0 } else { 1.0 };
+        // A time-out speaks less clearly than a refusal or an error.
         let weight = if e.outcome == Outcome::TimedOut { FRESH } else { FAILED };
         w.doubts.insert(delivery.kind, (doubt + weight * (failed - doubt), now));
         let usual = &mut self.instance.usual[delivery.kind.0.0 as usize][delivery.size];
         let sample = (took / usual.max(1e-6)).min(SLOWEST);
-        let kind = self.instance.kinds.entry(w.kind).or_insert(1.0);
         match e.outcome {
             Outcome::Succeeded if awake => {
-                let own = sample / kind.max(0.1);
-                w.slowness += if own > w.slowness { FRESH * 2.0 } else { FRESH } * (own - w.slowness);
-                *kind += FRESH * 0.2 * (sample - *kind);
+                w.slowness += if sample > w.slowness { FRESH * 2.0 } else { FRESH } * (sample - w.slowness);
                 *usual += FRESH * 0.2 * (took - *usual);
             }
             Outcome::TimedOut | Outcome::Cancelled if !was_quiet => {
-                w.slowness += FRESH * 2.0 * (sample / kind.max(0.1) - w.slowness).max(0.0);
-                *kind += FRESH * 0.2 * (sample - *kind).max(0.0);
+                w.slowness += FRESH * 2.0 * (sample - w.slowness).max(0.0);
             }
             Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
                 self.avoid(now, delivery.worker, port)
@@ -701,10 +677,8 @@
         if operation.repeat == Repeat::NonIdempotent && i.may_have_run.is_some() {
             return false;
         }
-        if !self.is_useful(now, i)
-            || i.tried.len() >= self.figures.max_deliveries
-            || self.instance.spare < 1.0
-        {
+        let may = i.tried.len() < self.figures.max_deliveries && self.instance.spare >= 1.0;
+        if !may || !self.is_useful(now, i) {
             return false;
         }
         let Some(worker) = self.pick(now, i) else { return false };
@@ -767,7 +741,6 @@
             w.heft = l.heft();
             w.zone = l.zone;
             w.cell = l.cell;
-            w.kind = l.kind;
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::types::{
-    CellId, CustomerId, DeliveryNo, InvId, KindId, OperationId, PlanId, Repeat, Span, Time, WorkerId, ZoneId,
+    CellId, CustomerId, DeliveryNo, InvId, OperationId, PlanId, Repeat, Span, Time, WorkerId, ZoneId,
 };
 
 /// A store that fills by itself.
@@ -87,7 +87,6 @@
 pub struct Worker {
     pub zone: ZoneId,
     pub cell: CellId,
-    pub kind: KindId,
     pub draining: bool,
     pub heft: f64,
     pub started_at: Option<Time>,
@@ -189,13 +188,11 @@
     pub patience: Vec<f64>,
     /// What is usual for each operation and size, in seconds.
     pub usual: Vec<Vec<f64>>,
-    /// How slow each kind of machine is, over what is usual for the fleet.
-    pub kinds: BTreeMap<KindId, f64>,
     /// Of the deliveries that ended lately, the share that took too much of the objective.
     pub late_share: f64,
     /// Deliveries out, how many may be out, and the last cut of that.
     pub out: u32,
-    pub limit: Option<f64>,
+    pub limit: f64,
     /// How many were out lately, in the mean.
     pub mean: f64,
     pub mean_at: Time,
