--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -254,3 +254,138 @@
     };
     assert_eq!(run(), run());
 }
+
+/// An even part of less than one holds in the mean, with room for two that come together: one out at each of
+/// hundreds of gatekeepers would be a jam.
+#[test]
+fn a_limit_of_less_than_one() {
+    // gatekeepers, how many may go at once, and of 500 tries in 10 s, each out for 100 ms, the most that go
+    for (gatekeepers, at_once, most) in [(10, 6, 500), (40, 2, 130), (400, 1, 25)] {
+        let large = Settings { gatekeepers, ..settings() };
+        let mut world = World::new(&large, 10);
+        let first = (0..20).filter(|n| delivered(&world.invoke(1, *n, 0, 2, 1.0, 1.0)).is_some());
+        assert_eq!(first.count(), at_once, "{gatekeepers}");
+        let mut world = World::new(&large, 10);
+        let mut out = std::collections::VecDeque::new();
+        let mut went = 0;
+        for n in 0..500u32 {
+            let ms = u64::from(n) * 20;
+            while out.front().is_some_and(|(end, _, _)| *end <= ms) {
+                let (end, inv, worker) = out.pop_front().expect("looked at");
+                world.end(end, inv, 0, worker, Outcome::Succeeded);
+            }
+            if let Some(worker) = delivered(&world.invoke(ms, n, 0, 2, 1.0, 1.0)) {
+                out.push_back((ms + 100, n, worker));
+                went += 1;
+            }
+        }
+        assert!(went <= most && went >= most / 4, "{gatekeepers}: {went} went");
+    }
+}
+
+/// Where next to nothing is out, larger workers get more, and the others still theirs.
+#[test]
+fn the_draw_goes_by_what_each_can_do() {
+    let mut world = World::new(&settings(), 0);
+    let large = Listed { heft: 3.0, ..listed(0, Phase::Ready) };
+    world.gatekeeper.listed(at(0), Scope::Full, &[large, listed(1, Phase::Ready)]);
+    let mut got = [0, 0];
+    for n in 0..200 {
+        let ms = u64::from(n) * 100;
+        let worker = delivered(&world.invoke(ms, n, 0, 2, 1.0, 1.0)).expect("delivered");
+        world.end(ms + 50, n, 0, worker, Outcome::Succeeded);
+        got[worker.0 as usize - 1] += 1;
+    }
+    assert!(got[0] > got[1] * 2 && got[1] > 20, "{got:?}");
+}
+
+/// Calls to the counter get fewer while they fail, all adds wait their turn, and come back once they are answered.
+#[test]
+fn calls_to_a_scarce_counter() {
+    for (outcome, fewest, most) in
+        [(Outcome::Succeeded, 300, 300), (Outcome::TimedOut, 5, 40), (Outcome::Full, 5, 40)]
+    {
+        let mut world = World::new(&settings(), 4);
+        let mut calls = 0;
+        for n in 0..300u32 {
+            let ms = 2000 + u64::from(n) * 50;
+            world.invoke(ms, n, 0, 0, 0.01, 2.0);
+            for said in world.timer(ms + 1, report_tag(1)) {
+                if let Said::Add(name, _) = said {
+                    calls += 1;
+                    world.gatekeeper.counted(at(ms + 2), name, outcome, 0.01);
+                }
+            }
+        }
+        assert!((fewest..=most).contains(&calls), "{outcome:?}: {calls} calls");
+    }
+}
+
+/// A gatekeeper that stood still: what lay past its objective is throttled, what did not goes on, and the
+/// silence meanwhile speaks against no worker.
+#[test]
+fn standing_still() {
+    for (lay_ms, wanted) in [(0, true), (500, true), (1500, false)] {
+        let mut world = World::new(&settings(), 3);
+        for n in 0..40 {
+            let worker =
+                delivered(&world.invoke(1 + u64::from(n) * 10, n, 0, 2, 1.0, 1.0)).expect("delivered");
+            world.end(5 + u64::from(n) * 10, n, 0, worker, Outcome::Succeeded);
+        }
+        world.invoke(400, 90, 0, 2, 1.0, 1.0);
+        // No beat comes for two seconds; the first that comes then is an arrival.
+        let arrival = Arrival {
+            inv: InvId(100),
+            valid_until: at(2400 + 3000 - lay_ms),
+            customer: CustomerId(3),
+            operation: OperationId(0),
+            plan: PlanId(2),
+            spread: 1.0,
+            units: 1.0,
+        };
+        world.gatekeeper.invoke(at(2400), &arrival, &mut world.ear);
+        let said = world.said();
+        assert_eq!(delivered(&said).is_some(), wanted, "{lay_ms}: {said:?}");
+        // The delivery that was out meanwhile is not sent again for the silence.
+        world.gatekeeper.timer(at(2400), Wake::Delivery(InvId(90), DeliveryNo(0)).tag(), &mut world.ear);
+        assert_eq!(world.said(), []);
+    }
+}
+
+/// A worker that fails one kind of work is doubted for that kind only, and a probe does not clear it.
+#[test]
+fn doubt_is_of_a_kind_of_work() {
+    for outcome in [Outcome::Full, Outcome::Errored] {
+        let mut world = World::new(&settings(), 2);
+        let worker = delivered(&world.invoke(1, 1, 0, 2, 1.0, 1.0)).expect("delivered");
+        world.end(2, 1, 0, worker, outcome);
+        world.gatekeeper.probed(at(3), worker, Outcome::Succeeded, &mut world.ear);
+        // operation and plan; whether the worker still gets it
+        for (operation, plan, wanted) in [(0, 2, false), (2, 2, true), (0, 0, true)] {
+            let gets = (0..12).any(|n| {
+                let inv = 10 + n + 100 * u32::from(operation) + 1000 * u32::from(plan);
+                let got = delivered(&world.invoke(4, inv, operation, plan, 0.1, 1.0));
+                got.inspect(|w| drop(world.end(5, inv, 0, *w, Outcome::Succeeded))) == Some(worker)
+            });
+            assert_eq!(gets, wanted, "{outcome:?}, operation {operation}, plan {plan}");
+        }
+    }
+}
+
+/// The others' use stands the longer the more gatekeepers there are, as each hears the more seldom.
+#[test]
+fn a_guess_stands_by_the_spread() {
+    // spread, seconds since the total; whether the customer goes on
+    for (spread, later_ms, wanted) in [(2.0, 12_000, true), (50.0, 12_000, false), (50.0, 45_000, true)] {
+        let mut world = World::new(&Settings { gatekeepers: 100, ..settings() }, 400);
+        world.invoke(1, 1, 0, 0, 1.0, spread);
+        let said = world.timer(1001, report_tag(1));
+        let Some(Said::Add(name, _)) = said.last() else { panic!("no report: {said:?}") };
+        world.gatekeeper.counted(at(1002), *name, Outcome::Succeeded, 20.0);
+        assert_eq!(
+            delivered(&world.invoke(1002 + later_ms, 2, 0, 0, 1.0, spread)).is_some(),
+            wanted,
+            "{spread}"
+        );
+    }
+}
