--- a/src/policy.rs
+++ b/src/policy.rs
@@ -380,7 +380,7 @@
     fn draw(&mut self, now: Time, open: &[WorkerId], kind: (OperationId, PlanId)) -> Option<WorkerId> {
         let able = |id: &WorkerId| {
             let w = &self.workers[id];
-            w.heft * ((1.0 - w.doubt(kind, now, DOUBT_OVER)) / w.slowness.max(0.1)).powi(2)
+            w.heft * ((1.0 - w.doubt(kind, now, DOUBT_OVER)) / w.slowness.max(0.7)).powi(2)
         };
         let mut point = self.rng.unit() * open.iter().map(able).sum::<f64>();
         let drawn = open.iter().find(|id| {
