--- a/src/policy.rs
+++ b/src/policy.rs
@@ -350,8 +350,11 @@
         // What came while the gatekeeper stood still has a claim to what it did not send meanwhile.
         let stood = if now == self.instance.woke_at { self.instance.stood.secs() } else { 0.0 };
         let missed = stood / self.usual(invocation).secs().max(1e-3);
-        let room = (ROOM * (limit - self.instance.mean_out(now, MEAN_OVER))).clamp(-1.0, limit.sqrt());
-        if f64::from(self.instance.out) >= limit * (1.0 + missed) + room {
+        // What is out past its objective is lost or worthless: it must not keep others from being sent.
+        let objective = |d: &Delivery| self.figures.operations[d.kind.0.0 as usize].objective;
+        let out = self.deliveries.values().filter(|d| now - d.sent_at < objective(d)).count() as f64;
+        let room = (ROOM * (limit - self.instance.mean_out(now, out, MEAN_OVER))).clamp(-1.0, limit.sqrt());
+        if out >= limit * (1.0 + missed) + room {
             return None;
         }
         self.share_out(now);
@@ -414,8 +417,8 @@
         instance.late_share += FRESH * (late - instance.late_share);
         if instance.late_share > LATE_MANY && now - instance.cut_at > CUT_EVERY {
             instance.cut_at = now;
-            instance.limit = limit.min(f64::from(instance.out) + 1.0) * CUT;
-        } else if instance.late_share < LATE_MANY * 0.5 && f64::from(instance.out) > limit * 0.7 {
+            instance.limit = limit.min(instance.mean + 1.0) * CUT;
+        } else if instance.late_share < LATE_MANY * 0.5 && instance.mean > limit * 0.7 {
             let step = self.workers.len() as f64 / self.figures.gatekeepers;
             instance.limit = limit + step / limit.max(1.0);
         }
@@ -429,8 +432,6 @@
         let weight = self.usual(i).secs();
         let w = self.workers.get_mut(&id).expect("picked from these");
         w.sent(now, weight);
-        self.instance.mean_out(now, MEAN_OVER);
-        self.instance.out += 1;
         w.cold_budget.level -= 1.0;
         let is_copy = i.stage == Stage::Out;
         let no = DeliveryNo(i.tried.len() as u8);
@@ -555,8 +556,6 @@
     /// What the end of a delivery tells of its worker.
     fn learn(&mut self, now: Time, e: &Ended, delivery: &Delivery, port: &mut impl Port) {
         let took = e.took.secs();
-        self.instance.mean_out(now, MEAN_OVER);
-        self.instance.out = self.instance.out.saturating_sub(1);
         // Time-outs do not count as late: lost answers and dead workers look the same.
         let answered = matches!(e.outcome, Outcome::Succeeded | Outcome::Errored);
         let awake = now != self.instance.woke_at;
--- a/src/state.rs
+++ b/src/state.rs
@@ -207,10 +207,10 @@
 
 impl Instance {
     /// The running mean of what is out, brought up to now; called before that changes.
-    pub fn mean_out(&mut self, now: Time, over: f64) -> f64 {
+    pub fn mean_out(&mut self, now: Time, out: f64, over: f64) -> f64 {
         let gap = (now - self.mean_at).secs();
         self.mean_at = now;
-        self.mean += (f64::from(self.out) - self.mean) * (1.0 - (-gap / over).exp());
+        self.mean += (out - self.mean) * (1.0 - (-gap / over).exp());
         self.mean
     }
 }
