Overdue deliveries count against the limit by the share of answers that is late

A jam shows in late answers, lost answers do not: guards against answer_lost, class_fail in silence, dead workers, without letting more into a jam. Could do harm where a jam leaves only quick answers.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -350,9 +350,12 @@
         // What came while the gatekeeper stood still has a claim to what it did not send meanwhile.
         let stood = if now == self.instance.woke_at { self.instance.stood.secs() } else { 0.0 };
         let missed = stood / self.usual(invocation).secs().max(1e-3);
-        // What is out past its objective is lost or worthless: it must not keep others from being sent.
+        // What is out past its objective counts as far as answers are late too, as in a jam; where they are
+        // not, it is lost, and must not keep others from being sent.
         let objective = |d: &Delivery| self.figures.operations[d.kind.0.0 as usize].objective;
-        let out = self.deliveries.values().filter(|d| now - d.sent_at < objective(d)).count() as f64;
+        let fresh = self.deliveries.values().filter(|d| now - d.sent_at < objective(d)).count();
+        let jam = (self.instance.late_share / LATE_MANY).min(1.0);
+        let out = fresh as f64 + jam * (self.deliveries.len() - fresh) as f64;
         let room = (ROOM * (limit - self.instance.mean_out(now, out, MEAN_OVER))).clamp(-1.0, limit.sqrt());
         if out >= limit * (1.0 + missed) + room {
             return None;
