--- a/src/policy.rs
+++ b/src/policy.rs
@@ -346,7 +346,7 @@
     fn pick(&mut self, now: Time, invocation: &Invocation) -> Option<WorkerId> {
         // What comes in by chance spreads by the square root of its mean: a limit of few needs room for it,
         // and one of less than one at each of hundreds holds in the mean only.
-        let limit = self.limit();
+        let limit = self.limit(now);
         // What came while the gatekeeper stood still has a claim to what it did not send meanwhile.
         let stood = if now == self.instance.woke_at { self.instance.stood.secs() } else { 0.0 };
         let missed = stood / self.usual(invocation).secs().max(1e-3);
@@ -396,24 +396,22 @@
         drawn.or(open.last()).copied()
     }
 
-    /// What is out at a worker counts by the time that is usual for it: one large invocation keeps a
-    /// worker as busy as many small ones. Cold workers show as slow ones; their budget keeps them safe.
+    /// What is out counts by the time usual for it: a large invocation is as much as many small ones.
     fn cost(&self, id: WorkerId) -> f64 {
         let w = &self.workers[&id];
         w.load * w.slowness / w.heft
     }
 
-    /// How many deliveries may be out. Each gatekeeper finds its own part by the latencies that come back,
-    /// and never goes under its even part of what keeps the workers busy.
-    fn limit(&mut self) -> f64 {
-        let part = self.workers.values().filter(|w| !w.draining).count() as f64 / self.figures.gatekeepers;
+    /// How many deliveries may be out: by the latencies that come back, and the even part at the least.
+    fn limit(&self, now: Time) -> f64 {
+        let able = self.workers.values().filter(|w| !w.draining).map(|w| warmth(&self.figures, w, now));
+        let part = able.sum::<f64>() / self.figures.gatekeepers;
         self.instance.limit.max(LEAST_LIMIT * part)
     }
 
-    /// Where many latencies eat up the objective, all gatekeepers together send too much. A share of
-    /// them is counted, not their mean: a few workers that are very slow are for the pick to avoid.
+    /// The share of late answers counts, not their mean: a few very slow workers are for the pick to avoid.
     fn adapt_limit(&mut self, now: Time, operation: usize, took: f64) {
-        let limit = self.limit();
+        let limit = self.limit(now);
         let objective = self.figures.operations[operation].objective.secs();
         let instance = &mut self.instance;
         let late = if took > objective * TOO_SLOW { 1.0 } else { 0.0 };
@@ -744,8 +742,8 @@
 }
 
 /// Between totals the others are charged by the larger of two guesses: that they go on as they did, and
-/// that each of them does as this one. The latter answers a sudden flood, which comes in at all gatekeepers
-/// at once; it does harm where one comes in at this one only, until the next total puts it right.
+/// that each does as this one, as in a sudden flood. What finds no tokens stays owed until a total puts it
+/// right: without that a heavy customer is taken for quiet too soon.
 fn guess_others(c: &mut Customer, now: Time) {
     let gap = (now - c.told_at).min(GUESS_STANDS.times((c.spread - 1.0).min(GUESS_MOST))).secs();
     let guess = (c.others_rate * gap).max((c.spread - 1.0) * c.own_since);
--- a/src/state.rs
+++ b/src/state.rs
@@ -196,8 +196,7 @@
     pub usual: Vec<Vec<f64>>,
     /// Of the deliveries that ended lately, the share that took too much of the objective.
     pub late_share: f64,
-    /// Deliveries out, how many may be out, and the last cut of that.
-    pub out: u32,
+    /// How many deliveries may be out, and the last cut of that.
     pub limit: f64,
     /// How many were out lately, in the mean.
     pub mean: f64,
