Start a cold worker's budget anywhere under one: parts of one delivery add up

Started at random, the parts sum to what is meant. Guards any part of a whole against many gatekeepers; could do harm if all start at once, which the random start spreads.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -714,9 +714,10 @@
                 self.workers.remove(&l.worker);
                 continue;
             }
-            let w = self.workers.entry(l.worker).or_insert_with(|| fresh_worker(now, l));
+            let fresh = fresh_worker(now, l, self.rng.unit());
+            let w = self.workers.entry(l.worker).or_insert_with(|| fresh.clone());
             if w.started_at != l.started_at {
-                *w = Worker { out: w.out, load: w.load, ..fresh_worker(now, l) };
+                *w = Worker { out: w.out, load: w.load, ..fresh };
             }
             w.place(l);
         }
@@ -778,11 +779,11 @@
     (units.ceil() as usize).min(SIZES - 1)
 }
 
-fn fresh_worker(now: Time, l: &Listed) -> Worker {
+fn fresh_worker(now: Time, l: &Listed, level: f64) -> Worker {
     Worker {
         started_at: l.started_at,
         slowness: 1.0,
-        cold_budget: Store { level: 0.0, at: now },
+        cold_budget: Store { level, at: now },
         ..Worker::default()
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,7 +84,7 @@
 }
 
 /// For one worker, as long as it is listed.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Worker {
     pub zone: ZoneId,
     pub cell: CellId,
