--- a/src/policy.rs
+++ b/src/policy.rs
@@ -724,8 +724,6 @@
     }
 }
 
-// ---- stores and counts ----
-
 const CUSTOMER_BITS: u64 = (1 << 34) - 1;
 
 /// The name of a customer's count for a window of the clock.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use lynxstair::policy::Gatekeeper;
 use lynxstair::types::*;
 use support::{Said, World, at, delivered, listed, report_tag, settings};
 
@@ -379,3 +380,21 @@
         );
     }
 }
+
+/// A part of less than one delivery at each of many gatekeepers still adds up: cold workers get warm.
+#[test]
+fn parts_of_a_cold_worker_add_up() {
+    let large = Settings { gatekeepers: 50, ..settings() };
+    let mut got = 0;
+    for seed in 0..50 {
+        let mut world = World::new(&large, 0);
+        world.gatekeeper = Gatekeeper::start(at(0), seed, &large, &mut world.ear);
+        let cold = Listed { started_at: Some(at(0)), ..listed(0, Phase::Ready) };
+        world.gatekeeper.listed(at(0), Scope::Full, &[cold]);
+        // Ten seconds at one delivery in each two by all together, and at most as much again by chance.
+        got += (0..50)
+            .filter(|n| delivered(&world.invoke(u64::from(*n) * 200, *n, 1, 2, 1.0, 1.0)).is_some())
+            .count();
+    }
+    assert!((2..=10).contains(&got), "{got}");
+}
