--- a/src/policy.rs
+++ b/src/policy.rs
@@ -72,6 +72,8 @@
 /// The part of the multiple that pushes a cold worker over that is made use of, and what it may get at once.
 const COLD_PART: f64 = 0.6;
 const COLD_BURST: f64 = 2.0;
+/// No worker is taken for less slow than this when two are drawn: one that holds nothing only seems fast.
+const SEEMS_FAST: f64 = 0.7;
 /// Workers over this many times the mean cost are not drawn; a little over 1 for the rounding.
 const NO_BUSIER: f64 = 1.0001;
 /// How many sizes of an operation are told apart, larger ones going with the last; and the part of the
@@ -371,35 +373,24 @@
             self.workers.iter().filter(|(id, w)| fits(id, w)).partition(|(_, w)| !is_in_doubt(w, kind, now));
         // Where every worker is in doubt, the doubt is more likely about the way there.
         let open = if healthy.is_empty() { doubtful } else { healthy };
-        let mut open: Vec<WorkerId> = open.into_iter().map(|(id, _)| *id).collect();
         // Two drawn from all would still now and then load a busy worker while others idle: in overload
         // that idle time is what is missing. So only workers no busier than the mean are drawn.
-        let mean = open.iter().map(|id| self.cost(*id)).sum::<f64>() / open.len().max(1) as f64;
-        open.retain(|id| self.cost(*id) <= mean * NO_BUSIER);
-        let a = self.draw(now, &open, kind)?;
-        let b = self.draw(now, &open, kind)?;
-        Some(if self.cost(b) < self.cost(a) { b } else { a })
-    }
-
-    /// One at random, by what each can do. Where next to nothing is out the counts tell nothing, and all
-    /// gatekeepers would take to the same few workers that are larger or seem faster.
-    fn draw(&mut self, now: Time, open: &[WorkerId], kind: (OperationId, PlanId)) -> Option<WorkerId> {
-        let able = |id: &WorkerId| {
-            let w = &self.workers[id];
-            w.heft * ((1.0 - w.doubt(kind, now, DOUBT_OVER)) / w.slowness.max(0.7)).powi(2)
-        };
-        let mut point = self.rng.unit() * open.iter().map(able).sum::<f64>();
-        let drawn = open.iter().find(|id| {
-            point -= able(id);
+        let mean = open.iter().map(|(_, w)| cost(w)).sum::<f64>() / open.len().max(1) as f64;
+        let open = open.into_iter().filter(|(_, w)| cost(w) <= mean * NO_BUSIER);
+        let open: Vec<_> = open.map(|(id, w)| (*id, cost(w), able(w, kind, now))).collect();
+        let (a, cost_a) = self.draw(&open)?;
+        let (b, cost_b) = self.draw(&open)?;
+        Some(if cost_b < cost_a { b } else { a })
+    }
+
+    /// One at random, by what each can do; with its cost.
+    fn draw(&mut self, open: &[(WorkerId, f64, f64)]) -> Option<(WorkerId, f64)> {
+        let mut point = self.rng.unit() * open.iter().map(|(_, _, able)| able).sum::<f64>();
+        let drawn = open.iter().find(|(_, _, able)| {
+            point -= able;
             point < 0.0
         });
-        drawn.or(open.last()).copied()
-    }
-
-    /// What is out counts by the time usual for it: a large invocation is as much as many small ones.
-    fn cost(&self, id: WorkerId) -> f64 {
-        let w = &self.workers[&id];
-        w.load * w.slowness / w.heft
+        drawn.or(open.last()).map(|(id, cost, _)| (*id, *cost))
     }
 
     /// How many deliveries may be out: by the latencies that come back, and the even part at the least.
@@ -479,11 +470,10 @@
         let f = &self.figures;
         let able: f64 = self.workers.values().map(|w| w.heft * warmth(f, w, now)).sum();
         let instance = &mut self.instance;
-        let gap = (now - instance.carried_at).secs();
+        let gap = now - instance.carried_at;
         instance.carried_at = now;
-        instance.rate = instance.rate * (-gap / RATE_OVER).exp() + 1.0 / RATE_OVER;
-        instance.carried =
-            (instance.carried * (-gap / CARRIED_OVER).exp()).max(instance.rate / able.max(1e-9));
+        instance.rate = instance.rate * gap.fading(RATE_OVER) + 1.0 / RATE_OVER;
+        instance.carried = (instance.carried * gap.fading(CARRIED_OVER)).max(instance.rate / able.max(1e-9));
     }
 
     // ---- what becomes of deliveries ----
@@ -714,12 +704,19 @@
                 self.workers.remove(&l.worker);
                 continue;
             }
-            let fresh = fresh_worker(now, l, self.rng.unit());
-            let w = self.workers.entry(l.worker).or_insert_with(|| fresh.clone());
-            if w.started_at != l.started_at {
-                *w = Worker { out: w.out, load: w.load, ..fresh };
-            }
+            let fresh = Worker {
+                started_at: l.started_at,
+                slowness: 1.0,
+                cold_budget: Store { level: self.rng.unit(), at: now },
+                ..Worker::default()
+            };
+            let mut w = match self.workers.remove(&l.worker) {
+                Some(w) if w.started_at == l.started_at => w,
+                Some(w) => Worker { out: w.out, load: w.load, ..fresh },
+                None => fresh,
+            };
             w.place(l);
+            self.workers.insert(l.worker, w);
         }
     }
 }
@@ -777,13 +774,15 @@
     (units.ceil() as usize).min(SIZES - 1)
 }
 
-fn fresh_worker(now: Time, l: &Listed, level: f64) -> Worker {
-    Worker {
-        started_at: l.started_at,
-        slowness: 1.0,
-        cold_budget: Store { level, at: now },
-        ..Worker::default()
-    }
+/// What is out counts by the time usual for it: a large invocation is as much as many small ones.
+fn cost(w: &Worker) -> f64 {
+    w.load * w.slowness / w.heft
+}
+
+/// What it can do of a kind of work. Where next to nothing is out the counts tell nothing, and without this
+/// all gatekeepers would take to the same few workers that are larger or seem faster.
+fn able(w: &Worker, kind: (OperationId, PlanId), now: Time) -> f64 {
+    w.heft * ((1.0 - w.doubt(kind, now, DOUBT_OVER)) / w.slowness.max(SEEMS_FAST)).powi(2)
 }
 
 /// It failed lately, at work of this kind too much, or was silent for long for what is out there.
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,7 +84,7 @@
 }
 
 /// For one worker, as long as it is listed.
-#[derive(Clone, Default)]
+#[derive(Default)]
 pub struct Worker {
     pub zone: ZoneId,
     pub cell: CellId,
@@ -127,7 +127,7 @@
 
     /// The share of a kind of work that failed lately; it fades where nothing more is heard.
     pub fn doubt(&self, kind: (OperationId, PlanId), now: Time, over: f64) -> f64 {
-        self.doubts.get(&kind).map_or(0.0, |(share, at)| share * (-(now - *at).secs() / over).exp())
+        self.doubts.get(&kind).map_or(0.0, |(share, at)| share * (now - *at).fading(over))
     }
 
     pub fn ended(&mut self, weight: f64) {
@@ -205,11 +205,10 @@
 }
 
 impl Instance {
-    /// The running mean of what is out, brought up to now; called before that changes.
+    /// The running mean of what is out, by how much that is now.
     pub fn mean_out(&mut self, now: Time, out: f64, over: f64) -> f64 {
-        let gap = (now - self.mean_at).secs();
+        self.mean += (out - self.mean) * (1.0 - (now - self.mean_at).fading(over));
         self.mean_at = now;
-        self.mean += (out - self.mean) * (1.0 - (-gap / over).exp());
         self.mean
     }
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -53,6 +53,11 @@
         self.0 as f64 / 1e9
     }
 
+    /// What is left, after this long, of a figure that fades over so many seconds.
+    pub fn fading(self, over: f64) -> f64 {
+        (-self.secs() / over).exp()
+    }
+
     pub fn times(self, factor: f64) -> Span {
         Span((self.0 as f64 * factor.max(0.0)) as u64)
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -4,7 +4,7 @@
 
 use lynxstair::policy::Gatekeeper;
 use lynxstair::types::*;
-use support::{Said, World, at, delivered, listed, report_tag, settings};
+use support::{Said, World, arrival, at, delivered, listed, report_tag, settings};
 
 /// What follows a first delivery that ended so, for each kind of operation.
 #[test]
@@ -325,15 +325,7 @@
         }
         world.invoke(400, 90, 0, 2, 1.0, 1.0);
         // No beat comes for two seconds; the first that comes then is an arrival.
-        let arrival = Arrival {
-            inv: InvId(100),
-            valid_until: at(2400 + 3000 - lay_ms),
-            customer: CustomerId(3),
-            operation: OperationId(0),
-            plan: PlanId(2),
-            spread: 1.0,
-            units: 1.0,
-        };
+        let arrival = arrival(2400 - lay_ms, 100, 0, 2, 1.0, 1.0);
         world.gatekeeper.invoke(at(2400), &arrival, &mut world.ear);
         let said = world.said();
         assert_eq!(delivered(&said).is_some(), wanted, "{lay_ms}: {said:?}");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -126,15 +126,7 @@
         spread: f32,
     ) -> Vec<Said> {
         self.pass(ms);
-        let arrival = Arrival {
-            inv: InvId(inv),
-            valid_until: at(ms + 3000),
-            customer: CustomerId(u64::from(plan) + 1),
-            operation: OperationId(operation),
-            plan: PlanId(plan),
-            spread,
-            units,
-        };
+        let arrival = arrival(ms, inv, operation, plan, units, spread);
         self.gatekeeper.invoke(at(ms), &arrival, &mut self.ear);
         self.said()
     }
@@ -172,6 +164,19 @@
     }
 }
 
+/// An arrival at that time, whose client waits for three seconds.
+pub fn arrival(ms: u64, inv: u32, operation: u8, plan: u16, units: f32, spread: f32) -> Arrival {
+    Arrival {
+        inv: InvId(inv),
+        valid_until: at(ms + 3000),
+        customer: CustomerId(u64::from(plan) + 1),
+        operation: OperationId(operation),
+        plan: PlanId(plan),
+        spread,
+        units,
+    }
+}
+
 pub fn listed(n: u64, phase: Phase) -> Listed {
     Listed {
         worker: WorkerId(n + 1),
