--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -3,7 +3,6 @@
 #![forbid(unsafe_code)]
 
 mod codec;
-mod settings;
 
 use std::collections::HashMap;
 use std::io::{self, BufReader, Write};
@@ -74,7 +73,7 @@
         if code == 16 {
             let seed = c.u64()?;
             let length = c.u32()? as usize;
-            let settings = settings::read(c.bytes(length)?)?;
+            let settings = lynxstair_settings::read(c.bytes(length)?)?.settings;
             self.instances.insert(instance, Gatekeeper::start(now, seed, &settings, port));
             return Ok(());
         }
--- /dev/null
+++ b/crates/gatekeeper/src/clients.rs
@@ -0,0 +1,463 @@
+//! Clients: their connections, what they ask, and the answers they get.
+
+use std::collections::HashMap;
+use std::io::{self, Write};
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use lynxstair::types::{Arrival, CustomerId, DeliveryNo, InvId, OperationId, Outcome, PlanId, Span, Time};
+use may::io::{CoIo, WaitIo};
+
+use crate::conn::{Conn, Got, Ring};
+use crate::coroutine::go;
+use crate::desk::{Final, Pick};
+use crate::http::{self, Bad, Call, Extent, MOST_MESSAGE};
+use crate::log;
+use crate::program::Gate;
+use crate::workers::Link;
+
+/// A message must be whole, and an answer taken, within so long; a connection may stand idle for longer.
+const MESSAGE_TIME: Span = Span::from_millis(10_000);
+const IDLE_TIME: Span = Span::from_millis(120_000);
+/// How long the rest of what a client sends is read over after the last answer.
+const ENDING_TIME: Span = Span::from_millis(1_000);
+/// Customers are numbers below this.
+const CUSTOMERS: u64 = 1 << 33;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Between messages, or within one.
+    Waiting,
+    /// An invocation was taken and is not answered; its message stays in the buffer.
+    Serving(InvId, Extent),
+    /// The last answer is written.
+    Ending,
+}
+
+struct State {
+    stage: Stage,
+    since: Time,
+    /// An interim answer was given to the message that is coming in.
+    told_to_go_on: bool,
+    /// The connections that carry deliveries of the invocation at hand.
+    links: Vec<(DeliveryNo, Arc<Link>)>,
+}
+
+/// One connection of a client.
+pub struct Client {
+    number: u64,
+    pub conn: Conn,
+    state: Mutex<State>,
+}
+
+impl std::fmt::Debug for Client {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "client {}", self.number)
+    }
+}
+
+/// All of them.
+pub struct Clients {
+    listener: CoIo<TcpListener>,
+    open: Mutex<HashMap<u64, Arc<Client>>>,
+    most: usize,
+    last: AtomicU64,
+    /// No more are accepted: the listener is to be closed.
+    closing: AtomicBool,
+    /// Connections wait to be accepted until there is room.
+    is_full: AtomicBool,
+}
+
+impl Clients {
+    pub fn listen(on: std::net::SocketAddr, most: usize) -> Result<Self, String> {
+        let listener = TcpListener::bind(on).map_err(|e| format!("listening on {on}: {e}"))?;
+        let listener = CoIo::new(listener).map_err(|e| format!("listening on {on}: {e}"))?;
+        Ok(Clients {
+            listener,
+            open: Mutex::new(HashMap::new()),
+            most,
+            last: AtomicU64::new(0),
+            closing: AtomicBool::new(false),
+            is_full: AtomicBool::new(false),
+        })
+    }
+
+    fn open(&self) -> MutexGuard<'_, HashMap<u64, Arc<Client>>> {
+        self.open.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn all(&self) -> Vec<Arc<Client>> {
+        self.open().values().cloned().collect()
+    }
+
+    /// Accepts until it is told to stop.
+    pub fn accept(&self, gate: &Arc<Gate>) {
+        while !self.closing.load(Ordering::Relaxed) {
+            if self.open().len() >= self.most && !self.make_room(gate.clock.now()) {
+                // Those that wait outside are let in as soon as one goes.
+                self.is_full.store(true, Ordering::Relaxed);
+                self.listener.wait_io();
+                continue;
+            }
+            match self.listener.inner().accept() {
+                Ok((stream, _)) => self.admit(gate, stream),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.listener.wait_io();
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => {
+                    log!("accepting: {e}");
+                    self.make_room(gate.clock.now());
+                    self.is_full.store(true, Ordering::Relaxed);
+                    self.listener.wait_io();
+                }
+            }
+        }
+    }
+
+    fn admit(&self, gate: &Arc<Gate>, stream: std::net::TcpStream) {
+        let conn = match Conn::new(stream, MOST_MESSAGE) {
+            Ok(conn) => conn,
+            Err(e) => return log!("a client's connection: {e}"),
+        };
+        let number = self.last.fetch_add(1, Ordering::Relaxed);
+        let since = gate.clock.now();
+        let state = State { stage: Stage::Waiting, since, told_to_go_on: false, links: Vec::new() };
+        let client = Arc::new(Client { number, conn, state: Mutex::new(state) });
+        self.open().insert(number, client.clone());
+        let gate = gate.clone();
+        go("a client", move || {
+            let ended = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| client.serve(&gate)));
+            client.leave(&gate, ended.is_err());
+        });
+    }
+
+    /// Closes the connection that has stood idle the longest.
+    fn make_room(&self, now: Time) -> bool {
+        let open = self.open();
+        let idle = open.values().filter(|c| c.is_idle()).map(|c| (now - c.state().since, c));
+        let Some((_, client)) = idle.max_by_key(|(idle, _)| *idle) else { return false };
+        client.conn.close();
+        true
+    }
+
+    /// Ends connections on which nothing has moved for too long.
+    pub fn tick(&self, now: Time) {
+        for client in self.all() {
+            client.check(now);
+        }
+        self.let_in();
+    }
+
+    fn let_in(&self) {
+        if self.is_full.swap(false, Ordering::Relaxed) {
+            self.listener.waker().wakeup();
+        }
+    }
+
+    /// Takes in what has been accepted by the machine already, then closes the listener and what is idle.
+    pub fn stop_listening(&self, gate: &Arc<Gate>) {
+        self.closing.store(true, Ordering::Relaxed);
+        while let Ok((stream, _)) = self.listener.inner().accept() {
+            self.admit(gate, stream);
+        }
+        if let Err(e) = socket2::SockRef::from(self.listener.inner()).shutdown(std::net::Shutdown::Both) {
+            log!("closing the listener: {e}");
+        }
+        self.listener.waker().wakeup();
+        self.all().iter().filter(|c| c.is_idle() && !c.conn.is_stale()).for_each(|c| c.conn.close());
+    }
+
+    /// Gives all that is unanswered its final answer now.
+    pub fn give_up_all(&self, gate: &Arc<Gate>) {
+        for client in self.all() {
+            client.give_up(gate);
+        }
+    }
+
+    pub fn count(&self) -> usize {
+        self.open().len()
+    }
+
+    pub fn unanswered(&self) -> usize {
+        self.open().values().filter(|c| !c.is_idle()).count()
+    }
+}
+
+impl Client {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn is_idle(&self) -> bool {
+        self.state().stage == Stage::Waiting && self.conn.inbound().is_empty() && self.conn.unsent() == 0
+    }
+
+    fn serve(self: &Arc<Self>, gate: &Arc<Gate>) {
+        loop {
+            while self.take_message(gate) {}
+            if self.conn.read() == Got::End {
+                return;
+            }
+        }
+    }
+
+    /// The connection has ended.
+    fn leave(&self, gate: &Arc<Gate>, panicked: bool) {
+        if panicked {
+            self.give_up(gate);
+        }
+        let left = match &self.state().stage {
+            Stage::Serving(inv, _) => Some(*inv),
+            _ => None,
+        };
+        if let Some(inv) = left {
+            for unwanted in gate.desk.gone(gate.clock.now(), inv) {
+                gate.workers.give_up(gate, &unwanted, Outcome::Cancelled);
+            }
+        }
+        self.conn.close();
+        gate.clients.open().remove(&self.number);
+        gate.clients.let_in();
+    }
+
+    /// Acts on the next message, if it is whole; whether there may be another one.
+    fn take_message(self: &Arc<Self>, gate: &Arc<Gate>) -> bool {
+        let mut state = self.state();
+        let mut inbound = self.conn.inbound();
+        match state.stage {
+            Stage::Ending => {
+                let n = inbound.len();
+                inbound.consume(n);
+                return false;
+            }
+            Stage::Serving(..) => return false,
+            Stage::Waiting if inbound.is_empty() => return false,
+            Stage::Waiting => {}
+        }
+        let now = gate.clock.now();
+        let bytes = inbound.bytes();
+        let extent = match http::call_extent(bytes) {
+            Ok(Some(extent)) => extent,
+            Ok(None) => {
+                let expects = |c: &Call| c.headers.get("expect").is_some();
+                let told = state.told_to_go_on;
+                if !told && http::call(bytes).is_ok_and(|c| c.is_some_and(|(c, _)| expects(&c))) {
+                    state.told_to_go_on = true;
+                    let _ = self.conn.write(|out| out.write_all(b"HTTP/1.1 100 Continue\r\n\r\n"));
+                }
+                return false;
+            }
+            Err(bad) => {
+                drop((state, inbound));
+                self.say(gate, bad.0, "", bad.1, None);
+                return false;
+            }
+        };
+        let asked = match http::call(&bytes[..extent.head]) {
+            Ok(Some((call, _))) => asked(&call, gate, now),
+            _ => Err(Bad(400, "malformed")),
+        };
+        state.told_to_go_on = false;
+        let arrival = match asked {
+            Ok(Asked::Invocation(arrival)) => arrival,
+            Ok(Asked::Up) => {
+                drop((state, inbound));
+                let (status, body) = if gate.is_leaving() { (503, "leaving\n") } else { (200, "up\n") };
+                self.say(gate, status, "", body, Some(&extent));
+                return true;
+            }
+            Err(bad) => {
+                drop((state, inbound));
+                self.say(gate, bad.0, "", bad.1, Some(&extent));
+                return true;
+            }
+        };
+        drop(inbound);
+        let (inv, pick) = gate.desk.pick(now, arrival, self.clone());
+        state.stage = Stage::Serving(inv, extent);
+        state.since = now;
+        drop(state);
+        match pick {
+            Pick::Deliver(order) => gate.workers.deliver(gate, order),
+            Pick::Answer(answer) => self.answer(gate, inv, answer),
+        }
+        gate.ticker.by(gate.desk.next_due());
+        true
+    }
+
+    /// A connection that carries a delivery of the invocation at hand.
+    pub fn carried_by(&self, no: DeliveryNo, link: Arc<Link>) {
+        self.state().links.push((no, link));
+    }
+
+    pub fn carrier(&self, inv: InvId, no: DeliveryNo) -> Option<Arc<Link>> {
+        let state = self.state();
+        let at_hand = matches!(state.stage, Stage::Serving(i, _) if i == inv);
+        let mut links = state.links.iter().filter(|_| at_hand);
+        links.find(|(n, _)| *n == no).map(|(_, link)| link.clone())
+    }
+
+    /// Gives the message of the invocation, if it is still the one at hand.
+    pub fn message<R>(&self, inv: InvId, put: impl FnOnce(&Call, &[u8]) -> R) -> Option<R> {
+        let state = self.state();
+        let Stage::Serving(at_hand, extent) = &state.stage else { return None };
+        if *at_hand != inv {
+            return None;
+        }
+        let mut inbound = self.conn.inbound();
+        let bytes = inbound.bytes();
+        let (call, _) = http::call(&bytes[..extent.head]).ok()??;
+        Some(put(&call, &bytes[extent.body.clone()]))
+    }
+
+    /// A final answer of our own.
+    pub fn answer(&self, gate: &Arc<Gate>, inv: InvId, answer: Final) {
+        match answer {
+            Final::Throttled(Some(wait)) => {
+                let header = format!("Retry-After: {:.3}\r\n", wait.secs());
+                self.finish(gate, inv, |out, keep| http::put_answer(out, 429, &header, "throttled\n", keep));
+            }
+            Final::Throttled(None) => {
+                self.finish(gate, inv, |out, keep| http::put_answer(out, 429, "", "throttled\n", keep));
+            }
+            Final::Errored => {
+                self.finish(gate, inv, |out, keep| http::put_answer(out, 502, "", "errored\n", keep));
+            }
+        }
+    }
+
+    /// Writes the final answer to the invocation at hand; the connection is then free for the next.
+    pub fn finish(&self, gate: &Arc<Gate>, inv: InvId, put: impl FnOnce(&mut Ring, bool) -> io::Result<()>) {
+        let mut state = self.state();
+        let Stage::Serving(at_hand, extent) = &state.stage else { return };
+        if *at_hand != inv {
+            return;
+        }
+        let extent = extent.clone();
+        state.links.clear();
+        self.write(gate, &mut state, Some(&extent), put);
+    }
+
+    /// Writes an answer that no invocation stands behind. Without an extent the message could not be read:
+    /// what follows it can't be either.
+    fn say(&self, gate: &Arc<Gate>, status: u16, headers: &str, body: &str, extent: Option<&Extent>) {
+        let put = |out: &mut Ring, keep| http::put_answer(out, status, headers, body, keep);
+        self.write(gate, &mut self.state(), extent, put);
+    }
+
+    fn write(
+        &self,
+        gate: &Arc<Gate>,
+        state: &mut State,
+        extent: Option<&Extent>,
+        put: impl FnOnce(&mut Ring, bool) -> io::Result<()>,
+    ) {
+        let keep = extent.is_some_and(|e| e.keep_alive) && !gate.is_closing();
+        let written = self.conn.write(|out| put(out, keep));
+        state.since = gate.clock.now();
+        state.stage = if keep { Stage::Waiting } else { Stage::Ending };
+        let mut inbound = self.conn.inbound();
+        let n = inbound.len();
+        inbound.consume(extent.map_or(n, |e| e.all));
+        if written.is_err() {
+            return self.conn.close();
+        }
+        if !keep && self.conn.unsent() == 0 {
+            return self.conn.finish();
+        }
+        if !inbound.is_empty() {
+            self.conn.nudge();
+        }
+    }
+
+    /// No answer can be waited for any more: an error promises nothing.
+    fn give_up(&self, gate: &Arc<Gate>) {
+        let inv = match &self.state().stage {
+            Stage::Serving(inv, _) => *inv,
+            _ => return,
+        };
+        let unwanted = gate.desk.gone(gate.clock.now(), inv);
+        for unwanted in unwanted {
+            gate.workers.give_up(gate, &unwanted, Outcome::Cancelled);
+        }
+        self.answer(gate, inv, Final::Errored);
+    }
+
+    fn check(&self, now: Time) {
+        let state = self.state();
+        let waited = now - state.since;
+        let is_over = match state.stage {
+            Stage::Serving(..) => false,
+            Stage::Ending => waited > ENDING_TIME && (self.conn.unsent() == 0 || waited > MESSAGE_TIME),
+            Stage::Waiting if self.conn.inbound().is_empty() && self.conn.unsent() == 0 => waited > IDLE_TIME,
+            Stage::Waiting => waited > MESSAGE_TIME,
+        };
+        drop(state);
+        if is_over {
+            self.conn.close();
+        }
+    }
+}
+
+enum Asked {
+    Up,
+    Invocation(Arrival),
+}
+
+/// What a client asks for, in the words of the protocol.
+fn asked(call: &Call, gate: &Gate, now: Time) -> Result<Asked, Bad> {
+    let path = call.target.split(['?', '#']).next().unwrap_or("");
+    if path == "/up" {
+        return Ok(Asked::Up);
+    }
+    let first = path.strip_prefix('/').ok_or(Bad(400, "bad target"))?.split('/').next().unwrap_or("");
+    let operation = position(&gate.names.operations, first).ok_or(Bad(404, "unknown operation"))?;
+    if !matches!(call.method, "GET" | "POST" | "PUT" | "PATCH" | "DELETE") {
+        return Err(Bad(405, "bad method"));
+    }
+    let header = |name| call.headers.get(name);
+    let id = header("request-id").ok_or(Bad(400, "no id"))?;
+    if id.is_empty() || id.len() > 128 {
+        return Err(Bad(400, "bad id"));
+    }
+    let plan = header("x-tariff").ok_or(Bad(400, "no plan"))?;
+    let plan = position(&gate.names.plans, plan).ok_or(Bad(400, "unknown plan"))?;
+    let cookies = header("cookie").ok_or(Bad(400, "no key"))?;
+    let key = cookies.split(';').find_map(|c| c.trim().strip_prefix("key=")).ok_or(Bad(400, "no key"))?;
+    let customer = u64::from_str_radix(key, 16).ok().filter(|k| *k < CUSTOMERS && !key.starts_with('+'));
+    let customer = customer.ok_or(Bad(400, "bad key"))?;
+    let patience = header("request-timeout-ms").ok_or(Bad(400, "no time limit"))?;
+    let patience: u32 = patience.parse().map_err(|_| Bad(400, "bad time limit"))?;
+    let (units, spread) = weight(header("x-weight").unwrap_or(""))?;
+    Ok(Asked::Invocation(Arrival {
+        inv: InvId::default(),
+        valid_until: now + Span::from_millis(u64::from(patience)),
+        customer: CustomerId(customer),
+        operation: OperationId(operation as u8),
+        plan: PlanId(plan as u16),
+        spread,
+        units,
+    }))
+}
+
+fn position(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|n| n == name)
+}
+
+/// The units that it counts, and at how many gatekeepers its customer comes in; not a number where not told.
+fn weight(text: &str) -> Result<(f32, f32), Bad> {
+    let (mut units, mut spread) = (f32::NAN, f32::NAN);
+    for part in text.split(',') {
+        let Some((name, value)) = part.split_once('=') else { continue };
+        let place = match name.trim() {
+            "units" => &mut units,
+            "spread" => &mut spread,
+            _ => continue,
+        };
+        let number = value.trim().parse::<f32>().ok().filter(|n| n.is_finite() && *n >= 0.0);
+        *place = number.ok_or(Bad(400, "bad weight"))?;
+    }
+    Ok((units, spread))
+}
--- /dev/null
+++ b/crates/gatekeeper/src/config.rs
@@ -0,0 +1,105 @@
+//! The configuration: a JSON file named by the environment. Unknown keys are ignored.
+
+use std::net::SocketAddr;
+
+use lynxstair_settings::Handed;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use crate::discovery::News;
+
+const FILE: &str = "RELAY_CONFIG";
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    /// Absent where there is no counter.
+    #[serde(default)]
+    counter: Option<SocketAddr>,
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: News,
+    settings: Box<RawValue>,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(default)]
+pub struct Limits {
+    pub sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub counter: Option<SocketAddr>,
+    pub seed: u64,
+    pub limits: Limits,
+    pub known: News,
+    pub handed: Handed,
+}
+
+pub fn read() -> Result<Config, String> {
+    let path = std::env::var(FILE).map_err(|_| format!("{FILE} does not name a configuration file"))?;
+    let text = std::fs::read(&path).map_err(|e| format!("{FILE}: {e}"))?;
+    parse(&text)
+}
+
+fn parse(text: &[u8]) -> Result<Config, String> {
+    let file: File = serde_json::from_slice(text).map_err(|e| format!("configuration: {e}"))?;
+    let handed = lynxstair_settings::read(file.settings.get().as_bytes())?;
+    if handed.names.operations.is_empty() || handed.names.plans.is_empty() {
+        return Err("configuration: the settings name no operation or no plan".to_string());
+    }
+    let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("configuration: seed: {e}"))?;
+    Ok(Config {
+        name: file.name,
+        listen: file.listen,
+        discovery: file.discovery,
+        counter: file.counter,
+        seed,
+        limits: file.limits,
+        known: file.known,
+        handed,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::parse;
+
+    const GOOD: &str = r#"{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f","more":{},
+        "known":{"revision":4,"complete":true,"members":[]},
+        "settings":{"classes":[{"name":"a"}],"packages":[{"name":"p"}],"else":1}}"#;
+
+    #[test]
+    fn good_and_bad_files() {
+        let cases = [
+            (GOOD.to_string(), None),
+            (GOOD.replace("\"n0\"", "4"), Some("configuration: invalid type")),
+            (GOOD.replace("127.0.0.1:1", "nowhere"), Some("configuration: invalid socket address")),
+            (GOOD.replace("8c1f", "none"), Some("configuration: seed")),
+            (GOOD.replace("\"a\"", "[]"), Some("settings: ")),
+            (GOOD.replace("\"packages\"", "\"other\""), Some("configuration: the settings name no")),
+            (GOOD[..40].to_string(), Some("configuration: EOF")),
+            (String::new(), Some("configuration: EOF")),
+        ];
+        for (text, wanted) in cases {
+            match (parse(text.as_bytes()), wanted) {
+                (Ok(c), None) => assert_eq!((c.seed, c.known.revision, c.limits.sockets), (0x8c1f, 4, 1024)),
+                (Err(e), Some(start)) => assert!(e.starts_with(start), "{text}: {e}"),
+                (got, _) => panic!("{text}: {:?}, not {wanted:?}", got.err()),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gatekeeper/src/counter.rs
@@ -0,0 +1,195 @@
+//! The counter: calls go out one after another on one connection, answers come in their order. Nothing
+//! waits for them.
+
+use std::collections::VecDeque;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use lynxstair::types::{CountName, Outcome, Span, Time};
+
+use crate::conn::{Conn, Got};
+use crate::coroutine::go;
+use crate::desk::Count;
+use crate::http::{self, MOST_MESSAGE};
+use crate::log;
+use crate::program::Gate;
+
+/// A call that took so many times the counter's time limit gets no answer any more. A late total is no failure.
+const GIVEN_UP: f64 = 20.0;
+/// The counter closes idle connections after ten seconds or less; this side does so well before.
+const IDLE: Span = Span::from_millis(4_000);
+
+struct Call {
+    name: CountName,
+    sent_at: Time,
+    /// How long its message is.
+    length: usize,
+}
+
+struct Line {
+    conn: Conn,
+    waiting: Mutex<VecDeque<Call>>,
+}
+
+struct State {
+    line: Option<Arc<Line>>,
+    used_at: Time,
+}
+
+pub struct Counter {
+    addr: Option<SocketAddr>,
+    given_up: Span,
+    state: Mutex<State>,
+}
+
+impl Counter {
+    pub fn new(addr: Option<SocketAddr>, limit: Span) -> Self {
+        let state = State { line: None, used_at: Time::default() };
+        Counter { addr, given_up: limit.times(GIVEN_UP), state: Mutex::new(state) }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Sends calls, in one piece.
+    pub fn add(&self, gate: &Arc<Gate>, counts: &[Count]) {
+        if counts.is_empty() {
+            return;
+        }
+        let now = gate.clock.now();
+        let Some(line) = self.line(gate, now) else {
+            counts.iter().for_each(|c| gate.desk.counted(now, c.name, Outcome::ConnectFailed, 0.0));
+            return;
+        };
+        let written = line.conn.write(|out| {
+            for count in counts {
+                let before = out.len();
+                let (name, amount, ms) = (count.name.0, count.amount, count.keep.nanos() / 1_000_000);
+                write!(
+                    out,
+                    "POST /counters/{name:x}?by={amount}&expire_ms={ms} HTTP/1.1\r\nHost: counter\r\n\
+                     Content-Length: 0\r\n\r\n"
+                )?;
+                let length = out.len() - before;
+                line.waiting().push_back(Call { name: count.name, sent_at: now, length });
+            }
+            Ok(())
+        });
+        if written.is_err() {
+            line.conn.close();
+        }
+        // What did not fit into the buffer was not sent.
+        let queued = line.waiting().iter().rev().take(counts.len()).filter(|c| c.sent_at == now).count();
+        for count in counts.iter().skip(queued) {
+            gate.desk.counted(now, count.name, Outcome::ConnectFailed, 0.0);
+        }
+    }
+
+    /// The connection, made anew where there is none.
+    fn line(&self, gate: &Arc<Gate>, now: Time) -> Option<Arc<Line>> {
+        let mut state = self.state();
+        state.used_at = now;
+        if let Some(line) = state.line.as_ref().filter(|l| !l.conn.is_closed()) {
+            return Some(line.clone());
+        }
+        let conn = match Conn::open(self.addr?, MOST_MESSAGE) {
+            Ok(conn) => conn,
+            Err(e) => {
+                log!("no connection to the counter: {e}");
+                return None;
+            }
+        };
+        let line = Arc::new(Line { conn, waiting: Mutex::new(VecDeque::new()) });
+        state.line = Some(line.clone());
+        drop(state);
+        let (gate, follow) = (gate.clone(), line.clone());
+        go("the counter", move || {
+            let ended = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| follow.run(&gate)));
+            follow.end(&gate, ended.is_err());
+            let mut state = gate.counter.state();
+            if state.line.as_ref().is_some_and(|l| Arc::ptr_eq(l, &follow)) {
+                state.line = None;
+            }
+        });
+        Some(line)
+    }
+
+    /// Ends a connection on which an answer is missing for too long, or that stands idle.
+    pub fn tick(&self, now: Time) {
+        let state = self.state();
+        let Some(line) = &state.line else { return };
+        let first = line.waiting().front().map(|c| c.sent_at);
+        match first {
+            Some(sent_at) if now - sent_at > self.given_up => {
+                log!("the counter is silent");
+                line.conn.close();
+            }
+            None if now - state.used_at > IDLE => line.conn.close(),
+            _ => {}
+        }
+    }
+}
+
+impl Line {
+    fn waiting(&self) -> MutexGuard<'_, VecDeque<Call>> {
+        self.waiting.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn run(&self, gate: &Arc<Gate>) {
+        if self.conn.connected().is_err() {
+            return;
+        }
+        loop {
+            if self.conn.read() == Got::End || !self.take_answers(gate) {
+                return;
+            }
+        }
+    }
+
+    /// Whether the connection is still good.
+    fn take_answers(&self, gate: &Arc<Gate>) -> bool {
+        loop {
+            let mut inbound = self.conn.inbound();
+            if inbound.is_empty() {
+                return true;
+            }
+            let bytes = inbound.bytes();
+            let extent = match http::answer_extent(bytes, false) {
+                Ok(Some(extent)) => extent,
+                Ok(None) => return true,
+                Err(_) => return false,
+            };
+            let Ok(Some((answer, _))) = http::answer(&bytes[..extent.head]) else { return false };
+            let body = std::str::from_utf8(&bytes[extent.body.clone()]).unwrap_or("");
+            let total = body.trim().parse::<f32>().ok().filter(|t| t.is_finite());
+            let (outcome, total) = match (answer.status, total) {
+                (200, Some(total)) => (Outcome::Succeeded, total),
+                (503 | 400 | 404, _) => (Outcome::Full, 0.0),
+                _ => (Outcome::Errored, 0.0),
+            };
+            inbound.consume(extent.all);
+            drop(inbound);
+            let Some(call) = self.waiting().pop_front() else { return false };
+            gate.desk.counted(gate.clock.now(), call.name, outcome, total);
+            if !extent.keep_alive {
+                return false;
+            }
+        }
+    }
+
+    /// What is unanswered: the calls whose bytes are still here were not added, of the others nobody knows.
+    fn end(&self, gate: &Arc<Gate>, panicked: bool) {
+        self.conn.close();
+        let mut unsent = self.conn.unsent();
+        if panicked {
+            log!("the counter's connection is given up");
+        }
+        while let Some(call) = self.waiting().pop_back() {
+            let outcome = if unsent > 0 { Outcome::ConnectFailed } else { Outcome::TimedOut };
+            unsent = unsent.saturating_sub(call.length);
+            gate.desk.counted(gate.clock.now(), call.name, outcome, 0.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gatekeeper/src/main.rs
@@ -0,0 +1,28 @@
+//! The gatekeeper on sockets.
+#![deny(unsafe_code)]
+
+mod clients;
+mod clock;
+mod config;
+mod conn;
+mod coroutine;
+mod counter;
+mod desk;
+mod discovery;
+mod http;
+mod log;
+mod program;
+mod ticker;
+mod workers;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match program::Program::start().and_then(program::Program::run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("lynxstair-gatekeeper: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/gatekeeper/src/program.rs
@@ -0,0 +1,227 @@
+//! The program from start to exit: its phases, and what all parts share.
+
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread;
+use std::time::Duration;
+
+use lynxstair::types::{Outcome, Span, Time};
+use lynxstair_settings::Names;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::clients::{Client, Clients};
+use crate::clock::Clock;
+use crate::config::{self, Config};
+use crate::coroutine::{go, prepare};
+use crate::counter::Counter;
+use crate::desk::Desk;
+use crate::discovery::Discovery;
+use crate::log;
+use crate::ticker::Ticker;
+use crate::workers::Workers;
+
+/// After SIGTERM clients go on connecting for so long, as they learn of it late.
+const GRACE: Span = Span::from_millis(600);
+/// What is unanswered so long after SIGTERM is answered then: the platform kills no sooner than 3.7 s after it.
+const LAST_ANSWERS: Span = Span::from_millis(3_200);
+const LAST_WRITES: Span = Span::from_millis(200);
+/// Of the descriptors: some are kept back for all that is neither a client nor a worker.
+const RESERVE: usize = 64;
+const CLIENTS_PART: f64 = 0.65;
+/// How often slow upkeep is done.
+const UPKEEP: Span = Span::from_millis(1_000);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub enum Phase {
+    Starting,
+    Serving,
+    /// Told to end; goes on as before for a grace.
+    Leaving,
+    /// Accepts nothing more, and answers what it has.
+    Finishing,
+    Ended,
+}
+
+const PHASES: [Phase; 5] = [Phase::Starting, Phase::Serving, Phase::Leaving, Phase::Finishing, Phase::Ended];
+
+/// What all parts share.
+pub struct Gate {
+    pub clock: Clock,
+    pub names: Names,
+    pub desk: Desk<Arc<Client>>,
+    pub ticker: Ticker,
+    pub clients: Clients,
+    pub workers: Workers,
+    pub discovery: Discovery,
+    pub counter: Counter,
+    phase: AtomicU8,
+}
+
+impl Gate {
+    fn phase(&self) -> Phase {
+        PHASES[usize::from(self.phase.load(Ordering::Acquire))]
+    }
+
+    /// It was told to end.
+    pub fn is_leaving(&self) -> bool {
+        self.phase() >= Phase::Leaving
+    }
+
+    /// Connections end with the next answer.
+    pub fn is_closing(&self) -> bool {
+        self.phase() >= Phase::Finishing
+    }
+
+    /// Every change of phase goes through here.
+    fn enter(&self, phase: Phase) {
+        log!("{:?}", phase);
+        self.phase.store(phase as u8, Ordering::Release);
+    }
+
+    /// Does all that is due, until the program ends.
+    fn keep_time(self: &Arc<Self>, ended: &Sender<()>) {
+        let mut upkeep_at = self.clock.now();
+        let mut left_at = None;
+        loop {
+            let now = self.clock.now();
+            let upkeep = now >= upkeep_at;
+            if upkeep {
+                upkeep_at = now + UPKEEP;
+            }
+            let left = self.is_leaving().then(|| *left_at.get_or_insert(now));
+            // A panic here must not stop the clock for all.
+            if catch_unwind(AssertUnwindSafe(|| self.do_all(now, upkeep, left))).is_err() {
+                log!("what was due is given up");
+            }
+            self.ticker.by(self.desk.next_due());
+            self.ticker.by(self.workers.next_due());
+            if self.phase() == Phase::Ended {
+                break;
+            }
+            self.ticker.wait();
+        }
+        let _ = ended.send(());
+    }
+
+    fn do_all(self: &Arc<Self>, now: Time, upkeep: bool, left: Option<Time>) {
+        self.do_due(now);
+        self.workers.tick(self, now);
+        self.counter.tick(now);
+        self.discovery.tick(self, now);
+        if upkeep {
+            self.clients.tick(now);
+            self.workers.close_idle(now);
+        }
+        if let Some(left_at) = left {
+            self.leave(now, left_at);
+        }
+    }
+
+    /// What the desk has to do now.
+    fn do_due(self: &Arc<Self>, now: Time) {
+        let due = self.desk.tick(now);
+        self.counter.add(self, &due.counts);
+        for delivery in due.deliveries {
+            self.workers.deliver(self, delivery);
+        }
+        for overdue in due.overdue {
+            self.workers.give_up(self, &overdue, Outcome::TimedOut);
+        }
+        for unwanted in due.unwanted {
+            self.workers.give_up(self, &unwanted, Outcome::Cancelled);
+        }
+        for (client, inv, answer) in due.answers {
+            client.answer(self, inv, answer);
+        }
+        for worker in due.probes {
+            self.workers.probe(self, worker);
+        }
+    }
+
+    /// From the grace to the last answer.
+    fn leave(self: &Arc<Self>, now: Time, left_at: Time) {
+        let since = now - left_at;
+        if self.phase() == Phase::Leaving && since >= GRACE {
+            self.enter(Phase::Finishing);
+            self.clients.stop_listening(self);
+        }
+        if self.phase() == Phase::Finishing {
+            if since >= LAST_ANSWERS {
+                self.clients.give_up_all(self);
+            }
+            if self.clients.count() == 0 || since >= LAST_ANSWERS + LAST_WRITES {
+                log!("{} unanswered at the end", self.clients.unanswered());
+                return self.enter(Phase::Ended);
+            }
+        }
+        self.ticker.by(now + Span::from_millis(20));
+    }
+}
+
+/// The program before and after its coroutines.
+pub struct Program {
+    gate: Arc<Gate>,
+    ended: Receiver<()>,
+    signals: Signals,
+}
+
+impl Program {
+    pub fn start() -> Result<Self, String> {
+        prepare();
+        let config = config::read()?;
+        let signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
+        let gate = Arc::new(gate(&config)?);
+        gate.discovery.take(&gate, &config.known, true);
+        let (end, ended) = channel();
+        let accepting = gate.clone();
+        go("accepting", move || accepting.clients.accept(&accepting));
+        let timing = gate.clone();
+        go("time", move || timing.keep_time(&end));
+        log!("{} serves on {}", config.name, config.listen);
+        gate.enter(Phase::Serving);
+        Ok(Program { gate, ended, signals })
+    }
+
+    /// Serves until it is told to end, and ends.
+    pub fn run(mut self) -> Result<(), String> {
+        let gate = self.gate.clone();
+        thread::Builder::new()
+            .name("signals".to_string())
+            .spawn(move || {
+                if self.signals.forever().next().is_some() {
+                    gate.enter(Phase::Leaving);
+                    gate.ticker.poke();
+                }
+            })
+            .map_err(|e| format!("signals: {e}"))?;
+        loop {
+            match self.ended.recv_timeout(Duration::from_secs(3600)) {
+                Ok(()) => return Ok(()),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Err("the coroutine for time ended".to_string()),
+            }
+        }
+    }
+}
+
+fn gate(config: &Config) -> Result<Gate, String> {
+    let clock = Clock::start();
+    let sockets = config.limits.sockets.saturating_sub(RESERVE).max(16);
+    let clients = (sockets as f64 * CLIENTS_PART) as usize;
+    let handed = &config.handed;
+    Ok(Gate {
+        clock,
+        names: handed.names.clone(),
+        desk: Desk::open(clock.now(), config.seed, &handed.settings),
+        ticker: Ticker::new(clock)?,
+        clients: Clients::listen(config.listen, clients)?,
+        workers: Workers::new(handed.limits, sockets - clients),
+        discovery: Discovery::new(config.discovery),
+        counter: Counter::new(config.counter, handed.limits.counter),
+        phase: AtomicU8::new(Phase::Starting as u8),
+    })
+}
--- a/crates/adapter/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,27 +1,59 @@
-//! The settings as the wire words them.
+//! The settings as the wire words them: one reader for the bench's wire and for the real gatekeeper.
+#![forbid(unsafe_code)]
 
 use lynxstair::types::{Group, LoadField, Operation, Plan, Repeat, Settings, Span, ZoneId};
 use serde::Deserialize;
 
+/// What is handed over: what the decisions go by, the names that peers use for it, and the time limits of
+/// connections.
+pub struct Handed {
+    pub settings: Settings,
+    pub names: Names,
+    pub limits: Limits,
+}
+
+/// Names in the order of the ids that stand for them.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub operations: Vec<String>,
+    pub plans: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+/// Time limits of connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// A connection not made by then has failed.
+    pub connect: Span,
+    /// Workers close a connection that stood idle for so long.
+    pub idle: Span,
+    /// A call to the counter that takes longer is late.
+    pub counter: Span,
+}
+
 #[derive(Deserialize, Default)]
 #[serde(default, rename_all = "camelCase")]
 struct Wire {
+    areas: Vec<String>,
     balancers: u32,
     classes: Vec<Class>,
     family_info: FamilyInfo,
-    limits: Limits,
+    limits: WireLimits,
     load_report: LoadReport,
     me: u32,
     my_zone: u16,
     packages: Vec<Package>,
     registry_mode: String,
     rules: Rules,
+    shapes: Vec<String>,
     step: u64,
 }
 
 #[derive(Deserialize, Default)]
 #[serde(default, rename_all = "camelCase")]
 struct Class {
+    name: String,
     on_time: u64,
     deadline: u64,
     idempotency: String,
@@ -34,14 +66,17 @@
 #[derive(Deserialize, Default)]
 #[serde(default, rename_all = "camelCase")]
 struct FamilyInfo {
+    counter_timeout: u64,
     may_count: bool,
     meter_period: u64,
 }
 
 #[derive(Deserialize, Default)]
 #[serde(default, rename_all = "camelCase")]
-struct Limits {
+struct WireLimits {
     cancel: bool,
+    connect_timeout: u64,
+    idle_close: u64,
     max_attempts: u32,
     max_retry_after: u64,
     probes: bool,
@@ -68,6 +103,7 @@
 #[derive(Deserialize, Default)]
 #[serde(default, rename_all = "camelCase")]
 struct Package {
+    name: String,
     depth: f64,
     ceiling_burst: f64,
     hard_rate: f64,
@@ -78,8 +114,14 @@
     refill: f64,
 }
 
-pub fn read(text: &[u8]) -> Result<Settings, String> {
+pub fn read(text: &[u8]) -> Result<Handed, String> {
     let wire: Wire = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let span = |nanos, otherwise| if nanos > 0 { Span::from_nanos(nanos) } else { otherwise };
+    let limits = Limits {
+        connect: span(wire.limits.connect_timeout, Span::from_millis(250)),
+        idle: span(wire.limits.idle_close, Span::from_millis(15_000)),
+        counter: span(wire.family_info.counter_timeout, Span::from_millis(50)),
+    };
     let operations = wire.classes.iter().map(operation).collect();
     let plans = wire.packages.iter().map(plan).collect();
     let fields = wire.load_report.fields.iter();
@@ -89,7 +131,7 @@
         "avg_ms" => LoadField::LatencyMs,
         _ => LoadField::Other,
     });
-    Ok(Settings {
+    let settings = Settings {
         me: wire.me,
         gatekeepers: wire.balancers,
         zone: ZoneId(wire.my_zone),
@@ -111,7 +153,14 @@
         fall: Span::from_nanos(wire.rules.fall),
         fall_multiple: wire.rules.fall_multiple,
         load: load.collect(),
-    })
+    };
+    let names = Names {
+        operations: wire.classes.into_iter().map(|c| c.name).collect(),
+        plans: wire.packages.into_iter().map(|p| p.name).collect(),
+        zones: wire.areas,
+        kinds: wire.shapes,
+    };
+    Ok(Handed { settings, names, limits })
 }
 
 fn operation(class: &Class) -> Operation {
