--- a/crates/gatekeeper/src/clients.rs
+++ b/crates/gatekeeper/src/clients.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use lynxstair::types::{Arrival, CustomerId, DeliveryNo, InvId, OperationId, Outcome, PlanId, Span, Time};
+use lynxstair_settings::Names;
 use may::io::{CoIo, WaitIo};
 
 use crate::conn::{Conn, Got, Ring};
@@ -256,7 +257,7 @@
             }
         };
         let asked = match http::call(&bytes[..extent.head]) {
-            Ok(Some((call, _))) => asked(&call, gate, now),
+            Ok(Some((call, _))) => asked(&call, &gate.names, gate.ticker.came_at(now)),
             _ => Err(Bad(400, "malformed")),
         };
         state.told_to_go_on = false;
@@ -407,13 +408,13 @@
 }
 
 /// What a client asks for, in the words of the protocol.
-fn asked(call: &Call, gate: &Gate, now: Time) -> Result<Asked, Bad> {
+fn asked(call: &Call, names: &Names, came_at: Time) -> Result<Asked, Bad> {
     let path = call.target.split(['?', '#']).next().unwrap_or("");
     if path == "/up" {
         return Ok(Asked::Up);
     }
     let first = path.strip_prefix('/').ok_or(Bad(400, "bad target"))?.split('/').next().unwrap_or("");
-    let operation = position(&gate.names.operations, first).ok_or(Bad(404, "unknown operation"))?;
+    let operation = position(&names.operations, first).ok_or(Bad(404, "unknown operation"))?;
     if !matches!(call.method, "GET" | "POST" | "PUT" | "PATCH" | "DELETE") {
         return Err(Bad(405, "bad method"));
     }
@@ -423,7 +424,7 @@
         return Err(Bad(400, "bad id"));
     }
     let plan = header("x-tariff").ok_or(Bad(400, "no plan"))?;
-    let plan = position(&gate.names.plans, plan).ok_or(Bad(400, "unknown plan"))?;
+    let plan = position(&names.plans, plan).ok_or(Bad(400, "unknown plan"))?;
     let cookies = header("cookie").ok_or(Bad(400, "no key"))?;
     let key = cookies.split(';').find_map(|c| c.trim().strip_prefix("key=")).ok_or(Bad(400, "no key"))?;
     let customer = u64::from_str_radix(key, 16).ok().filter(|k| *k < CUSTOMERS && !key.starts_with('+'));
@@ -433,7 +434,7 @@
     let (units, spread) = weight(header("x-weight").unwrap_or(""))?;
     Ok(Asked::Invocation(Arrival {
         inv: InvId::default(),
-        valid_until: now + Span::from_millis(u64::from(patience)),
+        valid_until: came_at + Span::from_millis(u64::from(patience)),
         customer: CustomerId(customer),
         operation: OperationId(operation as u8),
         plan: PlanId(plan as u16),
--- a/crates/gatekeeper/src/config.rs
+++ b/crates/gatekeeper/src/config.rs
@@ -30,11 +30,12 @@
 #[serde(default)]
 pub struct Limits {
     pub sockets: usize,
+    pub memory_mb: u64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192 }
     }
 }
 
--- a/crates/gatekeeper/src/conn.rs
+++ b/crates/gatekeeper/src/conn.rs
@@ -3,16 +3,27 @@
 
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
 use may::io::{CoIo, WaitIo};
 use nix::sys::epoll::EpollFlags;
 use socket2::{Domain, Socket, Type};
 
+use crate::log;
+
 /// What a buffer starts with, and what it goes back to when it is empty.
 const SMALL: usize = 2048;
 
+/// What all buffers together may take up, and take up.
+static MOST_BYTES: AtomicUsize = AtomicUsize::new(usize::MAX);
+static BYTES: AtomicUsize = AtomicUsize::new(0);
+
+/// Bounds what all buffers together take up. A connection that would need more breaks.
+pub fn bound_buffers(most: usize) {
+    MOST_BYTES.store(most, Ordering::Relaxed);
+}
+
 /// A ring buffer that grows up to a bound and shrinks again once empty.
 pub struct Ring {
     bytes: Vec<u8>,
@@ -54,30 +65,42 @@
         if self.len == 0 {
             self.head = 0;
             if self.bytes.len() > SMALL {
-                self.bytes = Vec::new();
+                self.give_back();
             }
         } else if self.head >= self.bytes.len() {
             self.head -= self.bytes.len();
         }
     }
 
-    fn grow(&mut self, wanted: usize) {
+    fn give_back(&mut self) {
+        BYTES.fetch_sub(self.bytes.len(), Ordering::Relaxed);
+        self.bytes = Vec::new();
+    }
+
+    fn grow(&mut self, wanted: usize) -> io::Result<()> {
         self.bytes();
         let size = wanted.max(SMALL).next_power_of_two().min(self.most.max(SMALL));
+        let more = size - self.bytes.len();
+        if BYTES.fetch_add(more, Ordering::Relaxed) + more > MOST_BYTES.load(Ordering::Relaxed) {
+            BYTES.fetch_sub(more, Ordering::Relaxed);
+            log!("the buffers of all connections are full");
+            return Err(io::ErrorKind::OutOfMemory.into());
+        }
         self.bytes.resize(size, 0);
+        Ok(())
     }
 
-    /// The next free piece.
+    /// The next free piece; empty where there is none.
     fn free(&mut self) -> &mut [u8] {
-        if self.len == self.bytes.len() {
-            self.grow(self.len + 1);
-        }
         let (size, end) = (self.bytes.len(), self.head + self.len);
         if end < size { &mut self.bytes[end..] } else { &mut self.bytes[end - size..self.head] }
     }
 
     /// Reads once; whether the piece that was free was filled up, so that there may be more.
     fn read_from(&mut self, source: &mut impl Read) -> io::Result<(usize, bool)> {
+        if self.len == self.bytes.len() {
+            self.grow(self.len + 1)?;
+        }
         let free = self.free();
         let room = free.len();
         let n = source.read(free)?;
@@ -98,6 +121,12 @@
     }
 }
 
+impl Drop for Ring {
+    fn drop(&mut self) {
+        self.give_back();
+    }
+}
+
 impl Write for Ring {
     /// Takes all of it or fails.
     fn write(&mut self, from: &[u8]) -> io::Result<usize> {
@@ -105,7 +134,7 @@
             return Err(io::ErrorKind::OutOfMemory.into());
         }
         if self.len + from.len() > self.bytes.len() {
-            self.grow(self.len + from.len());
+            self.grow(self.len + from.len())?;
         }
         let mut rest = from;
         while !rest.is_empty() {
--- a/crates/gatekeeper/src/desk.rs
+++ b/crates/gatekeeper/src/desk.rs
@@ -123,6 +123,9 @@
 struct Inside<T> {
     gatekeeper: Gatekeeper,
     slip: Slip<T>,
+    /// What is heard within one step is told to the module as heard at once: it takes what lay there while
+    /// the gatekeeper stood still by its having come at one time.
+    step: Span,
     last_inv: u32,
 }
 
@@ -216,7 +219,7 @@
             Slip { now, open: HashMap::new(), alarms: BTreeMap::new(), alarms_set: 0, due: Due::default() };
         let gatekeeper = Gatekeeper::start(now, seed, settings, &mut slip);
         let next = AtomicU64::new(slip.next().nanos());
-        Desk { inside: Mutex::new(Inside { gatekeeper, slip, last_inv: 0 }), next }
+        Desk { inside: Mutex::new(Inside { gatekeeper, slip, step: settings.step, last_inv: 0 }), next }
     }
 
     fn inside(&self) -> MutexGuard<'_, Inside<T>> {
@@ -233,11 +236,14 @@
         &self,
         now: Time,
         inside: &mut Inside<T>,
-        question: impl FnOnce(&mut Gatekeeper, &mut Slip<T>),
+        question: impl FnOnce(Time, &mut Gatekeeper, &mut Slip<T>),
     ) -> bool {
-        inside.slip.now = now;
+        if now - inside.slip.now >= inside.step {
+            inside.slip.now = now;
+        }
+        let now = inside.slip.now;
         let (gatekeeper, slip) = (&mut inside.gatekeeper, &mut inside.slip);
-        let answered = guarded(|| question(gatekeeper, slip));
+        let answered = guarded(|| question(now, gatekeeper, slip));
         self.next.store(inside.slip.next().nanos(), Ordering::Relaxed);
         answered
     }
@@ -250,7 +256,7 @@
         let inv = InvId(inside.last_inv);
         arrival.inv = inv;
         inside.slip.open.insert(inv, Open { ticket, made: 0, out: 0, succeeded: false });
-        self.ask(now, &mut inside, |gatekeeper, slip| gatekeeper.invoke(now, &arrival, slip));
+        self.ask(now, &mut inside, |now, gatekeeper, slip| gatekeeper.invoke(now, &arrival, slip));
         let slip = &mut inside.slip;
         let pick = match (slip.due.deliveries.pop(), slip.due.answers.pop()) {
             (Some(order), _) => Pick::Deliver(order),
@@ -314,12 +320,13 @@
     ) -> bool {
         let (inv, no, worker) = (order.inv, order.no, order.worker);
         let ended = Ended { inv, no, worker, outcome, took, last, used, actual: None, load: &[] };
-        self.ask(now, inside, |gatekeeper, slip| gatekeeper.delivery_ended(now, &ended, slip))
+        self.ask(now, inside, |now, gatekeeper, slip| gatekeeper.delivery_ended(now, &ended, slip))
     }
 
     /// Does what is due.
     pub fn tick(&self, now: Time) -> Due<T> {
         let mut inside = self.inside();
+        inside.slip.now = now;
         while let Some(first) = inside.slip.alarms.first_entry()
             && first.key().0 <= now
         {
@@ -329,7 +336,7 @@
             }
             match alarm {
                 Alarm::Module(tag) => {
-                    self.ask(now, &mut inside, |gatekeeper, slip| gatekeeper.timer(now, tag, slip));
+                    self.ask(now, &mut inside, |now, gatekeeper, slip| gatekeeper.timer(now, tag, slip));
                 }
                 Alarm::Stop(inv, no) => {
                     if let Some(open) = inside.slip.open.get(&inv) {
@@ -346,21 +353,23 @@
     /// The client is gone, or has its answer from elsewhere: nothing more is owed.
     pub fn gone(&self, now: Time, inv: InvId) -> Vec<GiveUp<T>> {
         let mut inside = self.inside();
-        self.ask(now, &mut inside, |gatekeeper, slip| gatekeeper.expired(inv, slip));
+        self.ask(now, &mut inside, |_, gatekeeper, slip| gatekeeper.expired(inv, slip));
         inside.slip.open.remove(&inv);
         std::mem::take(&mut inside.slip.due.unwanted)
     }
 
     pub fn listed(&self, now: Time, scope: Scope, list: &[Listed]) {
-        self.ask(now, &mut self.inside(), |gatekeeper, _| gatekeeper.listed(now, scope, list));
+        self.ask(now, &mut self.inside(), |now, gatekeeper, _| gatekeeper.listed(now, scope, list));
     }
 
     pub fn counted(&self, now: Time, name: CountName, outcome: Outcome, total: f32) {
-        self.ask(now, &mut self.inside(), |gatekeeper, _| gatekeeper.counted(now, name, outcome, total));
+        self.ask(now, &mut self.inside(), |now, gatekeeper, _| gatekeeper.counted(now, name, outcome, total));
     }
 
     pub fn probed(&self, now: Time, worker: WorkerId, outcome: Outcome) {
-        self.ask(now, &mut self.inside(), |gatekeeper, slip| gatekeeper.probed(now, worker, outcome, slip));
+        self.ask(now, &mut self.inside(), |now, gatekeeper, slip| {
+            gatekeeper.probed(now, worker, outcome, slip)
+        });
     }
 }
 
--- a/crates/gatekeeper/src/http.rs
+++ b/crates/gatekeeper/src/http.rs
@@ -37,6 +37,8 @@
 
 /// The head of what a client sends.
 pub struct Call<'a> {
+    /// HTTP/1.0, where a connection carries one message unless it says otherwise.
+    is_old: bool,
     pub method: &'a str,
     pub target: &'a str,
     pub headers: Headers<'a>,
@@ -44,6 +46,7 @@
 
 /// The head of an answer.
 pub struct Answer<'a> {
+    is_old: bool,
     pub status: u16,
     pub headers: Headers<'a>,
 }
@@ -105,7 +108,8 @@
     };
     let (method, target) = (parsed.method.unwrap_or(""), parsed.path.unwrap_or(""));
     let count = parsed.headers.len();
-    Ok(Some((Call { method, target, headers: Headers { all, count } }, head)))
+    let is_old = parsed.version == Some(0);
+    Ok(Some((Call { is_old, method, target, headers: Headers { all, count } }, head)))
 }
 
 /// Reads the head of an answer, once it is whole; with its length.
@@ -116,7 +120,8 @@
         Ok(Status::Complete(head)) => {
             let status = parsed.code.unwrap_or(0);
             let count = parsed.headers.len();
-            Ok(Some((Answer { status, headers: Headers { all, count } }, head)))
+            let is_old = parsed.version == Some(0);
+            Ok(Some((Answer { is_old, status, headers: Headers { all, count } }, head)))
         }
         Ok(Status::Partial) if bytes.len() <= MOST_HEAD => Ok(None),
         _ => Err(Bad(502, "malformed answer")),
@@ -127,7 +132,8 @@
 pub fn call_extent(bytes: &mut [u8]) -> Result<Option<Extent>, Bad> {
     let Some((call, head)) = call(bytes)? else { return Ok(None) };
     let framing = call.headers.framing()?.unwrap_or(Framing::Length(0));
-    let keep_alive = !call.headers.has_token("connection", "close");
+    let says = |token| call.headers.has_token("connection", token);
+    let keep_alive = !says("close") && (!call.is_old || says("keep-alive"));
     extent(bytes, head, framing, keep_alive)
 }
 
@@ -137,7 +143,7 @@
     let bare = answer.status < 200 || matches!(answer.status, 204 | 304);
     let framing =
         if bare { Framing::Length(0) } else { answer.headers.framing()?.unwrap_or(Framing::UntilEnd) };
-    let keep_alive = !answer.headers.has_token("connection", "close");
+    let keep_alive = !answer.is_old && !answer.headers.has_token("connection", "close");
     match framing {
         Framing::UntilEnd if !ended => {
             if bytes.len() - head > MOST_BODY {
--- a/crates/gatekeeper/src/program.rs
+++ b/crates/gatekeeper/src/program.rs
@@ -3,9 +3,7 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::thread;
-use std::time::Duration;
+use std::sync::mpsc::{Receiver, Sender, channel};
 
 use lynxstair::types::{Outcome, Span, Time};
 use lynxstair_settings::Names;
@@ -15,6 +13,7 @@
 use crate::clients::{Client, Clients};
 use crate::clock::Clock;
 use crate::config::{self, Config};
+use crate::conn::bound_buffers;
 use crate::coroutine::{go, prepare};
 use crate::counter::Counter;
 use crate::desk::Desk;
@@ -86,8 +85,8 @@
     fn keep_time(self: &Arc<Self>, ended: &Sender<()>) {
         let mut upkeep_at = self.clock.now();
         let mut left_at = None;
+        let mut now = self.clock.now();
         loop {
-            let now = self.clock.now();
             let upkeep = now >= upkeep_at;
             if upkeep {
                 upkeep_at = now + UPKEEP;
@@ -102,7 +101,7 @@
             if self.phase() == Phase::Ended {
                 break;
             }
-            self.ticker.wait();
+            now = self.ticker.wait();
         }
         let _ = ended.send(());
     }
@@ -186,25 +185,13 @@
         Ok(Program { gate, ended, signals })
     }
 
-    /// Serves until it is told to end, and ends.
+    /// Serves until it is told to end, and ends. The main thread only waits: first for a signal, then for
+    /// the last answer.
     pub fn run(mut self) -> Result<(), String> {
-        let gate = self.gate.clone();
-        thread::Builder::new()
-            .name("signals".to_string())
-            .spawn(move || {
-                if self.signals.forever().next().is_some() {
-                    gate.enter(Phase::Leaving);
-                    gate.ticker.poke();
-                }
-            })
-            .map_err(|e| format!("signals: {e}"))?;
-        loop {
-            match self.ended.recv_timeout(Duration::from_secs(3600)) {
-                Ok(()) => return Ok(()),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return Err("the coroutine for time ended".to_string()),
-            }
-        }
+        self.signals.forever().next();
+        self.gate.enter(Phase::Leaving);
+        self.gate.ticker.poke();
+        self.ended.recv().map_err(|_| "the coroutine for time ended".to_string())
     }
 }
 
@@ -213,11 +200,12 @@
     let sockets = config.limits.sockets.saturating_sub(RESERVE).max(16);
     let clients = (sockets as f64 * CLIENTS_PART) as usize;
     let handed = &config.handed;
+    bound_buffers((config.limits.memory_mb << 20) as usize / 2);
     Ok(Gate {
         clock,
         names: handed.names.clone(),
         desk: Desk::open(clock.now(), config.seed, &handed.settings),
-        ticker: Ticker::new(clock)?,
+        ticker: Ticker::new(clock, handed.settings.step)?,
         clients: Clients::listen(config.listen, clients)?,
         workers: Workers::new(handed.limits, sockets - clients),
         discovery: Discovery::new(config.discovery),
