--- a/crates/gatekeeper/src/clients.rs
+++ b/crates/gatekeeper/src/clients.rs
@@ -39,6 +39,8 @@
 struct State {
     stage: Stage,
     since: Time,
+    /// When the first part of the message that is coming in was read.
+    part_since: Option<Time>,
     /// An interim answer was given to the message that is coming in.
     told_to_go_on: bool,
     /// The connections that carry deliveries of the invocation at hand.
@@ -124,7 +126,7 @@
         };
         let number = self.last.fetch_add(1, Ordering::Relaxed);
         let since = gate.clock.now();
-        let state = State { stage: Stage::Waiting, since, told_to_go_on: false, links: Vec::new() };
+        let state = State { stage: Stage::Waiting, since, part_since: None, told_to_go_on: false, links: Vec::new() };
         let client = Arc::new(Client { number, conn, state: Mutex::new(state) });
         self.open().insert(number, client.clone());
         let gate = gate.clone();
@@ -242,6 +244,7 @@
         let extent = match http::call_extent(bytes) {
             Ok(Some(extent)) => extent,
             Ok(None) => {
+                state.part_since.get_or_insert(now);
                 let expects = |c: &Call| c.headers.get("expect").is_some();
                 let told = state.told_to_go_on;
                 if !told && http::call(bytes).is_ok_and(|c| c.is_some_and(|(c, _)| expects(&c))) {
@@ -261,6 +264,7 @@
             _ => Err(Bad(400, "malformed")),
         };
         state.told_to_go_on = false;
+        state.part_since = None;
         let arrival = match asked {
             Ok(Asked::Invocation(arrival)) => arrival,
             Ok(Asked::Up) => {
@@ -290,7 +294,10 @@
 
     /// A connection that carries a delivery of the invocation at hand.
     pub fn carried_by(&self, no: DeliveryNo, link: Arc<Link>) {
-        self.state().links.push((no, link));
+        let mut state = self.state();
+        // The connection that it was tried on before broke before it was sent.
+        state.links.retain(|(n, _)| *n != no);
+        state.links.push((no, link));
     }
 
     pub fn carrier(&self, inv: InvId, no: DeliveryNo) -> Option<Arc<Link>> {
@@ -388,13 +395,7 @@
 
     fn check(&self, now: Time) {
         let state = self.state();
-        let waited = now - state.since;
-        let is_over = match state.stage {
-            Stage::Serving(..) => false,
-            Stage::Ending => waited > ENDING_TIME && (self.conn.unsent() == 0 || waited > MESSAGE_TIME),
-            Stage::Waiting if self.conn.inbound().is_empty() && self.conn.unsent() == 0 => waited > IDLE_TIME,
-            Stage::Waiting => waited > MESSAGE_TIME,
-        };
+        let is_over = is_over(&state, self.conn.unsent() > 0, now);
         drop(state);
         if is_over {
             self.conn.close();
@@ -402,6 +403,21 @@
     }
 }
 
+/// Whether nothing has moved on a connection for too long. A message that has just begun counts from then,
+/// however long the connection stood idle before: closing it would lose the invocation.
+fn is_over(state: &State, has_unsent: bool, now: Time) -> bool {
+    let waited = now - state.since;
+    match state.stage {
+        Stage::Serving(..) => false,
+        _ if has_unsent => waited > MESSAGE_TIME,
+        Stage::Ending => waited > ENDING_TIME,
+        Stage::Waiting => match state.part_since {
+            Some(part) => now - part > MESSAGE_TIME,
+            None => waited > IDLE_TIME,
+        },
+    }
+}
+
 enum Asked {
     Up,
     Invocation(Arrival),
@@ -462,3 +478,61 @@
     }
     Ok((units, spread))
 }
+
+#[cfg(test)]
+mod tests {
+    use lynxstair::types::{InvId, Time};
+
+    use super::{Stage, State, is_over, weight};
+    use crate::http::{Bad, Extent};
+
+    fn at(s: u64) -> Time {
+        Time::from_nanos(s * 1_000_000_000)
+    }
+
+    #[test]
+    fn connections_that_end() {
+        use Stage::{Ending, Waiting};
+        let serving = Stage::Serving(InvId(1), Extent::default());
+        // The stage, since second 100; when a message began; whether bytes are unsent; the second; is it over.
+        let cases = [
+            (Waiting, None, false, 200, false),
+            (Waiting, None, false, 221, true),
+            // A message that begins after a long rest has its own time.
+            (Waiting, Some(119), false, 120, false),
+            (Waiting, Some(119), false, 128, false),
+            (Waiting, Some(119), false, 130, true),
+            (Waiting, None, true, 111, true),
+            (serving.clone(), None, false, 900, false),
+            (serving, None, true, 900, false),
+            (Ending, None, false, 101, false),
+            (Ending, None, false, 102, true),
+            (Ending, None, true, 109, false),
+            (Ending, None, true, 111, true),
+        ];
+        for (stage, part, has_unsent, now, wanted) in cases {
+            let case = format!("{stage:?} {part:?} {has_unsent} {now}");
+            let part_since = part.map(at);
+            let state = State { stage, since: at(100), part_since, told_to_go_on: false, links: vec![] };
+            assert_eq!(is_over(&state, has_unsent, at(now)), wanted, "{case}");
+        }
+    }
+
+    #[test]
+    fn weights() {
+        let bad = Err(Bad(400, "bad weight"));
+        let cases = [
+            ("units=2,spread=3,first=1", Ok((2.0, 3.0))),
+            (" spread = 3 , units = 2.5, more=x", Ok((2.5, 3.0))),
+            ("units=2", Ok((2.0, f32::NAN))),
+            ("", Ok((f32::NAN, f32::NAN))),
+            ("units=", bad),
+            ("units=NaN", bad),
+            ("spread=-1", bad),
+            ("spread=1e99", bad),
+        ];
+        for (text, wanted) in cases {
+            assert_eq!(format!("{:?}", weight(text)), format!("{wanted:?}"), "{text}");
+        }
+    }
+}
