The last answers come before the platform's kill where all integration timeouts are short

The last answers came 3.2 s after SIGTERM whatever the settings said, so with timeouts of 1 s the kill at 1.7 s could find invocations unanswered. They now come 0.25 s after that timeout. Test: a row of the_end with timeouts of 1 s and a client that would wait for 20 (not run against the old code, which ends at 3.4 s by its constants).

--- a/crates/gatekeeper/src/program.rs
+++ b/crates/gatekeeper/src/program.rs
@@ -24,8 +24,10 @@
 
 /// After SIGTERM clients go on connecting for so long, as they learn of it late.
 const GRACE: Span = Span::from_millis(600);
-/// What is unanswered so long after SIGTERM is answered then: the platform kills no sooner than 3.7 s after it.
-const LAST_ANSWERS: Span = Span::from_millis(3_200);
+/// The platform kills no sooner than 0.7 s after the longest integration timeout, counted as 3 s where it is
+/// longer. What is unanswered by then is errored a little before.
+const COUNTED_AS: Span = Span::from_millis(3_000);
+const LAST_ANSWERS: Span = Span::from_millis(250);
 const LAST_WRITES: Span = Span::from_millis(200);
 /// Of the descriptors: some are kept back for all that is neither a client nor a worker.
 const RESERVE: usize = 64;
@@ -57,6 +59,8 @@
     pub workers: Workers,
     pub discovery: Discovery,
     pub counter: Counter,
+    /// How long after SIGTERM what is unanswered is errored.
+    last_answers: Span,
     phase: AtomicU8,
 }
 
@@ -149,10 +153,10 @@
             self.clients.stop_listening(self);
         }
         if self.phase() == Phase::Finishing {
-            if since >= LAST_ANSWERS {
+            if since >= self.last_answers {
                 self.clients.give_up_all(self);
             }
-            if self.clients.count() == 0 || since >= LAST_ANSWERS + LAST_WRITES {
+            if self.clients.count() == 0 || since >= self.last_answers + LAST_WRITES {
                 log!("{} unanswered at the end", self.clients.unanswered());
                 return self.enter(Phase::Ended);
             }
@@ -200,6 +204,8 @@
     let sockets = config.limits.sockets.saturating_sub(RESERVE).max(16);
     let clients = (sockets as f64 * CLIENTS_PART) as usize;
     let handed = &config.handed;
+    let longest =
+        handed.settings.operations.iter().map(|o| o.integration_timeout).max().unwrap_or(COUNTED_AS);
     bound_buffers((config.limits.memory_mb << 20) as usize / 2);
     Ok(Gate {
         clock,
@@ -210,6 +216,7 @@
         workers: Workers::new(handed.limits, sockets - clients),
         discovery: Discovery::new(config.discovery),
         counter: Counter::new(config.counter, handed.limits.counter),
+        last_answers: longest.min(COUNTED_AS) + LAST_ANSWERS,
         phase: AtomicU8::new(Phase::Starting as u8),
     })
 }
--- a/crates/gatekeeper/tests/sockets.rs
+++ b/crates/gatekeeper/tests/sockets.rs
@@ -284,9 +284,10 @@
 /// SIGTERM: serves on for a grace, then takes no more, answers all it has, and ends well in time.
 #[test]
 fn the_end() {
-    // How long the worker takes, and what the client gets.
-    for (takes, wanted) in [(1_500, 200), (20_000, 502)] {
-        let mut world = World::new(2, 0, Some(1.0));
+    // How long the worker takes, what the client gets, the integration timeout, and when the kill may come.
+    let cases = [(1_500, 200, 4_000, 3_700), (20_000, 502, 4_000, 3_700), (20_000, 502, 1_000, 1_700)];
+    for (takes, wanted, timeout, killed) in cases {
+        let mut world = World::with_timeout(2, 0, Some(1.0), timeout);
         let slow = world.script(&[Does::SucceedsIn(takes)]);
         let (waiting, idle) = (world.client(), world.client());
         (&waiting).write_all(text("put", "wide", &slow, 20_000).as_bytes()).expect("written");
@@ -303,7 +304,7 @@
         let answer = Message::read(&mut BufReader::new(&waiting)).expect("an answer");
         assert_eq!((answer.status(), answer.header("connection")), (wanted, "close"));
         drop((waiting, idle));
-        let status = world.ended(Duration::from_millis(3_700).saturating_sub(started.elapsed()));
+        let status = world.ended(Duration::from_millis(killed).saturating_sub(started.elapsed()));
         assert!(status.is_some_and(|s| s.success()), "{status:?}");
     }
 }
--- a/crates/gatekeeper/tests/support/mod.rs
+++ b/crates/gatekeeper/tests/support/mod.rs
@@ -229,6 +229,11 @@
 impl World {
     /// A gatekeeper that knows so many workers, and as many again that take no connections.
     pub fn new(alive: usize, dead: usize, total: Option<f64>) -> World {
+        World::with_timeout(alive, dead, total, 4_000)
+    }
+
+    /// The same, where the integration timeout of all operations is so many milliseconds.
+    pub fn with_timeout(alive: usize, dead: usize, total: Option<f64>, timeout_ms: u32) -> World {
         let (seen, script) = (Arc::new(Seen::default()), Arc::default());
         let mut workers: Vec<SocketAddr> =
             (0..alive).map(|n| worker(n, Arc::clone(&seen), Arc::clone(&script))).collect();
@@ -238,7 +243,7 @@
             workers.iter().enumerate().map(|(n, addr)| member(n, *addr, "SERVING")).collect();
         let known = format!(r#"{{"revision":7,"complete":true,"members":[{}]}}"#, members.join(","));
         let (counter, discovery) = (counter(total), discovery());
-        let (addr, child) = start(&known, counter.addr, discovery.addr);
+        let (addr, child) = start(&known, counter.addr, discovery.addr, timeout_ms);
         let world = World { addr, child, seen, workers, counter, discovery, script, ids: AtomicU32::new(1) };
         world.until("the gatekeeper is up", || {
             TcpStream::connect(addr)
@@ -345,13 +350,15 @@
 }
 
 /// On a port that is free; another one where it was taken meanwhile.
-fn start(known: &str, counter: SocketAddr, discovery: SocketAddr) -> (SocketAddr, Child) {
+fn start(known: &str, counter: SocketAddr, discovery: SocketAddr, timeout_ms: u32) -> (SocketAddr, Child) {
+    let timeout = format!("\"deadline\":{timeout_ms}000000");
     for _ in 0..10 {
         let listen = listener().1;
-        let mut child = program(&config(listen, known, counter, discovery))
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("starts");
+        let mut child =
+            program(&config(listen, known, counter, discovery).replace("\"deadline\":4000000000", &timeout))
+                .stderr(Stdio::null())
+                .spawn()
+                .expect("starts");
         thread::sleep(Duration::from_millis(50));
         if child.try_wait().expect("a child").is_none() {
             return (listen, child);
