Each gatekeeper's timers are on a grid of its own, and a sixteenth late at most

Cause (desk.rs, set_timer): the grid was one of Unix time, the same at all gatekeepers, so that the calls of all met at the counter 15 times a second. Change: the grid starts when the desk opens, and is half as wide. Test: timers_share_wakes.

--- a/crates/gatekeeper/src/desk.rs
+++ b/crates/gatekeeper/src/desk.rs
@@ -19,7 +19,7 @@
 use crate::log;
 
 /// Timers come late by no more than this part of their span.
-const LATE_PART: u64 = 8;
+const LATE_PART: u64 = 16;
 
 /// A delivery to be made, for the one who holds the ticket.
 #[derive(Clone, Debug, PartialEq)]
@@ -117,6 +117,7 @@
 /// What the module said, until the one who asked takes it away.
 struct Slip<T> {
     now: Time,
+    opened_at: Time,
     open: HashMap<InvId, Open<T>>,
     alarms: BTreeMap<(Time, u64), Alarm>,
     alarms_set: u64,
@@ -172,11 +173,12 @@
     }
 
     /// The module's timers may come late by a part of their span, so that several come with one wake, and the
-    /// calls to the counter that are due then with one write.
+    /// calls to the counter that are due then with one write. Each gatekeeper's grid has a start of its own: on
+    /// one that all share, the calls of all would meet at the counter.
     fn set_timer(&mut self, after: Span, tag: TimerTag) {
         let grid = (after.nanos() / LATE_PART).checked_ilog2().map_or(1, |bits| 1 << bits);
-        let at = (self.now + after).nanos().div_ceil(grid) * grid;
-        self.alarm(Time::from_nanos(at), Alarm::Module(tag));
+        let since = (self.now + after - self.opened_at).nanos().div_ceil(grid) * grid;
+        self.alarm(self.opened_at + Span::from_nanos(since), Alarm::Module(tag));
     }
 
     /// The list comes unasked on sockets.
@@ -222,8 +224,14 @@
 
 impl<T: Clone> Desk<T> {
     pub fn open(now: Time, seed: u64, settings: &Settings) -> Self {
-        let mut slip =
-            Slip { now, open: HashMap::new(), alarms: BTreeMap::new(), alarms_set: 0, due: Due::default() };
+        let mut slip = Slip {
+            now,
+            opened_at: now,
+            open: HashMap::new(),
+            alarms: BTreeMap::new(),
+            alarms_set: 0,
+            due: Due::default(),
+        };
         let gatekeeper = Gatekeeper::start(now, seed, settings, &mut slip);
         let next = AtomicU64::new(slip.next().nanos());
         Desk { inside: Mutex::new(Inside { gatekeeper, slip, step: settings.step, last_inv: 0 }), next }
@@ -600,6 +608,25 @@
         }
     }
 
+    /// Timers share wakes within a gatekeeper, and not across gatekeepers.
+    #[test]
+    fn timers_share_wakes() {
+        let wakes = |opened_us: u64| {
+            let settings = Settings { step: Span::from_millis(4), ..Settings::default() };
+            let opened = at(0) + Span::from_nanos(opened_us * 1000);
+            let desk: Desk<u32> = Desk::open(opened, 1, &settings);
+            let first = desk.next_due();
+            assert!(first - opened >= Span::from_millis(200), "early");
+            assert!(first - opened <= Span::from_millis(200 + 200 / 16), "too late");
+            // The beat that follows is asked for at some time after the first.
+            desk.tick(first + Span::from_nanos(700_000));
+            assert!(desk.next_due() - first >= Span::from_millis(200));
+            ((desk.next_due() - first).nanos(), first.nanos() % (1 << 20))
+        };
+        assert_eq!(wakes(0).0, wakes(377).0);
+        assert_ne!(wakes(0).1, wakes(377).1);
+    }
+
     #[test]
     fn a_panic_is_told() {
         assert!(guarded(|| ()));
