--- a/crates/gatekeeper/src/clients.rs
+++ b/crates/gatekeeper/src/clients.rs
@@ -50,7 +50,7 @@
 /// One connection of a client.
 pub struct Client {
     number: u64,
-    pub conn: Conn,
+    conn: Conn,
     state: Mutex<State>,
 }
 
@@ -212,20 +212,24 @@
         if panicked {
             self.give_up(gate);
         }
-        let left = match &self.state().stage {
-            Stage::Serving(inv, _) => Some(*inv),
-            _ => None,
-        };
-        if let Some(inv) = left {
-            for unwanted in gate.desk.gone(gate.clock.now(), inv) {
-                gate.workers.give_up(gate, &unwanted, Outcome::Cancelled);
-            }
-        }
+        self.let_go(gate);
         self.conn.close();
         gate.clients.open().remove(&self.number);
         gate.clients.let_in();
     }
 
+    /// Nothing more is owed for the invocation at hand, if there is one: its deliveries end.
+    fn let_go(&self, gate: &Arc<Gate>) -> Option<InvId> {
+        let inv = match &self.state().stage {
+            Stage::Serving(inv, _) => *inv,
+            _ => return None,
+        };
+        for unwanted in gate.desk.gone(gate.clock.now(), inv) {
+            gate.workers.give_up(gate, &unwanted, Outcome::Cancelled);
+        }
+        Some(inv)
+    }
+
     /// Acts on the next message, if it is whole; whether there may be another one.
     fn take_message(self: &Arc<Self>, gate: &Arc<Gate>) -> bool {
         let mut state = self.state();
@@ -256,7 +260,7 @@
             }
             Err(bad) => {
                 drop((state, inbound));
-                self.say(gate, bad.0, "", bad.1, None);
+                self.say(gate, bad.0, bad.1, None);
                 return false;
             }
         };
@@ -271,12 +275,12 @@
             Ok(Asked::Up) => {
                 drop((state, inbound));
                 let (status, body) = if gate.is_leaving() { (503, "leaving\n") } else { (200, "up\n") };
-                self.say(gate, status, "", body, Some(&extent));
+                self.say(gate, status, body, Some(&extent));
                 return true;
             }
             Err(bad) => {
                 drop((state, inbound));
-                self.say(gate, bad.0, "", bad.1, Some(&extent));
+                self.say(gate, bad.0, bad.1, Some(&extent));
                 return true;
             }
         };
@@ -323,18 +327,12 @@
 
     /// A final answer of our own.
     pub fn answer(&self, gate: &Arc<Gate>, inv: InvId, answer: Final) {
-        match answer {
-            Final::Throttled(Some(wait)) => {
-                let header = format!("Retry-After: {:.3}\r\n", wait.secs());
-                self.finish(gate, inv, |out, keep| http::put_answer(out, 429, &header, "throttled\n", keep));
-            }
-            Final::Throttled(None) => {
-                self.finish(gate, inv, |out, keep| http::put_answer(out, 429, "", "throttled\n", keep));
-            }
-            Final::Errored => {
-                self.finish(gate, inv, |out, keep| http::put_answer(out, 502, "", "errored\n", keep));
-            }
-        }
+        let (status, body, wait) = match answer {
+            Final::Throttled(wait) => (429, "throttled\n", wait),
+            Final::Errored => (502, "errored\n", None),
+        };
+        let header = wait.map(|wait| format!("Retry-After: {:.3}\r\n", wait.secs())).unwrap_or_default();
+        self.finish(gate, inv, |out, keep| http::put_answer(out, status, &header, body, keep));
     }
 
     /// Writes the final answer to the invocation at hand; the connection is then free for the next.
@@ -351,8 +349,8 @@
 
     /// Writes an answer that no invocation stands behind. Without an extent the message could not be read:
     /// what follows it can't be either.
-    fn say(&self, gate: &Arc<Gate>, status: u16, headers: &str, body: &str, extent: Option<&Extent>) {
-        let put = |out: &mut Ring, keep| http::put_answer(out, status, headers, body, keep);
+    fn say(&self, gate: &Arc<Gate>, status: u16, body: &str, extent: Option<&Extent>) {
+        let put = |out: &mut Ring, keep| http::put_answer(out, status, "", body, keep);
         self.write(gate, &mut self.state(), extent, put);
     }
 
@@ -383,15 +381,9 @@
 
     /// No answer can be waited for any more: an error promises nothing.
     fn give_up(&self, gate: &Arc<Gate>) {
-        let inv = match &self.state().stage {
-            Stage::Serving(inv, _) => *inv,
-            _ => return,
-        };
-        let unwanted = gate.desk.gone(gate.clock.now(), inv);
-        for unwanted in unwanted {
-            gate.workers.give_up(gate, &unwanted, Outcome::Cancelled);
+        if let Some(inv) = self.let_go(gate) {
+            self.answer(gate, inv, Final::Errored);
         }
-        self.answer(gate, inv, Final::Errored);
     }
 
     fn check(&self, now: Time) {
--- a/crates/gatekeeper/src/desk.rs
+++ b/crates/gatekeeper/src/desk.rs
@@ -110,8 +110,6 @@
     /// How many deliveries were made, and which of them are out.
     made: u8,
     out: u32,
-    /// A delivery ended with success: its answer is the final one.
-    succeeded: bool,
 }
 
 /// What the module said, until the one who asked takes it away.
@@ -270,7 +268,7 @@
         inside.last_inv = inside.last_inv.wrapping_add(1);
         let inv = InvId(inside.last_inv);
         arrival.inv = inv;
-        inside.slip.open.insert(inv, Open { ticket, made: 0, out: 0, succeeded: false });
+        inside.slip.open.insert(inv, Open { ticket, made: 0, out: 0 });
         self.ask(now, &mut inside, |now, gatekeeper, slip| gatekeeper.invoke(now, &arrival, slip));
         let slip = &mut inside.slip;
         let pick = match (slip.due.deliveries.pop(), slip.due.answers.pop()) {
@@ -294,16 +292,18 @@
         used: Option<f32>,
     ) -> (Next<T>, Vec<GiveUp<T>>) {
         let mut inside = self.inside();
-        let slip = &mut inside.slip;
-        let Some(open) = slip.open.get_mut(&order.inv) else {
-            // Over already: the module still hears how it ended.
-            self.tell(now, &mut inside, order, outcome, took, used, true);
+        // Where it is over already, the module still hears how the delivery ended.
+        let open = inside.slip.open.get_mut(&order.inv);
+        let is_over = open.map(|open| open.out = open.out.saturating_sub(1)).is_none();
+        let last = is_over || outcome == Outcome::Succeeded;
+        let (inv, no, worker) = (order.inv, order.no, order.worker);
+        let ended = Ended { inv, no, worker, outcome, took, last, used, actual: None, load: &[] };
+        let answered = self.ask(now, &mut inside, |now, gatekeeper, slip| {
+            gatekeeper.delivery_ended(now, &ended, slip);
+        });
+        if is_over {
             return (Next::Nothing, Vec::new());
-        };
-        open.out = open.out.saturating_sub(1);
-        open.succeeded |= outcome == Outcome::Succeeded;
-        let last = open.succeeded;
-        let answered = self.tell(now, &mut inside, order, outcome, took, used, last);
+        }
         let slip = &mut inside.slip;
         let unwanted = std::mem::take(&mut slip.due.unwanted);
         if last && let Some(open) = slip.open.remove(&order.inv) {
@@ -322,22 +322,6 @@
         (next, unwanted)
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn tell(
-        &self,
-        now: Time,
-        inside: &mut Inside<T>,
-        order: &Order<T>,
-        outcome: Outcome,
-        took: Span,
-        used: Option<f32>,
-        last: bool,
-    ) -> bool {
-        let (inv, no, worker) = (order.inv, order.no, order.worker);
-        let ended = Ended { inv, no, worker, outcome, took, last, used, actual: None, load: &[] };
-        self.ask(now, inside, |now, gatekeeper, slip| gatekeeper.delivery_ended(now, &ended, slip))
-    }
-
     /// Does what is due.
     pub fn tick(&self, now: Time) -> Due<T> {
         let mut inside = self.inside();
--- a/crates/gatekeeper/src/http.rs
+++ b/crates/gatekeeper/src/http.rs
@@ -274,13 +274,11 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
-        408 => "Request Timeout",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
-        504 => "Gateway Timeout",
         _ => "Error",
     }
 }
