One guard for coroutines: what ends a job is told whether it panicked

Three peers caught a panic of their own job within `go`, which catches one too, so that its log line (on-call page) was never written for them. `go_then` takes the job and its end; clients, workers and the counter use it.

--- a/crates/gatekeeper/src/clients.rs
+++ b/crates/gatekeeper/src/clients.rs
@@ -11,7 +11,7 @@
 use may::io::{CoIo, WaitIo};
 
 use crate::conn::{Conn, Got, Ring};
-use crate::coroutine::go;
+use crate::coroutine::go_then;
 use crate::desk::{Final, Pick};
 use crate::http::{self, Bad, Call, Extent, MOST_MESSAGE};
 use crate::log;
@@ -130,11 +130,9 @@
             State { stage: Stage::Waiting, since, part_since: None, told_to_go_on: false, links: Vec::new() };
         let client = Arc::new(Client { number, conn, state: Mutex::new(state) });
         self.open().insert(number, client.clone());
-        let gate = gate.clone();
-        go("a client", move || {
-            let ended = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| client.serve(&gate)));
-            client.leave(&gate, ended.is_err());
-        });
+        let (serving, serving_gate, gate) = (client.clone(), gate.clone(), gate.clone());
+        let serve = move || serving.serve(&serving_gate);
+        go_then("a client", serve, move |panicked| client.leave(&gate, panicked));
     }
 
     /// Closes the connection that has stood idle the longest.
--- a/crates/gatekeeper/src/coroutine.rs
+++ b/crates/gatekeeper/src/coroutine.rs
@@ -14,8 +14,18 @@
 
 /// Runs a job as a coroutine. A panic in it is logged and ends only the job.
 pub fn go(what: &'static str, job: impl FnOnce() + Send + 'static) {
+    go_then(what, job, |_| ());
+}
+
+/// The same, and then what ends it, which is told whether the job panicked.
+pub fn go_then(
+    what: &'static str,
+    job: impl FnOnce() + Send + 'static,
+    end: impl FnOnce(bool) + Send + 'static,
+) {
     let guarded = move || {
-        if catch_unwind(AssertUnwindSafe(job)).is_err() {
+        let panicked = catch_unwind(AssertUnwindSafe(job)).is_err();
+        if catch_unwind(AssertUnwindSafe(|| end(panicked))).is_err() || panicked {
             log!("a coroutine for {what} panicked");
         }
     };
--- a/crates/gatekeeper/src/counter.rs
+++ b/crates/gatekeeper/src/counter.rs
@@ -9,7 +9,7 @@
 use lynxstair::types::{CountName, Outcome, Span, Time};
 
 use crate::conn::{Conn, Got};
-use crate::coroutine::go;
+use crate::coroutine::go_then;
 use crate::desk::Count;
 use crate::http::{self, MOST_MESSAGE};
 use crate::log;
@@ -104,15 +104,9 @@
         let line = Arc::new(Line { conn, waiting: Mutex::new(VecDeque::new()) });
         state.line = Some(line.clone());
         drop(state);
-        let (gate, follow) = (gate.clone(), line.clone());
-        go("the counter", move || {
-            let ended = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| follow.run(&gate)));
-            follow.end(&gate, ended.is_err());
-            let mut state = gate.counter.state();
-            if state.line.as_ref().is_some_and(|l| Arc::ptr_eq(l, &follow)) {
-                state.line = None;
-            }
-        });
+        let (running, running_gate) = (line.clone(), gate.clone());
+        let (ending, gate) = (line.clone(), gate.clone());
+        go_then("the counter", move || running.run(&running_gate), move |_| ending.end(&gate));
         Some(line)
     }
 
@@ -180,16 +174,17 @@
     }
 
     /// What is unanswered: the calls whose bytes are still here were not added, of the others nobody knows.
-    fn end(&self, gate: &Arc<Gate>, panicked: bool) {
+    fn end(self: &Arc<Self>, gate: &Arc<Gate>) {
         self.conn.close();
         let mut unsent = self.conn.unsent();
-        if panicked {
-            log!("the counter's connection is given up");
-        }
         while let Some(call) = self.waiting().pop_back() {
             let outcome = if unsent > 0 { Outcome::ConnectFailed } else { Outcome::TimedOut };
             unsent = unsent.saturating_sub(call.length);
             gate.desk.counted(gate.clock.now(), call.name, outcome, 0.0);
         }
+        let mut state = gate.counter.state();
+        if state.line.as_ref().is_some_and(|l| Arc::ptr_eq(l, self)) {
+            state.line = None;
+        }
     }
 }
--- a/crates/gatekeeper/src/workers.rs
+++ b/crates/gatekeeper/src/workers.rs
@@ -10,7 +10,7 @@
 
 use crate::clients::Client;
 use crate::conn::{Conn, Got, Ring};
-use crate::coroutine::go;
+use crate::coroutine::go_then;
 use crate::desk::{self, GiveUp, Next};
 use crate::http::{self, Extent, MOST_MESSAGE};
 use crate::log;
@@ -187,21 +187,9 @@
 
     fn start(&self, gate: &Arc<Gate>, link: Arc<Link>) {
         self.watch(gate, gate.clock.now(), &link);
-        let gate = gate.clone();
-        go("a worker", move || {
-            let ended = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| link.run(&gate)));
-            link.conn.close();
-            {
-                let mut places = gate.workers.places();
-                places.links -= 1;
-                if let Some(place) = places.all.get_mut(&link.worker) {
-                    place.idle.retain(|l| !Arc::ptr_eq(l, &link));
-                }
-            }
-            let outcome =
-                if ended.is_err() || link.is_sent() { Outcome::Reset } else { Outcome::ConnectFailed };
-            link.end_job(&gate, outcome);
-        });
+        let (running, running_gate, gate) = (link.clone(), gate.clone(), gate.clone());
+        let run = move || running.run(&running_gate);
+        go_then("a worker", run, move |panicked| link.leave(&gate, panicked));
     }
 
     fn watch(&self, gate: &Gate, now: Time, link: &Arc<Link>) {
@@ -325,6 +313,20 @@
         }
     }
 
+    /// The connection has ended.
+    fn leave(self: &Arc<Self>, gate: &Arc<Gate>, panicked: bool) {
+        self.conn.close();
+        {
+            let mut places = gate.workers.places();
+            places.links -= 1;
+            if let Some(place) = places.all.get_mut(&self.worker) {
+                place.idle.retain(|l| !Arc::ptr_eq(l, self));
+            }
+        }
+        let may_have_run = panicked || self.is_sent();
+        self.end_job(gate, if may_have_run { Outcome::Reset } else { Outcome::ConnectFailed });
+    }
+
     /// Writes the message of the job in one piece.
     fn send(&self, gate: &Gate) -> io::Result<()> {
         let mut state = self.state();
