SIGHUP takes over new addresses of discovery and the counter without a gap

Checked: 129 is 128 + SIGHUP, and program.rs installed handlers for SIGTERM and SIGINT only (Program::start); nothing else ended the process before. Ruled out: the addresses were never tried, so discovery and counter were not at fault, but both kept one address for good (Discovery::addr, Counter::addr) and could not have followed.

Now the main thread reads the file again. The old watch is read until the new one speaks; the new one asks for what came after the revision held; changes already known are passed over. The counter's old connection stays for the answers it owes. A file that can't be used is logged and changes nothing. A watch that does not speak within 1 s of being asked for is opened again (3.5 s before), as news counts as told 4 s after SIGHUP.

--- a/crates/gatekeeper/src/counter.rs
+++ b/crates/gatekeeper/src/counter.rs
@@ -1,5 +1,5 @@
 //! The counter: calls go out one after another on one connection, answers come in their order. Nothing
-//! waits for them.
+//! waits for them. Where the counter moves to another address, the old connection stays for the answers it owes.
 
 use std::collections::VecDeque;
 use std::io::Write;
@@ -33,26 +33,38 @@
 }
 
 struct State {
+    addr: Option<SocketAddr>,
     line: Option<Arc<Line>>,
+    /// Connections to addresses that the counter had before.
+    old: Vec<Arc<Line>>,
     used_at: Time,
 }
 
 pub struct Counter {
-    addr: Option<SocketAddr>,
     given_up: Span,
     state: Mutex<State>,
 }
 
 impl Counter {
     pub fn new(addr: Option<SocketAddr>, limit: Span) -> Self {
-        let state = State { line: None, used_at: Time::default() };
-        Counter { addr, given_up: limit.times(GIVEN_UP), state: Mutex::new(state) }
+        let state = State { addr, line: None, old: Vec::new(), used_at: Time::default() };
+        Counter { given_up: limit.times(GIVEN_UP), state: Mutex::new(state) }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// The counter is at this address from now on.
+    pub fn move_to(&self, addr: Option<SocketAddr>) {
+        let mut state = self.state();
+        if state.addr != addr {
+            state.addr = addr;
+            let old = state.line.take();
+            state.old.extend(old);
+        }
+    }
+
     /// Sends calls, in one piece.
     pub fn add(&self, gate: &Arc<Gate>, counts: &[Count]) {
         if counts.is_empty() {
@@ -94,7 +106,7 @@
         if let Some(line) = state.line.as_ref().filter(|l| !l.conn.is_closed()) {
             return Some(line.clone());
         }
-        let conn = match Conn::open(self.addr?, MOST_MESSAGE) {
+        let conn = match Conn::open(state.addr?, MOST_MESSAGE) {
             Ok(conn) => conn,
             Err(e) => {
                 log!("no connection to the counter: {e}");
@@ -113,15 +125,18 @@
     /// Ends a connection on which an answer is missing for too long, or that stands idle.
     pub fn tick(&self, now: Time) {
         let state = self.state();
-        let Some(line) = &state.line else { return };
-        let first = line.waiting().front().map(|c| c.sent_at);
-        match first {
-            Some(sent_at) if now - sent_at > self.given_up => {
-                log!("the counter is silent");
-                line.conn.close();
+        let at_hand = state.line.iter().map(|line| (line, IDLE));
+        // An old one is done with its last answer.
+        for (line, idle) in at_hand.chain(state.old.iter().map(|line| (line, Span::ZERO))) {
+            let first = line.waiting().front().map(|c| c.sent_at);
+            match first {
+                Some(sent_at) if now - sent_at > self.given_up => {
+                    log!("the counter is silent");
+                    line.conn.close();
+                }
+                None if now - state.used_at > idle => line.conn.close(),
+                _ => {}
             }
-            None if now - state.used_at > IDLE => line.conn.close(),
-            _ => {}
         }
     }
 }
@@ -183,6 +198,7 @@
             gate.desk.counted(gate.clock.now(), call.name, outcome, 0.0);
         }
         let mut state = gate.counter.state();
+        state.old.retain(|old| !Arc::ptr_eq(old, self));
         if state.line.as_ref().is_some_and(|l| Arc::ptr_eq(l, self)) {
             state.line = None;
         }
--- a/crates/gatekeeper/src/discovery.rs
+++ b/crates/gatekeeper/src/discovery.rs
@@ -1,4 +1,5 @@
-//! The list of workers: one watch, opened anew when it breaks or falls silent.
+//! The list of workers: one watch, opened anew when it breaks or falls silent. Where discovery moves to another
+//! address, the watch on the old one is read until the new one speaks.
 
 use std::collections::HashMap;
 use std::io::Write;
@@ -16,6 +17,8 @@
 
 /// A line comes every two seconds, empty where nothing changed: silence for longer is a broken watch.
 const SILENT: Span = Span::from_millis(3_500);
+/// The first answer to a watch comes at once: one that has not spoken by then never came up.
+const OPENING: Span = Span::from_millis(1_000);
 const AGAIN: Span = Span::from_millis(500);
 /// The largest piece of a list.
 const MOST: usize = 1 << 20;
@@ -43,25 +46,63 @@
 }
 
 struct State {
+    addr: SocketAddr,
     revision: u64,
     /// Workers by the names that the list gives them; numbers are never used twice.
     ids: HashMap<String, WorkerId>,
     last_id: u64,
     watch: Option<Arc<Conn>>,
+    /// Whether it has said anything yet.
+    has_spoken: bool,
+    /// Watches on addresses that discovery had before.
+    old: Vec<Arc<Conn>>,
     /// When something last came, or a watch was last tried.
     heard_at: Time,
 }
 
+impl State {
+    fn is_current(&self, watch: &Arc<Conn>) -> bool {
+        self.watch.as_ref().is_some_and(|w| Arc::ptr_eq(w, watch))
+    }
+
+    /// Something came from a watch; the one at hand makes those before it needless.
+    fn hear(&mut self, watch: &Arc<Conn>, now: Time) {
+        if self.is_current(watch) {
+            self.heard_at = now;
+            self.has_spoken = true;
+            self.old.drain(..).for_each(|old| old.close());
+        }
+    }
+}
+
 pub struct Discovery {
-    addr: SocketAddr,
     state: Mutex<State>,
 }
 
 impl Discovery {
     pub fn new(addr: SocketAddr) -> Self {
-        let state =
-            State { revision: 0, ids: HashMap::new(), last_id: 0, watch: None, heard_at: Time::default() };
-        Discovery { addr, state: Mutex::new(state) }
+        let state = State {
+            addr,
+            revision: 0,
+            ids: HashMap::new(),
+            last_id: 0,
+            watch: None,
+            has_spoken: false,
+            old: Vec::new(),
+            heard_at: Time::default(),
+        };
+        Discovery { state: Mutex::new(state) }
+    }
+
+    /// Discovery is at this address from now on; the next tick opens a watch there.
+    pub fn move_to(&self, addr: SocketAddr) {
+        let mut state = self.state();
+        if state.addr != addr {
+            state.addr = addr;
+            let old = state.watch.take();
+            state.old.extend(old);
+            state.heard_at = Time::default();
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -73,7 +114,7 @@
         let mut state = self.state();
         let quiet = now - state.heard_at;
         match &state.watch {
-            Some(watch) if quiet > SILENT => {
+            Some(watch) if quiet > if state.has_spoken { SILENT } else { OPENING } => {
                 log!("the watch on the list is silent; opening another");
                 watch.close();
                 state.watch = None;
@@ -82,7 +123,8 @@
             _ => return,
         }
         state.heard_at = now;
-        let watch = match Conn::open(self.addr, MOST) {
+        state.has_spoken = false;
+        let watch = match Conn::open(state.addr, MOST) {
             Ok(conn) => Arc::new(conn),
             Err(e) => return log!("no connection to discovery: {e}"),
         };
@@ -94,7 +136,8 @@
             watch.close();
             let mut state = gate.discovery.state();
             // One that was closed for its silence has been replaced already.
-            if state.watch.as_ref().is_some_and(|w| Arc::ptr_eq(w, &watch)) {
+            state.old.retain(|old| !Arc::ptr_eq(old, &watch));
+            if state.is_current(&watch) {
                 log!("the watch on the list ended: {ended}");
                 state.watch = None;
             }
@@ -102,7 +145,7 @@
     }
 
     /// Reads a watch to its end; why it ended.
-    fn follow(&self, gate: &Arc<Gate>, watch: &Conn) -> String {
+    fn follow(&self, gate: &Arc<Gate>, watch: &Arc<Conn>) -> String {
         if let Err(e) = watch.connected() {
             return e.to_string();
         }
@@ -119,7 +162,6 @@
             if watch.read() == Got::End {
                 return "closed".to_string();
             }
-            self.state().heard_at = gate.clock.now();
             let mut inbound = watch.inbound();
             if !is_open {
                 match http::answer(inbound.bytes()) {
@@ -154,6 +196,7 @@
             if let Err(e) = self.take_lines(gate, &mut line) {
                 return e;
             }
+            self.state().hear(watch, gate.clock.now());
         }
     }
 
@@ -175,6 +218,10 @@
         let mut listed = Vec::with_capacity(news.members.len());
         {
             let mut state = self.state();
+            // Two watches tell the same changes, the old one late: what is known is not taken back.
+            if !news.complete && news.revision > 0 && news.revision <= state.revision {
+                return;
+            }
             state.revision = news.revision;
             if news.complete {
                 let gone = |id: &String| !news.members.iter().any(|m| m.id == *id);
--- a/crates/gatekeeper/src/program.rs
+++ b/crates/gatekeeper/src/program.rs
@@ -7,7 +7,7 @@
 
 use lynxstair::types::{Outcome, Span, Time};
 use lynxstair_settings::Names;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use crate::clients::{Client, Clients};
@@ -85,6 +85,20 @@
         self.phase.store(phase as u8, Ordering::Release);
     }
 
+    /// Takes over the addresses of a new configuration; nothing that is open or counted is let go for it. Of one
+    /// that can't be used nothing is taken.
+    fn reload(&self) {
+        match config::read() {
+            Ok(config) => {
+                log!("read anew: discovery {}, counter {:?}", config.discovery, config.counter);
+                self.discovery.move_to(config.discovery);
+                self.counter.move_to(config.counter);
+                self.ticker.poke();
+            }
+            Err(e) => log!("the configuration stays as it was: {e}"),
+        }
+    }
+
     /// Does all that is due, until the program ends.
     fn keep_time(self: &Arc<Self>, ended: &Sender<()>) {
         let mut upkeep_at = self.clock.now();
@@ -176,7 +190,7 @@
     pub fn start() -> Result<Self, String> {
         prepare();
         let config = config::read()?;
-        let signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
+        let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
         let gate = Arc::new(gate(&config)?);
         gate.discovery.take(&gate, &config.known, true);
         let (end, ended) = channel();
@@ -189,10 +203,12 @@
         Ok(Program { gate, ended, signals })
     }
 
-    /// Serves until it is told to end, and ends. The main thread only waits: first for a signal, then for
+    /// Serves until it is told to end, and ends. The main thread only waits: first for signals, then for
     /// the last answer.
     pub fn run(mut self) -> Result<(), String> {
-        self.signals.forever().next();
+        while self.signals.forever().next() == Some(SIGHUP) {
+            self.gate.reload();
+        }
         self.gate.enter(Phase::Leaving);
         self.gate.ticker.poke();
         self.ended.recv().map_err(|_| "the coroutine for time ended".to_string())
--- a/crates/gatekeeper/tests/sockets.rs
+++ b/crates/gatekeeper/tests/sockets.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use support::{Does, Message, World, ask, config, member, program, text};
+use support::{Does, Message, World, ask, config, counter, discovery, member, program, text};
 
 /// What the client gets, and how many deliveries were made, by what becomes of each of them.
 #[test]
@@ -281,6 +281,52 @@
     assert_eq!(went_to(), [0]);
 }
 
+/// SIGHUP: discovery and the counter at their new addresses take over from what was heard and counted last, the
+/// old ones are let go, and a file that can't be used changes nothing.
+#[test]
+fn new_configurations() {
+    let world = World::new(2, 0, Some(1.0));
+    let invoke = || {
+        let id = world.script(&[]);
+        let answer = world.invoke(&text("put", "wide", &id, 3000)).expect("an answer");
+        (answer.status(), world.seen.of(&id).first().map(|(n, _)| *n))
+    };
+    let asked = |of: &support::Discovery| of.asked.lock().expect("not poisoned").clone();
+    let calls = |of: &support::Counter| of.calls.lock().expect("not poisoned").len();
+    let news = |revision, n: usize, phase| {
+        let line = member(n, world.workers[n], phase);
+        format!(r#"{{"revision":{revision},"complete":false,"members":[{line}]}}"#)
+    };
+    world.until("it watches", || !asked(&world.discovery).is_empty());
+    world.discovery.tell(&news(8, 0, "DRAINING"));
+    assert_eq!(invoke().0, 200);
+    world.until("it counts", || calls(&world.counter) > 0);
+    let (new, total) = (discovery(), counter(Some(1e6)));
+    let known = r#"{"revision":1,"complete":true,"members":[]}"#;
+    world.reload(&config(world.addr, known, total.addr, new.addr));
+    world.until("it watches anew", || asked(&new).len() == 1);
+    assert!(asked(&new)[0].contains("watch=1&from=8 "), "{:?}", asked(&new));
+    // The old watch is late, the new one is not.
+    world.discovery.tell(&news(7, 0, "SERVING"));
+    new.tell(&news(9, 1, "SERVING"));
+    thread::sleep(Duration::from_millis(100));
+    (0..8).for_each(|_| assert_eq!(invoke(), (200, Some(1))));
+    let old_calls = calls(&world.counter);
+    world.until("it counts at the new address", || calls(&total) > 0);
+    assert_eq!(calls(&world.counter), old_calls);
+    // What the new counter says holds.
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(invoke(), (429, None));
+    for unusable in
+        ["", "{\"name\":", &config(world.addr, known, total.addr, new.addr).replace("8c1f", "none")]
+    {
+        world.reload(unusable);
+        thread::sleep(Duration::from_millis(50));
+        assert_eq!(invoke(), (429, None));
+    }
+    assert_eq!((asked(&new).len(), asked(&world.discovery).len()), (1, 1));
+}
+
 /// SIGTERM: serves on for a grace, then takes no more, answers all it has, and ends well in time.
 #[test]
 fn the_end() {
@@ -292,7 +338,7 @@
         let (waiting, idle) = (world.client(), world.client());
         (&waiting).write_all(text("put", "wide", &slow, 20_000).as_bytes()).expect("written");
         world.until("the delivery has come", || world.seen.of(&slow).len() == 1);
-        world.terminate();
+        world.signal("TERM");
         let started = Instant::now();
         thread::sleep(Duration::from_millis(100));
         let id = world.script(&[]);
@@ -324,7 +370,7 @@
         ("listening on", good.replace("127.0.0.1:0", "192.0.2.1:1")),
     ];
     for (wanted, text) in cases {
-        let out = program(&text).output().expect("runs");
+        let out = program(&text).0.output().expect("runs");
         let said = String::from_utf8_lossy(&out.stderr).into_owned();
         assert!(!out.status.success(), "{wanted}");
         assert_eq!(said.lines().count(), 1, "{said}");
--- a/crates/gatekeeper/tests/support/mod.rs
+++ b/crates/gatekeeper/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -160,7 +161,7 @@
     pub calls: Arc<Mutex<Vec<String>>>,
 }
 
-fn counter(total: Option<f64>) -> Counter {
+pub fn counter(total: Option<f64>) -> Counter {
     let (on, addr) = listener();
     let calls: Arc<Mutex<Vec<String>>> = Arc::default();
     let kept = calls.clone();
@@ -185,7 +186,7 @@
     pub asked: Arc<Mutex<Vec<String>>>,
 }
 
-fn discovery() -> Discovery {
+pub fn discovery() -> Discovery {
     let (on, addr) = listener();
     let told = Discovery { addr, watches: Arc::default(), asked: Arc::default() };
     let kept = told.clone();
@@ -224,6 +225,7 @@
     pub discovery: Discovery,
     script: Arc<Mutex<HashMap<String, Vec<Does>>>>,
     ids: AtomicU32,
+    file: PathBuf,
 }
 
 impl World {
@@ -243,8 +245,9 @@
             workers.iter().enumerate().map(|(n, addr)| member(n, *addr, "SERVING")).collect();
         let known = format!(r#"{{"revision":7,"complete":true,"members":[{}]}}"#, members.join(","));
         let (counter, discovery) = (counter(total), discovery());
-        let (addr, child) = start(&known, counter.addr, discovery.addr, timeout_ms);
-        let world = World { addr, child, seen, workers, counter, discovery, script, ids: AtomicU32::new(1) };
+        let (addr, child, file) = start(&known, counter.addr, discovery.addr, timeout_ms);
+        let ids = AtomicU32::new(1);
+        let world = World { addr, child, seen, workers, counter, discovery, script, ids, file };
         world.until("the gatekeeper is up", || {
             TcpStream::connect(addr)
                 .is_ok_and(|s| ask(&s, "GET /up HTTP/1.1\r\n\r\n").is_some_and(|m| m.status() == 200))
@@ -279,11 +282,17 @@
         ask(&self.client(), text)
     }
 
-    pub fn terminate(&self) {
-        let kill = format!("kill -TERM {}", self.child.id());
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("sh").success());
     }
 
+    /// Puts a configuration in the place of the one at hand, and says so.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.file, config).expect("written");
+        self.signal("HUP");
+    }
+
     pub fn ended(&mut self, within: Duration) -> Option<ExitStatus> {
         let started = Instant::now();
         while started.elapsed() < within {
@@ -337,31 +346,34 @@
     )
 }
 
-/// Starts the program with a configuration; its file is read once, at the start.
-pub fn program(config: &str) -> Command {
+/// The program with a configuration, and the file that this is in.
+pub fn program(config: &str) -> (Command, PathBuf) {
     static FILES: AtomicU32 = AtomicU32::new(0);
     let number = FILES.fetch_add(1, Ordering::SeqCst);
     let name = format!("gatekeeper-{}-{number}.json", std::process::id());
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_lynxstair-gatekeeper"));
-    command.env("RELAY_CONFIG", path).stdin(Stdio::null()).stdout(Stdio::null());
-    command
+    command.env("RELAY_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null());
+    (command, path)
 }
 
 /// On a port that is free; another one where it was taken meanwhile.
-fn start(known: &str, counter: SocketAddr, discovery: SocketAddr, timeout_ms: u32) -> (SocketAddr, Child) {
+fn start(
+    known: &str,
+    counter: SocketAddr,
+    discovery: SocketAddr,
+    timeout_ms: u32,
+) -> (SocketAddr, Child, PathBuf) {
     let timeout = format!("\"deadline\":{timeout_ms}000000");
     for _ in 0..10 {
         let listen = listener().1;
-        let mut child =
-            program(&config(listen, known, counter, discovery).replace("\"deadline\":4000000000", &timeout))
-                .stderr(Stdio::null())
-                .spawn()
-                .expect("starts");
+        let (mut command, file) =
+            program(&config(listen, known, counter, discovery).replace("\"deadline\":4000000000", &timeout));
+        let mut child = command.stderr(Stdio::null()).spawn().expect("starts");
         thread::sleep(Duration::from_millis(50));
         if child.try_wait().expect("a child").is_none() {
-            return (listen, child);
+            return (listen, child, file);
         }
     }
     panic!("no gatekeeper could be started");
