A counter's answer with no number is an added amount, and its connection ends at once

A probe that printed answers and what was left in the buffers (in a copy) showed four kinds of spoilt answer: noise, a body of 0x, - or 1e, Content-Length: 90 with no body, each followed by silence; 35 to 49 calls waited behind. At fault: counter.rs kept the connection after (200, no number), waited a second for the 90 bytes, and each call behind cut the pace by 0.7 (policy.rs, counted), down to its least. Ruled out: 503s (none), late totals (2%).

Now the amount counts as added (one line in counted: it is known in the next total, not taken for the others' use), the connection ends at once, and a body longer than a number can be is spoilt when its head has come.

Tests: totals_that_cannot_be_read, of the module and over sockets.

--- a/crates/gatekeeper/src/counter.rs
+++ b/crates/gatekeeper/src/counter.rs
@@ -19,6 +19,8 @@
 const GIVEN_UP: f64 = 20.0;
 /// The counter closes idle connections after ten seconds or less; this side does so well before.
 const IDLE: Span = Span::from_millis(4_000);
+/// A total is a number: an answer with a longer body tells none.
+const MOST_TOTAL: usize = 64;
 
 struct Call {
     name: CountName,
@@ -165,29 +167,42 @@
                 return true;
             }
             let bytes = inbound.bytes();
-            let extent = match http::answer_extent(bytes, false) {
+            let extent = match http::answer_extent(bytes, false, MOST_TOTAL) {
                 Ok(Some(extent)) => extent,
                 Ok(None) => return true,
-                Err(_) => return false,
+                Err(_) => {
+                    drop(inbound);
+                    self.counted(gate, Outcome::Succeeded, f32::NAN);
+                    return false;
+                }
             };
             let Ok(Some((answer, _))) = http::answer(&bytes[..extent.head]) else { return false };
             let body = std::str::from_utf8(&bytes[extent.body.clone()]).unwrap_or("");
             let total = body.trim().parse::<f32>().ok().filter(|t| t.is_finite());
             let (outcome, total) = match (answer.status, total) {
                 (200, Some(total)) => (Outcome::Succeeded, total),
+                (200, None) => (Outcome::Succeeded, f32::NAN),
                 (503 | 400 | 404, _) => (Outcome::Full, 0.0),
                 _ => (Outcome::Errored, 0.0),
             };
             inbound.consume(extent.all);
             drop(inbound);
-            let Some(call) = self.waiting().pop_front() else { return false };
-            gate.desk.counted(gate.clock.now(), call.name, outcome, total);
-            if !extent.keep_alive {
+            // Nothing more comes where an answer was spoilt: what waits behind it would wait for its time limit, and
+            // be taken for a counter that is asked too much.
+            if !self.counted(gate, outcome, total) || total.is_nan() || !extent.keep_alive {
                 return false;
             }
         }
     }
 
+    /// The first call has its answer; whether there was one. An answer that can't be read tells that the amount was
+    /// added and nothing more: its total is no number.
+    fn counted(&self, gate: &Gate, outcome: Outcome, total: f32) -> bool {
+        let Some(call) = self.waiting().pop_front() else { return false };
+        gate.desk.counted(gate.clock.now(), call.name, outcome, total);
+        true
+    }
+
     /// What is unanswered: the calls whose bytes are still here were not added, of the others nobody knows.
     fn end(self: &Arc<Self>, gate: &Arc<Gate>) {
         self.conn.close();
--- a/crates/gatekeeper/src/http.rs
+++ b/crates/gatekeeper/src/http.rs
@@ -142,11 +142,12 @@
     let framing = call.headers.framing()?.unwrap_or(Framing::Length(0));
     let says = |token| call.headers.has_token("connection", token);
     let keep_alive = !says("close") && (!call.is_old || says("keep-alive"));
-    extent(bytes, head, framing, keep_alive)
+    extent(bytes, head, framing, keep_alive, MOST_BODY)
 }
 
-/// Where an answer ends, once it is whole; `ended` says that no more comes.
-pub fn answer_extent(bytes: &mut [u8], ended: bool) -> Result<Option<Extent>, Bad> {
+/// Where an answer ends, once it is whole; `ended` says that no more comes, `most` how long its body may be. One
+/// that says to be longer is no answer, and is not waited for.
+pub fn answer_extent(bytes: &mut [u8], ended: bool, most: usize) -> Result<Option<Extent>, Bad> {
     let Some((answer, head)) = answer(bytes)? else { return Ok(None) };
     let bare = answer.status < 200 || matches!(answer.status, 204 | 304);
     let framing =
@@ -154,22 +155,28 @@
     let keep_alive = !answer.is_old && !answer.headers.has_token("connection", "close");
     match framing {
         Framing::UntilEnd if !ended => {
-            if bytes.len() - head > MOST_BODY {
+            if bytes.len() - head > most {
                 Err(Bad(502, "answer too large"))
             } else {
                 Ok(None)
             }
         }
-        Framing::UntilEnd => extent(bytes, head, Framing::Length(bytes.len() - head), false),
-        framing => extent(bytes, head, framing, keep_alive),
+        Framing::UntilEnd => extent(bytes, head, Framing::Length(bytes.len() - head), false, most),
+        framing => extent(bytes, head, framing, keep_alive, most),
     }
 }
 
-fn extent(bytes: &mut [u8], head: usize, framing: Framing, keep_alive: bool) -> Result<Option<Extent>, Bad> {
+fn extent(
+    bytes: &mut [u8],
+    head: usize,
+    framing: Framing,
+    keep_alive: bool,
+    most: usize,
+) -> Result<Option<Extent>, Bad> {
     let (body, taken) = match framing {
-        Framing::Length(n) if n > MOST_BODY => return Err(Bad(413, "body too large")),
+        Framing::Length(n) if n > most => return Err(Bad(413, "body too large")),
         Framing::Length(n) => (n, n),
-        _ => match unchunk(&mut bytes[head..])? {
+        _ => match unchunk(&mut bytes[head..], most)? {
             Some(both) => both,
             None => return Ok(None),
         },
@@ -181,7 +188,7 @@
 }
 
 /// Puts a chunked body together in place once it is whole: its length, and how much it took up.
-fn unchunk(bytes: &mut [u8]) -> Result<Option<(usize, usize)>, Bad> {
+fn unchunk(bytes: &mut [u8], most: usize) -> Result<Option<(usize, usize)>, Bad> {
     let mut total = 0;
     // First only looked through: it may have to wait for more.
     let mut at = 0;
@@ -189,11 +196,10 @@
     loop {
         let Some((start, size)) = chunk(bytes, at)? else {
             // What is there of it is already more than a body may hold, with its framing.
-            let most = MOST_BODY + MOST_HEAD;
-            return if bytes.len() > most { Err(Bad(413, "body too large")) } else { Ok(None) };
+            return if bytes.len() > most + MOST_HEAD { Err(Bad(413, "body too large")) } else { Ok(None) };
         };
         total += size;
-        if total > MOST_BODY {
+        if total > most {
             return Err(Bad(413, "body too large"));
         }
         if size == 0 {
@@ -285,7 +291,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::{Bad, answer_extent, call_extent};
+    use super::{Bad, MOST_BODY, answer_extent, call_extent};
 
     /// What is not whole waits, at whatever byte it was cut; what is whole is found with what follows it.
     #[test]
@@ -336,7 +342,7 @@
         ];
         for (text, ended, wanted) in cases {
             let mut bytes = text.as_bytes().to_vec();
-            let got = answer_extent(&mut bytes, ended);
+            let got = answer_extent(&mut bytes, ended, MOST_BODY);
             let got = got.map(|e| e.map(|e| (String::from_utf8_lossy(&bytes[e.body]), e.keep_alive)));
             let got =
                 got.as_ref().map(|e| e.as_ref().map(|(b, k)| (&**b, *k))).map_err(|Bad(status, _)| *status);
--- a/crates/gatekeeper/src/workers.rs
+++ b/crates/gatekeeper/src/workers.rs
@@ -12,7 +12,7 @@
 use crate::conn::{Conn, Got, Ring};
 use crate::coroutine::go_then;
 use crate::desk::{self, GiveUp, Next};
-use crate::http::{self, Extent, MOST_MESSAGE};
+use crate::http::{self, Extent, MOST_BODY, MOST_MESSAGE};
 use crate::log;
 use crate::program::Gate;
 
@@ -356,7 +356,7 @@
                 return true;
             }
             let bytes = inbound.bytes();
-            let extent = match http::answer_extent(bytes, ended) {
+            let extent = match http::answer_extent(bytes, ended, MOST_BODY) {
                 Ok(Some(extent)) => extent,
                 Ok(None) => return true,
                 Err(_) => {
--- a/crates/gatekeeper/tests/sockets.rs
+++ b/crates/gatekeeper/tests/sockets.rs
@@ -242,6 +242,25 @@
     }
 }
 
+/// A counter's answer that holds no total ends its connection at once, and the calls after it go on elsewhere.
+#[test]
+fn totals_that_cannot_be_read() {
+    let cases = ["Content-Length: 2\r\n\r\n0x", "Content-Length: 90\r\n\r\n", "no header\r\n\r\n"];
+    for case in cases {
+        let world = World::new(2, 0, Some(1.0));
+        let bad = support::counter_that_says(Some(format!("HTTP/1.1 200 OK\r\n{case}")));
+        world.reload(&config(world.addr, "{}", bad.addr, world.discovery.addr));
+        let calls = || bad.calls.lock().expect("not poisoned").len();
+        for n in 1..3 {
+            let id = world.script(&[]);
+            assert_eq!(world.invoke(&text("put", "wide", &id, 3000)).expect("an answer").status(), 200);
+            world.until("it calls", || calls() >= n);
+            thread::sleep(Duration::from_millis(200));
+            assert_eq!((calls(), bad.closed.load(Ordering::SeqCst)), (n, n as u32), "{case:?}");
+        }
+    }
+}
+
 /// Drains and newcomers are followed; a watch that falls silent is opened anew, from what was heard last.
 #[test]
 fn the_list() {
--- a/crates/gatekeeper/tests/support/mod.rs
+++ b/crates/gatekeeper/tests/support/mod.rs
@@ -159,23 +159,29 @@
 pub struct Counter {
     pub addr: SocketAddr,
     pub calls: Arc<Mutex<Vec<String>>>,
+    /// Connections that ended.
+    pub closed: Arc<AtomicU32>,
 }
 
 pub fn counter(total: Option<f64>) -> Counter {
+    let total = total.map(|t| t.to_string());
+    counter_that_says(total.map(|t| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{t}", t.len())))
+}
+
+/// The same, which gives each call one and the same answer.
+pub fn counter_that_says(answer: Option<String>) -> Counter {
     let (on, addr) = listener();
-    let calls: Arc<Mutex<Vec<String>>> = Arc::default();
-    let kept = calls.clone();
+    let counter = Counter { addr, calls: Arc::default(), closed: Arc::default() };
+    let (calls, closed) = (counter.calls.clone(), counter.closed.clone());
     serve(on, move |stream| {
         let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
         while let Some(message) = Message::read(&mut reader) {
-            kept.lock().expect("not poisoned").push(message.first);
-            let Some(total) = total else { continue };
-            let total = total.to_string();
-            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{total}", total.len());
-            let _ = (&stream).write_all(answer.as_bytes());
+            calls.lock().expect("not poisoned").push(message.first);
+            let _ = answer.iter().try_for_each(|a| (&stream).write_all(a.as_bytes()));
         }
+        closed.fetch_add(1, Ordering::SeqCst);
     });
-    Counter { addr, calls }
+    counter
 }
 
 /// Tells the list to those who watch, and what came later to those who come later.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -334,8 +334,9 @@
                 refill(customer, plan, now);
                 hear_total(customer, plan, now, f64::from(total), amount);
             }
-            // Known not to be added: it goes with the next report of this window. Later ones leave it out:
-            // reports piled up while the counter was down would pass the allowance all at once.
+            // Added, but the total can't be read: the next one is known to hold this.
+            Outcome::Succeeded => customer.shared.total += amount,
+            // Not added: goes with this window's next report. Later ones leave out what piled up meanwhile.
             Outcome::Full | Outcome::ConnectFailed => customer.shared.unadded += amount,
             // Perhaps added: then it comes back as the others' use.
             _ => {}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -132,6 +132,25 @@
     }
 }
 
+/// What was added with no total to be read is not taken for the others' use when the next total holds it.
+#[test]
+fn totals_that_cannot_be_read() {
+    let go_on = |spoilt: (Outcome, f32)| {
+        let mut world = World::new(&settings(), 4);
+        let answers = [(101, (Outcome::Succeeded, 1.0)), (201, spoilt), (301, (Outcome::Succeeded, 3.0))];
+        for (n, (ms, (outcome, total))) in answers.into_iter().enumerate() {
+            if n < 2 {
+                world.invoke(ms, n as u32, 0, 0, 1.0 + n as f32, 2.0);
+            }
+            let said = world.timer(ms, report_tag(1));
+            let Some(Said::Add(name, _)) = said.last() else { panic!("no report: {said:?}") };
+            world.gatekeeper.counted(at(ms), *name, outcome, total);
+        }
+        (10..20).filter(|inv| delivered(&world.invoke(301, *inv, 0, 0, 0.5, 2.0)).is_some()).count()
+    };
+    assert_eq!([(Outcome::Succeeded, f32::NAN), (Outcome::TimedOut, 0.0)].map(go_on), [4, 2]);
+}
+
 /// What the counter turned away goes with the next report of the window, and with none after it.
 #[test]
 fn reports_that_were_turned_away() {
