Open ids, bad numbers and half messages are turned away in time and reach no worker

At fault: weight() took any finite number and did not read first; asked() took the first of repeated headers and any method; nothing knew which ids are open; is_over() had one time for all idle connections; make_room() let silent ones, which count as idle for less long, outlive those of usual clients. Ruled out: smuggling (a length and a coding were turned away already), bodies of 60 MB (413 at the head), memory (4 MB).

Now bounds come from the settings (maxUnits, balancers, deadlines), ids of open invocations are kept hashed until the answer or the client's end, a new connection has 2 s, half a message gets 408 after 2 s, the 16th useless message on end is the last of its connection, and no more than a message's length is read over after the last answer.

Tests: ids_that_are_open, clients_that_take_up_room, more rows in bad_input, weights, connections_that_end.

--- a/crates/gatekeeper/src/clients.rs
+++ b/crates/gatekeeper/src/clients.rs
@@ -1,13 +1,14 @@
 //! Clients: their connections, what they ask, and the answers they get.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::hash::{BuildHasher, RandomState};
 use std::io::{self, Write};
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use lynxstair::types::{Arrival, CustomerId, DeliveryNo, InvId, OperationId, Outcome, PlanId, Span, Time};
-use lynxstair_settings::Names;
+use lynxstair_settings::Bounds;
 use may::io::{CoIo, WaitIo};
 
 use crate::conn::{Conn, Got, Ring};
@@ -18,11 +19,19 @@
 use crate::program::Gate;
 use crate::workers::Link;
 
-/// A message must be whole, and an answer taken, within so long; a connection may stand idle for longer.
-const MESSAGE_TIME: Span = Span::from_millis(10_000);
-const IDLE_TIME: Span = Span::from_millis(120_000);
-/// How long the rest of what a client sends is read over after the last answer.
+/// A connection brings its first invocation within so long, and a message is whole so long after its first byte:
+/// who sends nothing, or half a message, takes up no place.
+const FIRST_TIME: Span = Span::from_millis(2_000);
+const MESSAGE_TIME: Span = Span::from_millis(2_000);
+/// An answer is taken within so long, and a connection that had one may then stand idle for longer.
+const ANSWER_TIME: Span = Span::from_millis(5_000);
+const IDLE_TIME: Span = Span::from_millis(10_000);
+/// How long the rest of what a client sends is read over after the last answer, and how much of it.
 const ENDING_TIME: Span = Span::from_millis(1_000);
+const ENDING_BYTES: usize = MOST_MESSAGE;
+/// So many messages on end that can't be used are the last of their connection: what comes at full speed would
+/// take the core from the others.
+const MOST_BAD: u32 = 16;
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
 
@@ -43,13 +52,36 @@
     part_since: Option<Time>,
     /// An interim answer was given to the message that is coming in.
     told_to_go_on: bool,
+    /// It brought an invocation once; messages on end that could not be used; what was read over at the end.
+    has_asked: bool,
+    bad: u32,
+    read_over: usize,
+    /// The id of the invocation at hand, for as long as it is open.
+    id: Option<u64>,
     /// The connections that carry deliveries of the invocation at hand.
     links: Vec<(DeliveryNo, Arc<Link>)>,
 }
 
+impl State {
+    fn new(now: Time) -> Self {
+        State {
+            stage: Stage::Waiting,
+            since: now,
+            part_since: None,
+            told_to_go_on: false,
+            has_asked: false,
+            bad: 0,
+            read_over: 0,
+            id: None,
+            links: Vec::new(),
+        }
+    }
+}
+
 /// One connection of a client.
 pub struct Client {
     number: u64,
+    opened_at: Time,
     conn: Conn,
     state: Mutex<State>,
 }
@@ -64,6 +96,9 @@
 pub struct Clients {
     listener: CoIo<TcpListener>,
     open: Mutex<HashMap<u64, Arc<Client>>>,
+    /// The ids of open invocations, hashed: a second one under the id of an open one is not let in.
+    ids: Mutex<HashSet<u64>>,
+    hasher: RandomState,
     most: usize,
     last: AtomicU64,
     /// No more are accepted: the listener is to be closed.
@@ -79,6 +114,8 @@
         Ok(Clients {
             listener,
             open: Mutex::new(HashMap::new()),
+            ids: Mutex::new(HashSet::new()),
+            hasher: RandomState::new(),
             most,
             last: AtomicU64::new(0),
             closing: AtomicBool::new(false),
@@ -90,6 +127,10 @@
         self.open.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    fn ids(&self) -> MutexGuard<'_, HashSet<u64>> {
+        self.ids.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     fn all(&self) -> Vec<Arc<Client>> {
         self.open().values().cloned().collect()
     }
@@ -125,29 +166,29 @@
             Err(e) => return log!("a client's connection: {e}"),
         };
         let number = self.last.fetch_add(1, Ordering::Relaxed);
-        let since = gate.clock.now();
-        let state =
-            State { stage: Stage::Waiting, since, part_since: None, told_to_go_on: false, links: Vec::new() };
-        let client = Arc::new(Client { number, conn, state: Mutex::new(state) });
+        let opened_at = gate.clock.now();
+        let client = Arc::new(Client { number, opened_at, conn, state: Mutex::new(State::new(opened_at)) });
         self.open().insert(number, client.clone());
         let (serving, serving_gate, gate) = (client.clone(), gate.clone(), gate.clone());
         let serve = move || serving.serve(&serving_gate);
         go_then("a client", serve, move |panicked| client.leave(&gate, panicked));
     }
 
-    /// Closes the connection that has stood idle the longest.
+    /// Closes a connection that holds nothing: one that never asked anything goes before one that did, and of
+    /// each the one that has done nothing for the longest. So those that connect and say nothing, or half a
+    /// message, don't take the places of the others.
     fn make_room(&self, now: Time) -> bool {
         let open = self.open();
-        let idle = open.values().filter(|c| c.is_idle()).map(|c| (now - c.state().since, c));
-        let Some((_, client)) = idle.max_by_key(|(idle, _)| *idle) else { return false };
+        let spare = open.values().filter_map(|c| Some((c.spare(now)?, c)));
+        let Some((_, client)) = spare.max_by_key(|(spare, _)| *spare) else { return false };
         client.conn.close();
         true
     }
 
     /// Ends connections on which nothing has moved for too long.
-    pub fn tick(&self, now: Time) {
+    pub fn tick(&self, gate: &Arc<Gate>, now: Time) {
         for client in self.all() {
-            client.check(now);
+            client.check(gate, now);
         }
         self.let_in();
     }
@@ -196,6 +237,20 @@
         self.state().stage == Stage::Waiting && self.conn.inbound().is_empty() && self.conn.unsent() == 0
     }
 
+    /// Whether the connection may be closed to make room: the first part orders those that may.
+    fn spare(&self, now: Time) -> Option<(bool, Span)> {
+        let state = self.state();
+        match state.stage {
+            Stage::Serving(..) => None,
+            Stage::Ending => Some((true, now - state.since)),
+            Stage::Waiting if !state.has_asked => Some((true, now - self.opened_at)),
+            Stage::Waiting => {
+                let is_idle = self.conn.inbound().is_empty() && self.conn.unsent() == 0;
+                is_idle.then(|| (false, now - state.since))
+            }
+        }
+    }
+
     fn serve(self: &Arc<Self>, gate: &Arc<Gate>) {
         loop {
             while self.take_message(gate) {}
@@ -211,6 +266,7 @@
             self.give_up(gate);
         }
         self.let_go(gate);
+        self.forget(gate, &mut self.state());
         self.conn.close();
         gate.clients.open().remove(&self.number);
         gate.clients.let_in();
@@ -228,6 +284,14 @@
         Some(inv)
     }
 
+    /// The invocation at hand is over: its id may come again.
+    fn forget(&self, gate: &Gate, state: &mut State) {
+        state.links.clear();
+        if let Some(id) = state.id.take() {
+            gate.clients.ids().remove(&id);
+        }
+    }
+
     /// Acts on the next message, if it is whole; whether there may be another one.
     fn take_message(self: &Arc<Self>, gate: &Arc<Gate>) -> bool {
         let mut state = self.state();
@@ -236,6 +300,10 @@
             Stage::Ending => {
                 let n = inbound.len();
                 inbound.consume(n);
+                state.read_over += n;
+                if state.read_over > ENDING_BYTES {
+                    self.conn.close();
+                }
                 return false;
             }
             Stage::Serving(..) => return false,
@@ -263,13 +331,20 @@
             }
         };
         let asked = match http::call(&bytes[..extent.head]) {
-            Ok(Some((call, _))) => asked(&call, &gate.names, gate.ticker.came_at(now)),
+            Ok(Some((call, _))) => asked(&call, gate, gate.ticker.came_at(now)),
             _ => Err(Bad(400, "malformed")),
         };
+        let asked = asked.and_then(|asked| match asked {
+            Asked::Invocation(_, id) if !gate.clients.ids().insert(id) => Err(Bad(409, "an id that is open")),
+            asked => Ok(asked),
+        });
         state.told_to_go_on = false;
         state.part_since = None;
         let arrival = match asked {
-            Ok(Asked::Invocation(arrival)) => arrival,
+            Ok(Asked::Invocation(arrival, id)) => {
+                state.id = Some(id);
+                arrival
+            }
             Ok(Asked::Up) => {
                 drop((state, inbound));
                 let (status, body) = if gate.is_leaving() { (503, "leaving\n") } else { (200, "up\n") };
@@ -277,12 +352,15 @@
                 return true;
             }
             Err(bad) => {
+                state.bad += 1;
+                let is_last = state.bad >= MOST_BAD;
                 drop((state, inbound));
-                self.say(gate, bad.0, bad.1, Some(&extent));
+                self.say(gate, bad.0, bad.1, Some(&extent).filter(|_| !is_last));
                 return true;
             }
         };
         drop(inbound);
+        (state.has_asked, state.bad) = (true, 0);
         let (inv, pick) = gate.desk.pick(now, arrival, self.clone());
         state.stage = Stage::Serving(inv, extent);
         state.since = now;
@@ -341,7 +419,7 @@
             return;
         }
         let extent = extent.clone();
-        state.links.clear();
+        self.forget(gate, &mut state);
         self.write(gate, &mut state, Some(&extent), put);
     }
 
@@ -384,96 +462,124 @@
         }
     }
 
-    fn check(&self, now: Time) {
-        let state = self.state();
-        let is_over = is_over(&state, self.conn.unsent() > 0, now);
-        drop(state);
-        if is_over {
-            self.conn.close();
+    fn check(&self, gate: &Arc<Gate>, now: Time) {
+        let mut state = self.state();
+        if !is_over(&state, self.conn.unsent() > 0, self.opened_at, now) {
+            return;
         }
+        if state.stage == Stage::Waiting && state.part_since.is_some() {
+            let put = |out: &mut Ring, keep| http::put_answer(out, 408, "", "not whole in time\n", keep);
+            return self.write(gate, &mut state, None, put);
+        }
+        drop(state);
+        self.conn.close();
     }
 }
 
 /// Whether nothing has moved on a connection for too long. A message that has just begun counts from then,
-/// however long the connection stood idle before: closing it would lose the invocation.
-fn is_over(state: &State, has_unsent: bool, now: Time) -> bool {
+/// however long the connection stood idle before: closing it would lose the invocation. Before the first one the
+/// whole time counts.
+fn is_over(state: &State, has_unsent: bool, opened_at: Time, now: Time) -> bool {
     let waited = now - state.since;
+    let is_new_and_old = !state.has_asked && now - opened_at > FIRST_TIME;
     match state.stage {
         Stage::Serving(..) => false,
-        _ if has_unsent => waited > MESSAGE_TIME,
+        _ if has_unsent => waited > ANSWER_TIME,
         Stage::Ending => waited > ENDING_TIME,
         Stage::Waiting => match state.part_since {
-            Some(part) => now - part > MESSAGE_TIME,
-            None => waited > IDLE_TIME,
+            Some(part) => now - part > MESSAGE_TIME || is_new_and_old,
+            None => waited > IDLE_TIME || is_new_and_old,
         },
     }
 }
 
 enum Asked {
     Up,
-    Invocation(Arrival),
+    /// With its id, hashed.
+    Invocation(Arrival, u64),
 }
 
 /// What a client asks for, in the words of the protocol.
-fn asked(call: &Call, names: &Names, came_at: Time) -> Result<Asked, Bad> {
+fn asked(call: &Call, gate: &Gate, came_at: Time) -> Result<Asked, Bad> {
+    let (names, bounds) = (&gate.names, &gate.bounds);
     let path = call.target.split(['?', '#']).next().unwrap_or("");
     if path == "/up" {
         return Ok(Asked::Up);
     }
     let first = path.strip_prefix('/').ok_or(Bad(400, "bad target"))?.split('/').next().unwrap_or("");
     let operation = position(&names.operations, first).ok_or(Bad(404, "unknown operation"))?;
-    if !matches!(call.method, "GET" | "POST" | "PUT" | "PATCH" | "DELETE") {
+    let (timeout, is_idempotent) = bounds.operations[operation];
+    let fits =
+        if is_idempotent { call.method == "GET" } else { matches!(call.method, "POST" | "PUT" | "PATCH") };
+    if !fits {
         return Err(Bad(405, "bad method"));
     }
-    let header = |name| call.headers.get(name);
-    let id = header("request-id").ok_or(Bad(400, "no id"))?;
+    let header = |name| call.headers.only(name);
+    let id = header("request-id")?.ok_or(Bad(400, "no id"))?;
     if id.is_empty() || id.len() > 128 {
         return Err(Bad(400, "bad id"));
     }
-    let plan = header("x-tariff").ok_or(Bad(400, "no plan"))?;
+    let plan = header("x-tariff")?.ok_or(Bad(400, "no plan"))?;
     let plan = position(&names.plans, plan).ok_or(Bad(400, "unknown plan"))?;
-    let cookies = header("cookie").ok_or(Bad(400, "no key"))?;
+    let cookies = header("cookie")?.ok_or(Bad(400, "no key"))?;
     let key = cookies.split(';').find_map(|c| c.trim().strip_prefix("key=")).ok_or(Bad(400, "no key"))?;
     let customer = u64::from_str_radix(key, 16).ok().filter(|k| *k < CUSTOMERS && !key.starts_with('+'));
     let customer = customer.ok_or(Bad(400, "bad key"))?;
-    let patience = header("request-timeout-ms").ok_or(Bad(400, "no time limit"))?;
+    let patience = header("request-timeout-ms")?.ok_or(Bad(400, "no time limit"))?;
     let patience: u32 = patience.parse().map_err(|_| Bad(400, "bad time limit"))?;
-    let (units, spread) = weight(header("x-weight").unwrap_or(""))?;
-    Ok(Asked::Invocation(Arrival {
+    // No client waits longer than its operation's integration timeout.
+    let patience = Span::from_millis(u64::from(patience)).min(timeout);
+    let (units, spread) = weight(header("x-weight")?.unwrap_or(""), bounds)?;
+    let arrival = Arrival {
         inv: InvId::default(),
-        valid_until: came_at + Span::from_millis(u64::from(patience)),
+        valid_until: came_at + patience,
         customer: CustomerId(customer),
         operation: OperationId(operation as u8),
         plan: PlanId(plan as u16),
         spread,
         units,
-    }))
+    };
+    Ok(Asked::Invocation(arrival, gate.clients.hasher.hash_one(id)))
 }
 
 fn position(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|n| n == name)
 }
 
-/// The units that it counts, and at how many gatekeepers its customer comes in; not a number where not told.
-fn weight(text: &str) -> Result<(f32, f32), Bad> {
-    let (mut units, mut spread) = (f32::NAN, f32::NAN);
+/// The units that it counts, and at how many gatekeepers its customer comes in; not a number where not told. What
+/// the settings rule out is bad: it would be charged to a customer who never asked for it.
+fn weight(text: &str, bounds: &Bounds) -> Result<(f32, f32), Bad> {
+    const BAD: Bad = Bad(400, "bad weight");
+    let (mut units, mut spread, mut first) = (None, None, None);
     for part in text.split(',') {
         let Some((name, value)) = part.split_once('=') else { continue };
-        let place = match name.trim() {
-            "units" => &mut units,
-            "spread" => &mut spread,
-            _ => continue,
+        let value = value.trim();
+        let whole = || value.parse::<u32>().ok().filter(|_| !value.starts_with('+'));
+        let is_twice = match name.trim() {
+            "units" => {
+                let number = value.parse::<f32>().ok().filter(|n| *n > 0.0 && *n <= bounds.units);
+                units.replace(number.ok_or(BAD)?).is_some()
+            }
+            "spread" => {
+                let number = whole().filter(|n| (1..=bounds.gatekeepers).contains(n));
+                spread.replace(number.ok_or(BAD)?).is_some()
+            }
+            "first" => first.replace(whole().filter(|n| *n < bounds.gatekeepers).ok_or(BAD)?).is_some(),
+            _ => false,
         };
-        let number = value.trim().parse::<f32>().ok().filter(|n| n.is_finite() && *n >= 0.0);
-        *place = number.ok_or(Bad(400, "bad weight"))?;
+        if is_twice {
+            return Err(BAD);
+        }
     }
-    Ok((units, spread))
+    Ok((units.unwrap_or(f32::NAN), spread.map_or(f32::NAN, |s| s as f32)))
 }
 
 #[cfg(test)]
 mod tests {
     use lynxstair::types::{InvId, Time};
 
+    use lynxstair_settings::Bounds;
+
     use super::{Stage, State, is_over, weight};
     use crate::http::{Bad, Extent};
 
@@ -485,45 +591,64 @@
     fn connections_that_end() {
         use Stage::{Ending, Waiting};
         let serving = Stage::Serving(InvId(1), Extent::default());
-        // The stage, since second 100; when a message began; whether bytes are unsent; the second; is it over.
+        // The stage, since second 100, of a connection opened then that brought an invocation or did not; when a
+        // message began; whether bytes are unsent; the second; is it over.
         let cases = [
-            (Waiting, None, false, 200, false),
-            (Waiting, None, false, 221, true),
+            (Waiting, true, None, false, 109, false),
+            (Waiting, true, None, false, 111, true),
             // A message that begins after a long rest has its own time.
-            (Waiting, Some(119), false, 120, false),
-            (Waiting, Some(119), false, 128, false),
-            (Waiting, Some(119), false, 130, true),
-            (Waiting, None, true, 111, true),
-            (serving.clone(), None, false, 900, false),
-            (serving, None, true, 900, false),
-            (Ending, None, false, 101, false),
-            (Ending, None, false, 102, true),
-            (Ending, None, true, 109, false),
-            (Ending, None, true, 111, true),
+            (Waiting, true, Some(109), false, 110, false),
+            (Waiting, true, Some(109), false, 111, false),
+            (Waiting, true, Some(109), false, 112, true),
+            // Nothing, or half a message, on a new connection.
+            (Waiting, false, None, false, 102, false),
+            (Waiting, false, None, false, 103, true),
+            (Waiting, false, Some(101), false, 102, false),
+            (Waiting, false, Some(102), false, 103, true),
+            (Waiting, true, None, true, 106, true),
+            (serving.clone(), true, None, false, 900, false),
+            (serving, true, None, true, 900, false),
+            (Ending, false, None, false, 101, false),
+            (Ending, false, None, false, 102, true),
+            (Ending, false, None, true, 104, false),
+            (Ending, false, None, true, 106, true),
         ];
-        for (stage, part, has_unsent, now, wanted) in cases {
-            let case = format!("{stage:?} {part:?} {has_unsent} {now}");
-            let part_since = part.map(at);
-            let state = State { stage, since: at(100), part_since, told_to_go_on: false, links: vec![] };
-            assert_eq!(is_over(&state, has_unsent, at(now)), wanted, "{case}");
+        for (stage, has_asked, part, has_unsent, now, wanted) in cases {
+            let case = format!("{stage:?} {has_asked} {part:?} {has_unsent} {now}");
+            let state = State { stage, has_asked, part_since: part.map(at), ..State::new(at(100)) };
+            assert_eq!(is_over(&state, has_unsent, at(100), at(now)), wanted, "{case}");
         }
     }
 
     #[test]
     fn weights() {
         let bad = Err(Bad(400, "bad weight"));
+        let bounds = Bounds { gatekeepers: 3, units: 4.0, operations: vec![] };
         let cases = [
             ("units=2,spread=3,first=1", Ok((2.0, 3.0))),
             (" spread = 3 , units = 2.5, more=x", Ok((2.5, 3.0))),
             ("units=2", Ok((2.0, f32::NAN))),
             ("", Ok((f32::NAN, f32::NAN))),
+            ("units=4,spread=1,first=0", Ok((4.0, 1.0))),
             ("units=", bad),
             ("units=NaN", bad),
+            ("units=inf", bad),
+            ("units=0", bad),
+            ("units=-40", bad),
+            ("units=4.1", bad),
+            ("units=1,units=2", bad),
             ("spread=-1", bad),
-            ("spread=1e99", bad),
+            ("spread=0", bad),
+            ("spread=+2", bad),
+            ("spread=2.5", bad),
+            ("spread=4", bad),
+            ("spread=99999999999999999999", bad),
+            ("first=-1", bad),
+            ("first=x", bad),
+            ("first=3", bad),
         ];
         for (text, wanted) in cases {
-            assert_eq!(format!("{:?}", weight(text)), format!("{wanted:?}"), "{text}");
+            assert_eq!(format!("{:?}", weight(text, &bounds)), format!("{wanted:?}"), "{text}");
         }
     }
 }
--- a/crates/gatekeeper/src/http.rs
+++ b/crates/gatekeeper/src/http.rs
@@ -66,6 +66,14 @@
         std::str::from_utf8(found.1).ok().map(str::trim)
     }
 
+    /// A header that must not come twice: peers that take the one and the other would not agree on what was said.
+    pub fn only(&self, name: &str) -> Result<Option<&'a str>, Bad> {
+        let mut named = self.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        let Some((_, value)) = named.next() else { return Ok(None) };
+        let text = std::str::from_utf8(value).map_err(|_| Bad(400, "not text"))?;
+        if named.next().is_some() { Err(Bad(400, "a header twice")) } else { Ok(Some(text.trim())) }
+    }
+
     /// Those that are passed on: all but what belongs to one connection, by its name or by what `Connection` names.
     pub fn passed_on(&self) -> impl Iterator<Item = (&'a str, &'a [u8])> {
         let names_more = self.get("connection").is_some();
@@ -280,6 +288,8 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
--- a/crates/gatekeeper/src/program.rs
+++ b/crates/gatekeeper/src/program.rs
@@ -6,7 +6,7 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 
 use lynxstair::types::{Outcome, Span, Time};
-use lynxstair_settings::Names;
+use lynxstair_settings::{Bounds, Names};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -53,6 +53,7 @@
 pub struct Gate {
     pub clock: Clock,
     pub names: Names,
+    pub bounds: Bounds,
     pub desk: Desk<Arc<Client>>,
     pub ticker: Ticker,
     pub clients: Clients,
@@ -130,7 +131,7 @@
         self.counter.tick(now);
         self.discovery.tick(self, now);
         if upkeep {
-            self.clients.tick(now);
+            self.clients.tick(self, now);
             self.workers.close_idle(now);
         }
         if let Some(left_at) = left {
@@ -226,6 +227,7 @@
     Ok(Gate {
         clock,
         names: handed.names.clone(),
+        bounds: handed.bounds.clone(),
         desk: Desk::open(clock.now(), config.seed, &handed.settings),
         ticker: Ticker::new(clock, handed.settings.step)?,
         clients: Clients::listen(config.listen, clients)?,
--- a/crates/gatekeeper/tests/sockets.rs
+++ b/crates/gatekeeper/tests/sockets.rs
@@ -96,6 +96,13 @@
         ("no time", good.replace("Request-Timeout-Ms", "X"), 400),
         ("units below none", good.replace("units=1", "units=-1"), 400),
         ("units without end", good.replace("units=1", "units=inf"), 400),
+        ("no units", good.replace("units=1", "units=0"), 400),
+        ("more units than there are", good.replace("units=1", "units=4.5"), 400),
+        ("units twice", good.replace("units=1", "units=1,units=2"), 400),
+        ("a spread past the gatekeepers", good.replace("spread=2", "spread=3"), 400),
+        ("a first past the gatekeepers", good.replace("first=0", "first=2"), 400),
+        ("two ids", good.replace("X-More", "Request-Id: 00000000000000fe\r\nX-More"), 400),
+        ("a method of another operation", good.replace("GET ", "POST "), 405),
         ("a spread that is no number", good.replace("spread=2", "spread=two"), 400),
         ("a method for heads only", good.replace("GET ", "HEAD "), 405),
         ("a length that is no number", long("4x"), 400),
@@ -124,6 +131,54 @@
     assert_eq!((seen.header("x-mine"), seen.header("connection"), seen.header("x-more")), ("", "", "kept"));
 }
 
+/// A second invocation under the id of an open one is turned away, on any connection; once that is answered, or
+/// its client is gone, the id is free.
+#[test]
+fn ids_that_are_open() {
+    let world = World::new(2, 0, Some(1.0));
+    let id = world.script(&[Does::SucceedsIn(300), Does::Hangs]);
+    let put = text("put", "wide", &id, 3000);
+    let client = world.client();
+    (&client).write_all(put.as_bytes()).expect("written");
+    world.until("the delivery has come", || world.seen.of(&id).len() == 1);
+    assert_eq!(world.invoke(&put).expect("an answer").status(), 409);
+    assert_eq!(Message::read(&mut BufReader::new(&client)).expect("an answer").status(), 200);
+    (&client).write_all(put.as_bytes()).expect("written");
+    world.until("the next has come", || world.seen.of(&id).len() == 2);
+    drop(client);
+    world.until("the client is gone", || world.seen.closed.load(Ordering::SeqCst) == 1);
+    assert_eq!(world.invoke(&put).expect("an answer").status(), 200);
+    assert_eq!(world.seen.of(&id).len(), 3);
+}
+
+/// Who says nothing, half a message or only what can't be used is let go of in time, and the others go on: with
+/// more connections than there is room for, those that never asked anything go first.
+#[test]
+fn clients_that_take_up_room() {
+    let world = World::new(2, 0, Some(1.0));
+    let kept = world.client();
+    let invoke = || ask(&kept, &text("put", "wide", &world.script(&[]), 3000)).expect("an answer").status();
+    assert_eq!(invoke(), 200);
+    let started = Instant::now();
+    let (silent, half, hasty) = (world.client(), world.client(), world.client());
+    (&half).write_all(b"POST /put/a HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf").expect("written");
+    (&hasty).write_all("GET /nothing HTTP/1.1\r\n\r\n".repeat(100).as_bytes()).expect("written");
+    let mut said = String::new();
+    let _ = (&hasty).read_to_string(&mut said);
+    assert_eq!(said.matches("HTTP/1.1 404").count(), 16);
+    assert_eq!((&silent).read(&mut [0]).expect("an end"), 0);
+    assert_eq!(Message::read(&mut BufReader::new(&half)).expect("an answer").status(), 408);
+    assert!(started.elapsed() < Duration::from_millis(3_000), "{:?}", started.elapsed());
+    // Of 256 descriptors 124 are for clients.
+    let crowd: Vec<_> = (0..300).map(|_| world.client()).collect();
+    assert_eq!(invoke(), 200);
+    assert_eq!(
+        world.invoke(&text("put", "wide", &world.script(&[]), 3000)).expect("an answer").status(),
+        200
+    );
+    assert_eq!((crowd.len(), invoke()), (300, 200));
+}
+
 /// Bodies pass unchanged both ways, up to the largest, also in chunks, and two messages in one piece.
 #[test]
 fn bodies_and_pieces() {
--- a/crates/gatekeeper/tests/support/mod.rs
+++ b/crates/gatekeeper/tests/support/mod.rs
@@ -340,7 +340,7 @@
  "classes":[{"name":"get","onTime":2000000000,"deadline":4000000000,"idempotency":"retryable","group":"all","points":1},
             {"name":"put","onTime":2000000000,"deadline":4000000000,"idempotency":"fragile","group":"all","points":1}],
  "packages":[{"name":"wide","refill":1000,"depth":1000,"pays":1},{"name":"narrow","refill":0.5,"depth":4,"pays":1}],
- "familyInfo":{"mayCount":true,"counterTimeout":50000000},
+ "familyInfo":{"mayCount":true,"maxUnits":4,"counterTimeout":50000000},
  "limits":{"cancel":true,"connectTimeout":250000000,"idleClose":1500000000,"maxAttempts":3,"maxRetryAfter":1000000000,
            "probes":true,"retryAfter":true,"secondCopies":true},
  "rules":{"fall":2000000000,"fallMultiple":2,"startCapacity":0.2,"stopSendingWithin":250000000,"warmWithin":10000000000}}"#;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,9 +9,19 @@
 pub struct Handed {
     pub settings: Settings,
     pub names: Names,
+    pub bounds: Bounds,
     pub limits: Limits,
 }
 
+/// What an invocation can say at the most.
+#[derive(Clone, Debug, Default)]
+pub struct Bounds {
+    pub gatekeepers: u32,
+    pub units: f32,
+    /// For each operation, its integration timeout and whether it is idempotent.
+    pub operations: Vec<(Span, bool)>,
+}
+
 /// Names in the order of the ids that stand for them.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
@@ -67,6 +77,7 @@
 #[serde(default, rename_all = "camelCase")]
 struct FamilyInfo {
     counter_timeout: u64,
+    max_units: f32,
     may_count: bool,
     meter_period: u64,
 }
@@ -122,7 +133,11 @@
         idle: span(wire.limits.idle_close, Span::from_millis(15_000)),
         counter: span(wire.family_info.counter_timeout, Span::from_millis(50)),
     };
-    let operations = wire.classes.iter().map(operation).collect();
+    let operations: Vec<Operation> = wire.classes.iter().map(operation).collect();
+    let of = |o: &Operation| (o.integration_timeout, o.repeat == Repeat::Idempotent);
+    let units = Some(wire.family_info.max_units).filter(|u| *u > 0.0).unwrap_or(f32::MAX);
+    let gatekeepers = if wire.balancers > 0 { wire.balancers } else { u32::MAX };
+    let bounds = Bounds { gatekeepers, units, operations: operations.iter().map(of).collect() };
     let plans = wire.packages.iter().map(plan).collect();
     let fields = wire.load_report.fields.iter();
     let load = fields.map(|f| match f.as_str() {
@@ -160,7 +175,7 @@
         zones: wire.areas,
         kinds: wire.shapes,
     };
-    Ok(Handed { settings, names, limits })
+    Ok(Handed { settings, names, bounds, limits })
 }
 
 fn operation(class: &Class) -> Operation {
