--- a/crates/gatekeeper/src/coroutine.rs
+++ b/crates/gatekeeper/src/coroutine.rs
@@ -17,24 +17,48 @@
     go_then(what, job, |_| ());
 }
 
-/// The same, and then what ends it, which is told whether the job panicked.
+/// The same, and then what ends it, which is told whether the job panicked. It comes on every path, also where there
+/// is no stack for the job.
 pub fn go_then(
     what: &'static str,
     job: impl FnOnce() + Send + 'static,
     end: impl FnOnce(bool) + Send + 'static,
 ) {
-    let guarded = move || {
-        let panicked = catch_unwind(AssertUnwindSafe(job)).is_err();
-        if catch_unwind(AssertUnwindSafe(|| end(panicked))).is_err() || panicked {
-            log!("a coroutine for {what} panicked");
-        }
-    };
+    let guarded = guarded(what, job, end);
     // Safe here as there is one worker thread: no coroutine moves to another, so thread locals stay valid;
     // the stack is far larger than what was measured, and has a guard page.
     #[allow(unsafe_code)]
-    let spawned = unsafe { may::coroutine::Builder::new().spawn(guarded) };
-    if let Err(e) = spawned {
-        log!("no coroutine for {what}: {e}");
+    let spawn = || unsafe { may::coroutine::Builder::new().spawn(guarded) };
+    // may panics where no stack can be had: that must not end the coroutine that asked, which accepts all others.
+    match catch_unwind(AssertUnwindSafe(spawn)) {
+        Ok(Ok(_)) => {}
+        Ok(Err(e)) => log!("no coroutine for {what}: {e}"),
+        Err(_) => log!("no coroutine for {what}"),
+    }
+}
+
+/// What is left to do after a job, done when this is dropped.
+struct Ending<E: FnOnce(bool)> {
+    what: &'static str,
+    end: Option<E>,
+    panicked: bool,
+}
+
+impl<E: FnOnce(bool)> Drop for Ending<E> {
+    fn drop(&mut self) {
+        let Some(end) = self.end.take() else { return };
+        if catch_unwind(AssertUnwindSafe(|| end(self.panicked))).is_err() || self.panicked {
+            log!("a coroutine for {} panicked", self.what);
+        }
+    }
+}
+
+fn guarded(what: &'static str, job: impl FnOnce(), end: impl FnOnce(bool)) -> impl FnOnce() {
+    let mut ending = Ending { what, end: Some(end), panicked: false };
+    move || {
+        // Taken as a whole, so that it is dropped with the closure where that never runs.
+        let ending = &mut ending;
+        ending.panicked = catch_unwind(AssertUnwindSafe(job)).is_err();
     }
 }
 
@@ -50,7 +74,24 @@
     use std::sync::mpsc::channel;
     use std::time::Duration;
 
-    use super::{go, prepare};
+    use super::{go, guarded, prepare};
+
+    /// What ends a job comes once: after it, after its panic, and where it never ran.
+    #[test]
+    fn the_end_comes_on_every_path() {
+        let (runs, panics, never) = (1, 2, 3);
+        for (case, wanted) in [(runs, false), (panics, true), (never, false)] {
+            let (said, heard) = channel();
+            let job =
+                guarded("a test", move || assert!(case != panics), move |p| said.send(p).expect("heard"));
+            if case != never {
+                job();
+            } else {
+                drop(job);
+            }
+            assert_eq!(heard.iter().collect::<Vec<_>>(), [wanted], "{case}");
+        }
+    }
 
     /// A panic ends its own coroutine only.
     #[test]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -202,7 +202,7 @@
         customer.own_since += units;
         guess_others(customer, now);
         customer.ceiling.level -= units;
-        customer.unreported += units;
+        customer.unreported += if customer.report_due { units } else { 0.0 };
         self.instance.spare = (self.instance.spare + SPARE_EACH).min(SPARE_MOST);
         self.deliver(now, inv, &mut invocation, worker, port);
         self.invocations.insert(inv, invocation);
@@ -325,9 +325,8 @@
         }
         let Some(amount) = customer.shared.in_call.take() else { return };
         // Calls that fail tell that all gatekeepers together ask too much of the counter.
-        let instance = &mut self.instance;
-        instance.call_rate *= if outcome == Outcome::Succeeded { CALLS_UP } else { CALLS_DOWN };
-        instance.call_rate = instance.call_rate.clamp(CALLS_LEAST, CALLS_MOST);
+        let change = if outcome == Outcome::Succeeded { CALLS_UP } else { CALLS_DOWN };
+        self.instance.call_rate = (self.instance.call_rate * change).clamp(CALLS_LEAST, CALLS_MOST);
         let plan = &self.figures.plans[customer.plan.0 as usize];
         match outcome {
             Outcome::Succeeded if total.is_finite() => {
@@ -686,9 +685,10 @@
     fn sweep(&mut self, now: Time) {
         let plans = &self.figures.plans;
         self.customers.retain(|_, c| {
-            refill(c, &plans[c.plan.0 as usize], now);
-            let is_full = c.tokens.level >= plans[c.plan.0 as usize].burst && c.unreported == 0.0;
-            !(is_full && c.out == 0 && !c.report_due && now - c.seen_at > IDLE)
+            let plan = &plans[c.plan.0 as usize];
+            refill(c, plan, now);
+            let is_full = plan.rate.is_none() || c.tokens.level >= plan.burst;
+            !(is_full && c.unreported == 0.0 && c.out == 0 && !c.report_due && now - c.seen_at > IDLE)
         });
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -132,6 +132,26 @@
     }
 }
 
+/// A customer that came once is let go of, also where it is never reported: one that comes back starts anew, with
+/// nothing of its ceiling.
+#[test]
+fn customers_that_came_once() {
+    for spread in [1.0, 2.0] {
+        let mut world = World::new(&settings(), 4);
+        world.invoke(1, 1, 0, 1, 0.5, spread);
+        let said = world.invoke(4001, 2, 0, 1, 0.5, spread);
+        let worker = delivered(&said).expect("its ceiling has filled");
+        world.end(4002, 2, 0, worker, Outcome::Succeeded);
+        if spread > 1.0 {
+            let said = world.timer(5001, report_tag(2));
+            let Some(Said::Add(name, _)) = said.last() else { panic!("no report: {said:?}") };
+            world.gatekeeper.counted(at(5002), *name, Outcome::Succeeded, 0.5);
+        }
+        world.pass(26_000);
+        assert_eq!(delivered(&world.invoke(26_001, 3, 0, 1, 0.5, spread)), None, "{spread}");
+    }
+}
+
 /// What was added with no total to be read is not taken for the others' use when the next total holds it.
 #[test]
 fn totals_that_cannot_be_read() {
