--- a/crates/gatekeeper/src/program.rs
+++ b/crates/gatekeeper/src/program.rs
@@ -30,7 +30,7 @@
 const LAST_ANSWERS: Span = Span::from_millis(250);
 const LAST_WRITES: Span = Span::from_millis(200);
 /// Of the descriptors: some are kept back for all that is neither a client nor a worker.
-const RESERVE: usize = 64;
+const RESERVE: usize = 32;
 const CLIENTS_PART: f64 = 0.65;
 /// How often slow upkeep is done.
 const UPKEEP: Span = Span::from_millis(250);
