--- a/crates/gatekeeper/src/clients.rs
+++ b/crates/gatekeeper/src/clients.rs
@@ -237,7 +237,12 @@
     }
 
     fn is_idle(&self) -> bool {
-        self.state().stage == Stage::Waiting && self.conn.inbound().is_empty() && self.conn.unsent() == 0
+        self.state().stage == Stage::Waiting && self.holds_nothing()
+    }
+
+    /// No bytes wait in either direction.
+    fn holds_nothing(&self) -> bool {
+        self.conn.inbound().is_empty() && self.conn.unsent() == 0
     }
 
     /// For how long the connection has done nothing, where it may be closed to make room.
@@ -246,7 +251,7 @@
         let is_spare = match state.stage {
             Stage::Serving(..) => false,
             Stage::Ending => true,
-            Stage::Waiting => !state.has_asked || self.conn.inbound().is_empty() && self.conn.unsent() == 0,
+            Stage::Waiting => !state.has_asked || self.holds_nothing(),
         };
         is_spare.then(|| now - state.since)
     }
@@ -463,16 +468,13 @@
     }
 
     fn check(&self, gate: &Arc<Gate>, now: Time, idle_time: Span) {
-        let mut state = self.state();
+        let state = self.state();
         if !is_over(&state, self.conn.unsent() > 0, self.opened_at, idle_time, now) {
             return;
         }
-        if state.stage == Stage::Waiting && state.part_since.is_some() {
-            let put = |out: &mut Ring, keep| http::put_answer(out, 408, "", "not whole in time\n", keep);
-            return self.write(gate, &mut state, None, put);
-        }
+        let is_half = state.stage == Stage::Waiting && state.part_since.is_some();
         drop(state);
-        self.conn.close();
+        if is_half { self.say(gate, 408, "not whole in time\n", None) } else { self.conn.close() }
     }
 }
 
