--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -157,6 +157,7 @@
         meter_period: Span::from_nanos(wire.family_info.meter_period),
         list_is_asked: wire.registry_mode == "ask",
         must_ask_in: Span::from_nanos(wire.rules.must_ask_in),
+        idle: limits.idle,
         probes: wire.limits.probes,
         cancel: wire.limits.cancel,
         retry_after: wire.limits.retry_after,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -74,6 +74,9 @@
 const COLD_BURST: f64 = 2.0;
 /// No worker is taken for less slow than this when two are drawn: one that holds nothing only seems fast.
 const SEEMS_FAST: f64 = 0.7;
+/// How much sooner a worker is drawn to which a connection is at hand, unless it is so much slower than usual.
+const AT_HAND: f64 = 1000.0;
+const TOO_SLOW_AT_HAND: f64 = 1.5;
 /// Workers over this many times the mean cost are not drawn; a little over 1 for the rounding.
 const NO_BUSIER: f64 = 1.0001;
 /// How many sizes of an operation are told apart, larger ones going with the last; and the part of the
@@ -118,6 +121,7 @@
         operations: s.operations.iter().map(operation).collect(),
         plans: s.plans.iter().map(plan).collect(),
         counter: s.counter,
+        idle: s.idle,
         probes: s.probes,
         cancel: s.cancel,
         retry_after: Some(s.max_retry_after).filter(|_| s.retry_after),
@@ -377,7 +381,7 @@
         // that idle time is what is missing. So only workers no busier than the mean are drawn.
         let mean = open.iter().map(|(_, w)| cost(w)).sum::<f64>() / open.len().max(1) as f64;
         let open = open.into_iter().filter(|(_, w)| cost(w) <= mean * NO_BUSIER);
-        let open: Vec<_> = open.map(|(id, w)| (*id, cost(w), able(w, kind, now))).collect();
+        let open: Vec<_> = open.map(|(id, w)| (*id, cost(w), able(f, w, kind, now))).collect();
         let (a, cost_a) = self.draw(&open)?;
         let (b, cost_b) = self.draw(&open)?;
         Some(if cost_b < cost_a { b } else { a })
@@ -559,6 +563,8 @@
         if answered || matches!(e.outcome, Outcome::Full | Outcome::Reset) {
             w.quiet_since = now;
         }
+        // Each of the other ends closes the connection.
+        w.used_at = if answered || e.outcome == Outcome::Full { Some(now) } else { None };
         // One kind of work may fail while the others go on: the doubt is of that kind only.
         let doubt = w.doubt(delivery.kind, now, DOUBT_OVER);
         let failed = if e.outcome == Outcome::Succeeded { 0.0 } else { 1.0 };
@@ -782,8 +788,16 @@
 
 /// What it can do of a kind of work. Where next to nothing is out the counts tell nothing, and without this
 /// all gatekeepers would take to the same few workers that are larger or seem faster.
-fn able(w: &Worker, kind: (OperationId, PlanId), now: Time) -> f64 {
-    w.heft * ((1.0 - w.doubt(kind, now, DOUBT_OVER)) / w.slowness.max(SEEMS_FAST)).powi(2)
+fn able(f: &Figures, w: &Worker, kind: (OperationId, PlanId), now: Time) -> f64 {
+    let at_hand = if is_at_hand(f, w, now) { AT_HAND } else { 1.0 };
+    at_hand * w.heft * ((1.0 - w.doubt(kind, now, DOUBT_OVER)) / w.slowness.max(SEEMS_FAST)).powi(2)
+}
+
+/// Whether a connection to it is open and idle. One gatekeeper among hundreds that draws from all workers meets
+/// each too seldom to know any, and pays for a connection nearly each time; with those that it has, its counts
+/// and latencies tell something. A further one is met where these are busier than the mean, doubted or slow.
+fn is_at_hand(f: &Figures, w: &Worker, now: Time) -> bool {
+    w.used_at.is_some_and(|at| now - at < f.idle) && w.slowness < TOO_SLOW_AT_HAND
 }
 
 /// It failed lately, at work of this kind too much, or was silent for long for what is out there.
--- a/src/state.rs
+++ b/src/state.rs
@@ -102,6 +102,8 @@
     /// The share that failed of each kind of work, and when that was reckoned.
     pub doubts: BTreeMap<(OperationId, PlanId), (f64, Time)>,
     pub avoid_until: Time,
+    /// When a connection to it was last left open.
+    pub used_at: Option<Time>,
     pub probe_out: bool,
     /// What may still be sent to it while it is cold.
     pub cold_budget: Store,
@@ -241,6 +243,8 @@
     pub operations: Vec<OperationFigures>,
     pub plans: Vec<PlanFigures>,
     pub counter: bool,
+    /// For how long an idle connection stays open.
+    pub idle: Span,
     pub probes: bool,
     pub cancel: bool,
     pub retry_after: Option<Span>,
--- a/src/types.rs
+++ b/src/types.rs
@@ -300,6 +300,8 @@
     /// The list of workers comes only after a subscription.
     pub list_is_asked: bool,
     pub must_ask_in: Span,
+    /// For how long an idle connection to a worker stays open.
+    pub idle: Span,
     pub probes: bool,
     pub cancel: bool,
     pub retry_after: bool,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -429,3 +429,53 @@
     }
     assert!((2..=10).contains(&got), "{got}");
 }
+
+/// Of many workers those are drawn to which a connection is at hand, until they idle too long, turn slow or break off.
+#[test]
+fn the_draw_goes_by_what_is_at_hand() {
+    // how long each delivery took, the gap between two, its outcome; then the fewest and most workers met in 200
+    let cases = [
+        (50, 60, Outcome::Succeeded, 1, 60),
+        // The connection is closed by then.
+        (50, 31_000, Outcome::Succeeded, 80, 100),
+        (50, 60, Outcome::Reset, 80, 100),
+    ];
+    for (took_ms, gap_ms, outcome, fewest, most) in cases {
+        let known = Settings { idle: Span::from_millis(30_000), gatekeepers: 100, ..settings() };
+        let mut world = World::new(&known, 100);
+        let mut met = std::collections::BTreeSet::new();
+        for n in 0..200 {
+            let ms = 2000 + u64::from(n) * gap_ms;
+            let Some(worker) = delivered(&world.invoke(ms, n, 1, 2, 1.0, 1.0)) else { continue };
+            met.insert(worker);
+            world.end(ms + took_ms, n, 0, worker, outcome);
+        }
+        assert!((fewest..=most).contains(&met.len()), "{gap_ms} ms, {outcome:?}: {} workers", met.len());
+    }
+    // One that turns slow is left for others, at hand or not.
+    let known = Settings { idle: Span::from_millis(30_000), ..settings() };
+    let mut world = World::new(&known, 20);
+    let first = delivered(&world.invoke(2000, 0, 0, 2, 1.0, 1.0)).expect("delivered");
+    world.end(2050, 0, 0, first, Outcome::Succeeded);
+    let mut at_slow = [0, 0];
+    for n in 1..400 {
+        let ms = 2000 + u64::from(n) * 1000;
+        let worker = delivered(&world.invoke(ms, n, 0, 2, 1.0, 1.0)).expect("delivered");
+        let took = Span::from_millis(if worker == first { 400 } else { 50 });
+        let ended = Ended {
+            inv: InvId(n),
+            no: DeliveryNo(0),
+            worker,
+            outcome: Outcome::Succeeded,
+            took,
+            last: true,
+            used: None,
+            actual: None,
+            load: &[],
+        };
+        world.pass(ms + 400);
+        world.gatekeeper.delivery_ended(at(ms + 400), &ended, &mut world.ear);
+        at_slow[usize::from(n > 200)] += usize::from(worker == first);
+    }
+    assert!(at_slow[0] > 0 && at_slow[1] <= 10, "{at_slow:?}");
+}
