--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -154,6 +154,7 @@
         operations,
         plans,
         counter: wire.family_info.may_count,
+        counter_timeout: limits.counter,
         meter_period: Span::from_nanos(wire.family_info.meter_period),
         list_is_asked: wire.registry_mode == "ask",
         must_ask_in: Span::from_nanos(wire.rules.must_ask_in),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,11 +26,18 @@
 /// How long others are charged on a guess without a new total, for each of them up to so many.
 const GUESS_STANDS: Span = Span::from_millis(3000);
 const GUESS_MOST: f64 = 10.0;
-/// Calls to the counter in a second, at least and at most, and what an answer and a failure make of it.
+/// So many others, at most, are thought to do as this one does: of hundreds the one that a customer meets is more
+/// often one of those that get much of it.
+const GUESS_LIKE: f64 = 60.0;
+/// Calls to the counter in a second, at least, at most, and at first by the square root of the gatekeepers.
 const CALLS_LEAST: f64 = 0.3;
 const CALLS_MOST: f64 = 200.0;
-const CALLS_UP: f64 = 1.05;
+const CALLS_FIRST: f64 = 100.0;
+/// How many more in each second that they are answered in; what a failure leaves of them, and for how long one
+/// cut has to stand.
+const CALLS_MORE: f64 = 1.0;
 const CALLS_DOWN: f64 = 0.7;
+const CUT_CALLS: Span = Span::from_millis(300);
 /// The weight of a new total in the rate of the others' use.
 const FRESH_USE: f64 = 0.3;
 /// A customer not heard of for this long is dropped once its bucket is full.
@@ -121,6 +128,7 @@
         operations: s.operations.iter().map(operation).collect(),
         plans: s.plans.iter().map(plan).collect(),
         counter: s.counter,
+        counter_timeout: s.counter_timeout,
         idle: s.idle,
         probes: s.probes,
         cancel: s.cancel,
@@ -144,6 +152,7 @@
         let figures = derive(settings);
         let usual = |o: &OperationFigures| vec![o.objective.secs() * USUAL_AT_FIRST; SIZES];
         let usual = figures.operations.iter().map(usual).collect();
+        let call_rate = CALLS_FIRST / figures.gatekeepers.sqrt();
         let patience = settings.operations.iter().map(|o| o.integration_timeout.secs()).collect();
         Gatekeeper {
             figures,
@@ -152,7 +161,7 @@
                 spare: SPARE_MOST,
                 carried_at: now,
                 usual,
-                call_rate: CALLS_MOST,
+                call_rate,
                 beat_due: now + BEAT,
                 patience,
                 ..Instance::default()
@@ -318,6 +327,7 @@
         customer.unreported = 0.0;
         customer.shared.unadded = 0.0;
         customer.shared.in_call = Some(amount);
+        customer.shared.asked_at = now;
         port.add_to_count(count_name(id, window), plan.keep, amount as f32);
     }
 
@@ -328,9 +338,15 @@
             return;
         }
         let Some(amount) = customer.shared.in_call.take() else { return };
-        // Calls that fail tell that all gatekeepers together ask too much of the counter.
-        let change = if outcome == Outcome::Succeeded { CALLS_UP } else { CALLS_DOWN };
-        self.instance.call_rate = (self.instance.call_rate * change).clamp(CALLS_LEAST, CALLS_MOST);
+        // Calls that fail or come late tell that all gatekeepers together ask too much of the counter.
+        let late = now - customer.shared.asked_at > self.figures.counter_timeout;
+        let i = &mut self.instance;
+        if outcome == Outcome::Succeeded && !late {
+            i.call_rate = (i.call_rate + CALLS_MORE / i.call_rate).min(CALLS_MOST);
+        } else if now - i.call_cut_at > CUT_CALLS {
+            i.call_cut_at = now;
+            i.call_rate = (i.call_rate * CALLS_DOWN).max(CALLS_LEAST);
+        }
         let plan = &self.figures.plans[customer.plan.0 as usize];
         match outcome {
             Outcome::Succeeded if total.is_finite() => {
@@ -749,7 +765,7 @@
 /// right: without that a heavy customer is taken for quiet too soon.
 fn guess_others(c: &mut Customer, now: Time) {
     let gap = (now - c.told_at).min(GUESS_STANDS.times((c.spread - 1.0).min(GUESS_MOST))).secs();
-    let guess = (c.others_rate * gap).max((c.spread - 1.0) * c.own_since);
+    let guess = (c.others_rate * gap).max((c.spread - 1.0).min(GUESS_LIKE) * c.own_since);
     let more = (guess - c.guessed).clamp(0.0, c.tokens.level.max(0.0));
     c.guessed += more;
     c.tokens.level -= more;
--- a/src/state.rs
+++ b/src/state.rs
@@ -150,6 +150,7 @@
     pub unadded: f64,
     /// Sent in a call with no answer yet.
     pub in_call: Option<f64>,
+    pub asked_at: Time,
 }
 
 /// For one customer, until its bucket is full and idle.
@@ -188,6 +189,7 @@
     /// Calls to the counter to spare, and how many come in a second.
     pub calls: Store,
     pub call_rate: f64,
+    pub call_cut_at: Time,
     /// When the next beat is due; when the gatekeeper last found that it had stood still, and how long.
     pub beat_due: Time,
     pub woke_at: Time,
@@ -243,6 +245,7 @@
     pub operations: Vec<OperationFigures>,
     pub plans: Vec<PlanFigures>,
     pub counter: bool,
+    pub counter_timeout: Span,
     /// For how long an idle connection stays open.
     pub idle: Span,
     pub probes: bool,
--- a/src/types.rs
+++ b/src/types.rs
@@ -296,6 +296,8 @@
     pub operations: Vec<Operation>,
     pub plans: Vec<Plan>,
     pub counter: bool,
+    /// How long an answer of the counter may take.
+    pub counter_timeout: Span,
     pub meter_period: Span,
     /// The list of workers comes only after a subscription.
     pub list_is_asked: bool,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -75,6 +75,7 @@
             Plan { rate: 0.0, burst: 0.0, ..plan },
         ],
         counter: true,
+        counter_timeout: Span::from_millis(50),
         probes: true,
         cancel: true,
         retry_after: true,
