--- a/crates/gatekeeper/tests/sockets.rs
+++ b/crates/gatekeeper/tests/sockets.rs
@@ -334,15 +334,17 @@
     let world = World::new(2, 0, Some(1.0));
     // Three at a time: with one after another, each would go where a connection is at hand.
     let went_to = || {
-        let ids: Vec<String> = (0..3).map(|_| world.script(&[Does::SucceedsIn(200)])).collect();
-        thread::scope(|s| {
-            for id in &ids {
-                s.spawn(|| {
-                    let answer = world.invoke(&text("put", "wide", id, 3000)).expect("an answer");
-                    assert_eq!(answer.status(), 200);
-                });
-            }
-        });
+        let ids: Vec<String> = (0..18).map(|_| world.script(&[Does::SucceedsIn(100)])).collect();
+        for three in ids.chunks(3) {
+            thread::scope(|s| {
+                for id in three {
+                    s.spawn(|| {
+                        let answer = world.invoke(&text("put", "wide", id, 3000)).expect("an answer");
+                        assert_eq!(answer.status(), 200);
+                    });
+                }
+            });
+        }
         let mut to: Vec<usize> = ids.iter().flat_map(|id| world.seen.of(id)).map(|(n, _)| n).collect();
         to.sort_unstable();
         to.dedup();
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -467,20 +467,8 @@
     for n in 1..400 {
         let ms = 2000 + u64::from(n) * 1000;
         let worker = delivered(&world.invoke(ms, n, 0, 2, 1.0, 1.0)).expect("delivered");
-        let took = Span::from_millis(if worker == first { 400 } else { 50 });
-        let ended = Ended {
-            inv: InvId(n),
-            no: DeliveryNo(0),
-            worker,
-            outcome: Outcome::Succeeded,
-            took,
-            last: true,
-            used: None,
-            actual: None,
-            load: &[],
-        };
-        world.pass(ms + 400);
-        world.gatekeeper.delivery_ended(at(ms + 400), &ended, &mut world.ear);
+        let took_ms = if worker == first { 400 } else { 50 };
+        world.end_in(ms + 400, n, 0, worker, Outcome::Succeeded, took_ms);
         at_slow[usize::from(n > 200)] += usize::from(worker == first);
     }
     assert!(at_slow[0] > 0 && at_slow[1] <= 10, "{at_slow:?}");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -133,13 +133,26 @@
     }
 
     pub fn end(&mut self, ms: u64, inv: u32, no: u8, worker: WorkerId, outcome: Outcome) -> Vec<Said> {
+        self.end_in(ms, inv, no, worker, outcome, 50)
+    }
+
+    /// The end of a delivery that took so long.
+    pub fn end_in(
+        &mut self,
+        ms: u64,
+        inv: u32,
+        no: u8,
+        worker: WorkerId,
+        outcome: Outcome,
+        took_ms: u64,
+    ) -> Vec<Said> {
         self.pass(ms);
         let ended = Ended {
             inv: InvId(inv),
             no: DeliveryNo(no),
             worker,
             outcome,
-            took: Span::from_millis(50),
+            took: Span::from_millis(took_ms),
             last: outcome == Outcome::Succeeded,
             used: None,
             actual: None,
