--- a/src/policy.rs
+++ b/src/policy.rs
@@ -805,7 +805,9 @@
 /// What it can do of a kind of work. Where next to nothing is out the counts tell nothing, and without this
 /// all gatekeepers would take to the same few workers that are larger or seem faster.
 fn able(f: &Figures, w: &Worker, kind: (OperationId, PlanId), now: Time) -> f64 {
-    let at_hand = if is_at_hand(f, w, now) { AT_HAND } else { 1.0 };
+    // A cold worker's share is drawn like a worker at hand, or at hundreds of gatekeepers it is never used.
+    let owed = warmth(f, w, now) < 1.0 && w.cold_budget.level >= 1.0;
+    let at_hand = if owed || is_at_hand(f, w, now) { AT_HAND } else { 1.0 };
     at_hand * w.heft * ((1.0 - w.doubt(kind, now, DOUBT_OVER)) / w.slowness.max(SEEMS_FAST)).powi(2)
 }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -421,7 +421,7 @@
 /// A part of less than one delivery at each of many gatekeepers still adds up: cold workers get warm.
 #[test]
 fn parts_of_a_cold_worker_add_up() {
-    let large = Settings { gatekeepers: 50, ..settings() };
+    let large = Settings { gatekeepers: 100, idle: Span::from_millis(30_000), ..settings() };
     let mut got = 0;
     for seed in 0..50 {
         let mut world = World::new(&large, 0);
@@ -485,3 +485,27 @@
         assert_eq!(goes_on, wanted, "spread {spread}, after {later_ms} ms");
     }
 }
+
+/// A cold worker's part is used though workers at hand could take it all: at a hundred gatekeepers each meets it
+/// seldom, and a part that is never drawn leaves the newcomers idle while the rest of the fleet jams.
+#[test]
+fn a_cold_worker_gets_its_part_among_workers_at_hand() {
+    let large = Settings { gatekeepers: 100, idle: Span::from_millis(30_000), ..settings() };
+    let mut world = World::new(&large, 4);
+    let (mut cold_got, mut all) = (0, 0);
+    for n in 0..160 {
+        let ms = u64::from(n) * 50;
+        if n == 40 {
+            let cold = Listed { started_at: Some(at(ms)), ..listed(4, Phase::Ready) };
+            world.gatekeeper.listed(at(ms), Scope::Delta, &[cold]);
+        }
+        let Some(worker) = delivered(&world.invoke(ms, n, 0, 2, 1.0, 1.0)) else { continue };
+        world.end(ms + 20, n, 0, worker, Outcome::Succeeded);
+        if n >= 40 {
+            all += 1;
+            cold_got += usize::from(worker == WorkerId(5));
+        }
+    }
+    // Its part by warmth is a tenth to a fifth; it must neither be starved nor pushed over.
+    assert!((all / 25..=all / 3).contains(&cold_got), "{cold_got} of {all}");
+}
