Clock, coroutines, timer and log lines move to crates/wire, for the control side to stand on

Change: the four files moved as they were; connections and HTTP stay with the gatekeeper, whose Gate they name.

--- a/crates/gatekeeper/src/clients.rs
+++ b/crates/gatekeeper/src/clients.rs
@@ -12,12 +12,12 @@
 use may::io::{CoIo, WaitIo};
 
 use crate::conn::{Conn, Got, Ring};
-use crate::coroutine::go_then;
 use crate::desk::{Final, Pick};
 use crate::http::{self, Bad, Call, Extent, MOST_MESSAGE};
-use crate::log;
 use crate::program::Gate;
 use crate::workers::Link;
+use lynxstair_wire::coroutine::go_then;
+use lynxstair_wire::log;
 
 /// A connection brings its first invocation within so long, and a message is whole so long after its first byte:
 /// who sends nothing, or half a message, takes up no place.
--- a/crates/gatekeeper/src/conn.rs
+++ b/crates/gatekeeper/src/conn.rs
@@ -10,7 +10,7 @@
 use nix::sys::epoll::EpollFlags;
 use socket2::{Domain, Socket, Type};
 
-use crate::log;
+use lynxstair_wire::log;
 
 /// What a buffer starts with, and what it goes back to when it is empty.
 const SMALL: usize = 2048;
--- a/crates/gatekeeper/src/counter.rs
+++ b/crates/gatekeeper/src/counter.rs
@@ -9,11 +9,11 @@
 use lynxstair::types::{CountName, Outcome, Span, Time};
 
 use crate::conn::{Conn, Got};
-use crate::coroutine::go_then;
 use crate::desk::Count;
 use crate::http::{self, MOST_MESSAGE};
-use crate::log;
 use crate::program::Gate;
+use lynxstair_wire::coroutine::go_then;
+use lynxstair_wire::log;
 
 /// A call that took so many times the counter's time limit gets no answer any more. A late total is no failure.
 const GIVEN_UP: f64 = 20.0;
--- a/crates/gatekeeper/src/desk.rs
+++ b/crates/gatekeeper/src/desk.rs
@@ -16,7 +16,7 @@
     Wake, WorkerId,
 };
 
-use crate::log;
+use lynxstair_wire::log;
 
 /// Timers come late by no more than this part of their span.
 const LATE_PART: u64 = 16;
--- a/crates/gatekeeper/src/discovery.rs
+++ b/crates/gatekeeper/src/discovery.rs
@@ -10,10 +10,10 @@
 use serde::Deserialize;
 
 use crate::conn::{Conn, Got};
-use crate::coroutine::go;
 use crate::http;
-use crate::log;
 use crate::program::Gate;
+use lynxstair_wire::coroutine::go;
+use lynxstair_wire::log;
 
 /// A line comes every two seconds, empty where nothing changed: silence for longer is a broken watch.
 const SILENT: Span = Span::from_millis(3_500);
--- a/crates/gatekeeper/src/main.rs
+++ b/crates/gatekeeper/src/main.rs
@@ -2,17 +2,13 @@
 #![deny(unsafe_code)]
 
 mod clients;
-mod clock;
 mod config;
 mod conn;
-mod coroutine;
 mod counter;
 mod desk;
 mod discovery;
 mod http;
-mod log;
 mod program;
-mod ticker;
 mod workers;
 
 use std::process::ExitCode;
--- a/crates/gatekeeper/src/program.rs
+++ b/crates/gatekeeper/src/program.rs
@@ -11,16 +11,16 @@
 use signal_hook::iterator::Signals;
 
 use crate::clients::{Client, Clients};
-use crate::clock::Clock;
 use crate::config::{self, Config};
 use crate::conn::bound_buffers;
-use crate::coroutine::{go, prepare};
 use crate::counter::Counter;
 use crate::desk::Desk;
 use crate::discovery::Discovery;
-use crate::log;
-use crate::ticker::Ticker;
 use crate::workers::Workers;
+use lynxstair_wire::clock::Clock;
+use lynxstair_wire::coroutine::{go, prepare};
+use lynxstair_wire::log;
+use lynxstair_wire::ticker::Ticker;
 
 /// After SIGTERM clients go on connecting for so long, as they learn of it late.
 const GRACE: Span = Span::from_millis(600);
--- a/crates/gatekeeper/src/workers.rs
+++ b/crates/gatekeeper/src/workers.rs
@@ -10,11 +10,11 @@
 
 use crate::clients::Client;
 use crate::conn::{Conn, Got, Ring};
-use crate::coroutine::go_then;
 use crate::desk::{self, GiveUp, Next};
 use crate::http::{self, Extent, MOST_BODY, MOST_MESSAGE};
-use crate::log;
 use crate::program::Gate;
+use lynxstair_wire::coroutine::go_then;
+use lynxstair_wire::log;
 
 pub type Order = desk::Order<Arc<Client>>;
 
