Membership among gatekeepers as a room without I/O, tried on a virtual clock

Change: crates/membership round foca (SWIM with suspicion) with what SWIM alone lacks: own lateness (time stood still is taken off the clock, who doubts accuses nobody), links (a direct way that fails goes by two others, the answer comes back by whom the question came), incarnations written down before anybody is told of them, names borne twice refused, shut out and let in. crates/emulator: rooms on a virtual clock with loss, doubling, reordering, cuts, pauses and restarts.

--- /dev/null
+++ b/crates/emulator/src/fleet.rs
@@ -0,0 +1,459 @@
+//! A fleet of members on a virtual clock: each a room of `lynxstair-membership` with a disk, a socket's buffer
+//! and an address.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use lynxstair::types::{Span, Time};
+use lynxstair_membership::{
+    Broken, Do, Event, Ident, Incarnation, Known, Name, Notice, Phase, Record, Room, Start, State, Times,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::network::Network;
+
+/// What a socket's buffer holds while its process stands still, in bytes; Linux gives as much by default.
+const SOCKET_BUFFER: usize = 212_992;
+/// What the kernel counts for a datagram besides its bytes.
+const OVERHEAD: usize = 576;
+/// Writing a record takes so long.
+const DISK: Span = Span::from_millis(2);
+
+/// What a member has on disk.
+#[derive(Clone, Debug, Default)]
+pub struct Disk {
+    pub last: Option<Incarnation>,
+    pub known: Vec<Known>,
+    pub notices: Vec<Notice>,
+}
+
+/// Something that happened at a member.
+#[derive(Clone, Debug)]
+pub struct Happened {
+    pub at: Time,
+    pub who: usize,
+    pub event: Event,
+}
+
+/// A member's process.
+struct Process {
+    room: Room,
+    stopped: bool,
+    buffer: VecDeque<(SocketAddrV4, Vec<u8>)>,
+    buffered: usize,
+    wakes_at: Option<Time>,
+}
+
+struct Node {
+    name: Name,
+    hall: Name,
+    addr: SocketAddrV4,
+    disk: Disk,
+    process: Option<Process>,
+    runs: u32,
+}
+
+enum Next {
+    Arrives { from: SocketAddrV4, to: SocketAddrV4, datagram: Vec<u8> },
+    Wakes { who: usize, run: u32 },
+    Written { who: usize, run: u32, incarnation: Incarnation },
+}
+
+/// Settings of a fleet.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub members: usize,
+    pub halls: usize,
+    /// The first so many are seeds.
+    pub seeds: usize,
+    pub times: Times,
+    pub broken: Broken,
+    pub seed: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan { members: 6, halls: 2, seeds: 2, times: Times::default(), broken: Broken::default(), seed: 1 }
+    }
+}
+
+/// A fleet.
+pub struct Fleet {
+    plan: Plan,
+    pub network: Network,
+    now: Time,
+    chance: Pcg64Mcg,
+    nodes: Vec<Node>,
+    places: HashMap<SocketAddrV4, usize>,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    next: HashMap<u64, Next>,
+    planned: u64,
+    history: Vec<Happened>,
+    pub datagrams: u64,
+    pub bytes: u64,
+    pub largest: usize,
+    /// Lost for a full buffer.
+    pub overflowed: u64,
+}
+
+fn name(prefix: &str, number: usize) -> Name {
+    Name::new(&format!("{prefix}{number}")).expect("letters and digits")
+}
+
+impl Fleet {
+    /// Nobody runs yet. Members are numbered from 0; their names are g1, g2 and so on.
+    pub fn new(plan: Plan) -> Self {
+        let chance = Pcg64Mcg::seed_from_u64(plan.seed);
+        let nodes: Vec<_> = (0..plan.members)
+            .map(|n| Node {
+                name: name("g", n + 1),
+                hall: name("h", n % plan.halls.max(1) + 1),
+                addr: address(n, 0),
+                disk: Disk::default(),
+                process: None,
+                runs: 0,
+            })
+            .collect();
+        let places = nodes.iter().enumerate().map(|(n, node)| (node.addr, n)).collect();
+        Fleet {
+            plan,
+            network: Network::default(),
+            now: Time::from_nanos(0) + Span::from_millis(1_000_000),
+            chance,
+            nodes,
+            places,
+            queue: BinaryHeap::new(),
+            next: HashMap::new(),
+            planned: 0,
+            history: Vec::new(),
+            datagrams: 0,
+            bytes: 0,
+            largest: 0,
+            overflowed: 0,
+        }
+    }
+
+    /// All started, one after another within a second.
+    pub fn started(plan: Plan) -> Self {
+        let mut fleet = Fleet::new(plan);
+        for who in 0..fleet.nodes.len() {
+            fleet.start(who);
+            fleet.run(Span::from_millis(1_000 / fleet.nodes.len() as u64));
+        }
+        fleet
+    }
+
+    /// All running, each of them knowing all, as after a long quiet time.
+    pub fn settled(plan: Plan) -> Self {
+        let mut fleet = Fleet::new(plan);
+        let probe = fleet.plan.times.probe;
+        let all: Vec<Ident> = (0..fleet.nodes.len()).map(|who| fleet.begin(who)).collect();
+        for who in 0..fleet.nodes.len() {
+            let at = fleet.now + probe.times(fleet.chance.random());
+            let run = fleet.nodes[who].runs;
+            let Some(process) = fleet.nodes[who].process.as_mut() else { continue };
+            process.room.written(at, all[who].incarnation);
+            process.room.settle(at, &all);
+            process.wakes_at = None;
+            fleet.nodes[who].disk.last = Some(all[who].incarnation);
+            fleet.plan_next(at, Next::Wakes { who, run });
+        }
+        fleet.run(probe.times(2.0));
+        fleet.history.clear();
+        (fleet.datagrams, fleet.bytes) = (0, 0);
+        fleet
+    }
+
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    pub fn members(&self) -> usize {
+        self.nodes.len()
+    }
+
+    pub fn name_of(&self, who: usize) -> &Name {
+        &self.nodes[who].name
+    }
+
+    pub fn runs(&self, who: usize) -> bool {
+        self.nodes[who].process.is_some()
+    }
+
+    pub fn room(&self, who: usize) -> Option<&Room> {
+        self.nodes[who].process.as_ref().map(|p| &p.room)
+    }
+
+    pub fn disk(&mut self, who: usize) -> &mut Disk {
+        &mut self.nodes[who].disk
+    }
+
+    /// All that happened so far.
+    pub fn history(&self) -> &[Happened] {
+        &self.history
+    }
+
+    fn begin(&mut self, who: usize) -> Ident {
+        let seeds: Vec<_> = (0..self.plan.seeds.min(self.nodes.len())).map(|n| self.nodes[n].addr).collect();
+        let node = &mut self.nodes[who];
+        node.runs += 1;
+        let room = Room::begin(
+            self.now,
+            Start {
+                fleet: name("f", 1),
+                name: node.name.clone(),
+                hall: node.hall.clone(),
+                addr: node.addr,
+                seeds,
+                run: self.chance.random(),
+                seed: self.chance.random(),
+                last: node.disk.last,
+                known: node.disk.known.clone(),
+                notices: node.disk.notices.clone(),
+                times: self.plan.times,
+                broken: self.plan.broken,
+            },
+        );
+        let me = room.me().clone();
+        node.process =
+            Some(Process { room, stopped: false, buffer: VecDeque::new(), buffered: 0, wakes_at: None });
+        me
+    }
+
+    /// Starts a member's process with what it has on disk.
+    pub fn start(&mut self, who: usize) {
+        if self.nodes[who].process.is_none() {
+            self.begin(who);
+            self.after(who);
+        }
+    }
+
+    /// Ends it without a word. Its disk stays.
+    pub fn kill(&mut self, who: usize) {
+        self.nodes[who].process = None;
+    }
+
+    /// Starts it again somewhere else; nobody is at the old address.
+    pub fn move_to(&mut self, who: usize, place: u8) {
+        let old = self.nodes[who].addr;
+        self.places.remove(&old);
+        self.nodes[who].addr = address(who, place);
+        self.places.insert(self.nodes[who].addr, who);
+    }
+
+    /// One more process under the name of another, with a copy of its disk, at an address of its own. Its number.
+    pub fn copy(&mut self, of: usize) -> usize {
+        let who = self.nodes.len();
+        let (name, hall) = (self.nodes[of].name.clone(), self.nodes[of].hall.clone());
+        let (addr, disk) = (address(who, 0), self.nodes[of].disk.clone());
+        self.nodes.push(Node { name, hall, addr, disk, process: None, runs: 0 });
+        self.places.insert(addr, who);
+        self.start(who);
+        who
+    }
+
+    /// It stands still: its socket fills, its timers pass.
+    pub fn pause(&mut self, who: usize) {
+        if let Some(process) = self.nodes[who].process.as_mut() {
+            process.stopped = true;
+        }
+    }
+
+    /// It goes on, first with what lies in its socket or first with its timers, as chance has it.
+    pub fn resume(&mut self, who: usize) {
+        let timers_first: bool = self.chance.random();
+        let (now, run) = (self.now, self.nodes[who].runs);
+        let Some(process) = self.nodes[who].process.as_mut().filter(|p| p.stopped) else { return };
+        process.stopped = false;
+        process.wakes_at = None;
+        if timers_first {
+            process.room.tick(now);
+        }
+        process.buffered = 0;
+        for (from, datagram) in std::mem::take(&mut process.buffer) {
+            process.room.heard(now, from, &datagram);
+        }
+        self.plan_next(now, Next::Wakes { who, run });
+        self.after(who);
+    }
+
+    pub fn leave(&mut self, who: usize) {
+        let now = self.now;
+        if let Some(process) = self.nodes[who].process.as_mut() {
+            process.room.leave(now);
+        }
+        self.after(who);
+    }
+
+    /// Has one member do something, and carries out what comes of it.
+    pub fn at(&mut self, who: usize, acts: impl FnOnce(&mut Room, Time)) {
+        let now = self.now;
+        if let Some(process) = self.nodes[who].process.as_mut() {
+            acts(&mut process.room, now);
+        }
+        self.after(who);
+    }
+
+    /// Puts bytes into the network as they are.
+    pub fn inject(&mut self, from: usize, to: usize, datagram: Vec<u8>) {
+        let (from, to) = (self.nodes[from].addr, self.nodes[to].addr);
+        let at = self.now + Span::from_millis(1);
+        self.plan_next(at, Next::Arrives { from, to, datagram });
+    }
+
+    fn plan_next(&mut self, at: Time, next: Next) {
+        self.planned += 1;
+        self.next.insert(self.planned, next);
+        self.queue.push(Reverse((at, self.planned)));
+    }
+
+    /// Lets so much time go by.
+    pub fn run(&mut self, span: Span) {
+        let until = self.now + span;
+        while let Some(Reverse((at, number))) = self.queue.peek().copied() {
+            if at > until {
+                break;
+            }
+            self.queue.pop();
+            self.now = self.now.max(at);
+            if let Some(next) = self.next.remove(&number) {
+                self.happen(next);
+            }
+        }
+        self.now = until;
+    }
+
+    /// Lets time go by until it is so, and for no longer than that. How long it took.
+    pub fn until(&mut self, longest: Span, mut is_so: impl FnMut(&Fleet) -> bool) -> Option<Span> {
+        let began = self.now;
+        while !is_so(self) {
+            if self.now - began >= longest {
+                return None;
+            }
+            self.run(Span::from_millis(20));
+        }
+        Some(self.now - began)
+    }
+
+    fn happen(&mut self, next: Next) {
+        let now = self.now;
+        match next {
+            Next::Arrives { from, to, datagram } => {
+                let Some(who) = self.places.get(&to).copied() else { return };
+                let Some(process) = self.nodes[who].process.as_mut() else { return };
+                if process.stopped {
+                    let size = datagram.len() + OVERHEAD;
+                    if process.buffered + size > SOCKET_BUFFER {
+                        self.overflowed += 1;
+                        return;
+                    }
+                    process.buffered += size;
+                    process.buffer.push_back((from, datagram));
+                    return;
+                }
+                process.room.heard(now, from, &datagram);
+                self.after(who);
+            }
+            Next::Wakes { who, run } => {
+                if self.nodes[who].runs != run {
+                    return;
+                }
+                let Some(process) = self.nodes[who].process.as_mut().filter(|p| !p.stopped) else { return };
+                // Woken for something that is due later by now, or was done already.
+                if process.wakes_at.is_some_and(|at| at > now) {
+                    return;
+                }
+                process.wakes_at = None;
+                process.room.tick(now);
+                self.after(who);
+            }
+            Next::Written { who, run, incarnation } => {
+                if self.nodes[who].runs != run {
+                    return;
+                }
+                let node = &mut self.nodes[who];
+                let Some(process) = node.process.as_mut() else { return };
+                node.disk.last = Some(incarnation);
+                if process.stopped {
+                    let at = now + DISK;
+                    self.plan_next(at, Next::Written { who, run, incarnation });
+                    return;
+                }
+                process.room.written(now, incarnation);
+                self.after(who);
+            }
+        }
+    }
+
+    /// Carries out what a member wants done, and plans its next wake.
+    fn after(&mut self, who: usize) {
+        let now = self.now;
+        let (addr, run) = (self.nodes[who].addr, self.nodes[who].runs);
+        let Some(process) = self.nodes[who].process.as_mut() else { return };
+        for todo in process.room.take() {
+            match todo {
+                Do::Send { to, datagram } => self.send(who, addr, to, datagram),
+                Do::Write(Record::Began { incarnation }) => {
+                    self.plan_next(now + DISK, Next::Written { who, run, incarnation });
+                }
+                Do::Write(Record::Members { known }) => self.nodes[who].disk.known = known,
+                Do::Write(Record::Notice { notice }) => self.nodes[who].disk.notices.push(notice),
+                Do::Tell(event) => self.history.push(Happened { at: now, who, event }),
+            }
+        }
+        let Some(process) = self.nodes[who].process.as_mut() else { return };
+        let due = process.room.next_due();
+        if let Some(at) = due
+            && process.wakes_at.is_none_or(|set| at < set)
+        {
+            process.wakes_at = Some(at);
+            self.plan_next(at.max(now), Next::Wakes { who, run });
+        }
+    }
+
+    fn send(&mut self, who: usize, from: SocketAddrV4, to: SocketAddrV4, datagram: Vec<u8>) {
+        self.datagrams += 1;
+        self.bytes += datagram.len() as u64;
+        self.largest = self.largest.max(datagram.len());
+        let Some(other) = self.places.get(&to).copied() else { return };
+        let arrivals = self.network.carry(who, other, &mut self.chance);
+        for after in arrivals {
+            let at = self.now + after;
+            self.plan_next(at, Next::Arrives { from, to, datagram: datagram.clone() });
+        }
+    }
+
+    /// How one sees another.
+    pub fn sees(&self, who: usize, other: usize) -> Option<State> {
+        let other = &self.nodes[other].name;
+        self.room(who)?.state_of(other).map(|(state, _)| state)
+    }
+
+    /// Everybody who runs is in, and sees exactly those who run as there.
+    pub fn all_agree(&self) -> bool {
+        let running: Vec<_> = (0..self.nodes.len()).filter(|n| self.runs(*n)).collect();
+        running.iter().all(|&who| {
+            self.room(who).is_some_and(|r| r.phase() == Phase::In)
+                && (0..self.nodes.len()).filter(|&other| other != who).all(|other| {
+                    let there = self.sees(who, other).is_some_and(State::is_there);
+                    there == self.runs(other)
+                })
+        })
+    }
+
+    /// Those who were declared failed: by whom, whom, when.
+    pub fn declared_failed(&self) -> impl Iterator<Item = (Time, usize, &Name)> {
+        self.history.iter().filter_map(|h| match &h.event {
+            Event::Member { name, to: State::Failed, .. } => Some((h.at, h.who, name)),
+            _ => None,
+        })
+    }
+}
+
+/// An address of its own for each member and place.
+fn address(who: usize, place: u8) -> SocketAddrV4 {
+    let [_, _, high, low] = (who as u32 + 1).to_be_bytes();
+    SocketAddrV4::new(Ipv4Addr::new(127, 100 + place, high, low), 7_000)
+}
--- /dev/null
+++ b/crates/emulator/tests/membership.rs
@@ -0,0 +1,468 @@
+//! The hard cases of membership on a virtual clock: the failures caused, and what must hold all the same.
+
+use std::collections::HashMap;
+
+use lynxstair::types::{Span, Time};
+use lynxstair_emulator::fleet::{Fleet, Happened, Plan};
+use lynxstair_emulator::network::Faults;
+use lynxstair_membership::{Broken, Event, Incarnation, LinkState, Name, Phase, State, Why};
+use rayon::prelude::*;
+
+const AGREE: Span = Span::from_millis(5_000);
+
+fn ms(n: u64) -> Span {
+    Span::from_millis(n)
+}
+
+fn fleet(members: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::started(Plan { members, seed, ..Plan::default() });
+    let joined = fleet.until(ms(10_000), Fleet::all_agree);
+    assert!(joined.is_some(), "seed {seed}: {members} do not come together");
+    fleet
+}
+
+fn agrees(fleet: &mut Fleet, what: &str) {
+    if fleet.until(AGREE, Fleet::all_agree).is_none() {
+        for who in (0..fleet.members()).filter(|w| fleet.runs(*w)) {
+            let view = fleet.room(who).expect("runs").view(fleet.now());
+            let seen: Vec<_> = view.members.iter().map(|m| format!("{} {:?}", m.name, m.state)).collect();
+            eprintln!(
+                "{} {:?} ({}) {:?}: {}",
+                view.me.name,
+                view.phase,
+                view.phase_why,
+                view.doubt,
+                seen.join(", ")
+            );
+        }
+        panic!("{what}: no agreement");
+    }
+}
+
+/// Nobody whose number is here was ever declared failed.
+fn never_failed(fleet: &Fleet, since: Time, who: &[usize], what: &str) {
+    let names: Vec<&Name> = who.iter().map(|w| fleet.name_of(*w)).collect();
+    let failed: Vec<_> =
+        fleet.declared_failed().filter(|(at, _, n)| *at >= since && names.contains(n)).collect();
+    assert!(failed.is_empty(), "{what}: declared failed: {failed:?}");
+}
+
+/// What must hold of every history: no state follows that may not, no incarnation goes back.
+fn kept(fleet: &Fleet, what: &str) {
+    let mut held: HashMap<(usize, u32, Name), (State, Incarnation)> = HashMap::new();
+    let mut lives: HashMap<usize, u32> = HashMap::new();
+    let mut began: HashMap<(usize, Name), Incarnation> = HashMap::new();
+    for h in fleet.history() {
+        match &h.event {
+            Event::Began { ident } => {
+                *lives.entry(h.who).or_default() = ident.run;
+                let last = began.insert((h.who, ident.name.clone()), ident.incarnation);
+                assert!(last < Some(ident.incarnation), "{what}: {h:?} after {last:?}");
+            }
+            Event::Member { name, from, was, to, incarnation, .. } => {
+                let run = lives.get(&h.who).copied().unwrap_or_default();
+                let key = (h.who, run, name.clone());
+                if let Some(held) = held.insert(key, (*to, *incarnation)) {
+                    assert_eq!(held, (*from, *was), "{what}: {h:?}");
+                }
+                assert!(incarnation >= was, "{what}: {h:?}");
+                let over = matches!(from, State::Failed | State::Left | State::ShutOut);
+                let back = matches!(to, State::Alive | State::Suspected | State::Joining);
+                assert!(!(over && back && incarnation == was), "{what}: {h:?}");
+            }
+            _ => {}
+        }
+    }
+}
+
+fn seeds() -> impl ParallelIterator<Item = u64> {
+    (1..=24u64).into_par_iter()
+}
+
+#[test]
+fn three_start_and_one_dies() {
+    seeds().for_each(|seed| {
+        let mut fleet = fleet(3, seed);
+        let began = fleet.now();
+        fleet.kill(2);
+        let seen = fleet.until(ms(6_000), |f| (0..2).all(|w| f.sees(w, 2) == Some(State::Failed)));
+        assert!(seen.is_some(), "seed {seed}");
+        never_failed(&fleet, began, &[0, 1], "a death");
+        fleet.start(2);
+        agrees(&mut fleet, "after a death");
+        kept(&fleet, "a death");
+    });
+}
+
+/// Pauses of 0.2, 2 and 30 s, of one, of half and of all at once: who was paused accuses nobody on waking.
+#[test]
+fn pauses() {
+    let cases: [(u64, &[usize]); 9] = [
+        (200, &[1]),
+        (2_000, &[1]),
+        (30_000, &[1]),
+        (200, &[0, 2, 4]),
+        (2_000, &[0, 2, 4]),
+        (30_000, &[0, 2, 4]),
+        (200, &[0, 1, 2, 3, 4, 5]),
+        (2_000, &[0, 1, 2, 3, 4, 5]),
+        (30_000, &[0, 1, 2, 3, 4, 5]),
+    ];
+    seeds().for_each(|seed| {
+        for (length, who) in cases {
+            let what = format!("seed {seed}: {} paused for {length} ms", who.len());
+            let mut fleet = fleet(6, seed);
+            let began = fleet.now();
+            who.iter().for_each(|w| fleet.pause(*w));
+            fleet.run(ms(length));
+            who.iter().for_each(|w| fleet.resume(*w));
+            agrees(&mut fleet, &what);
+            fleet.run(ms(5_000));
+            let awake: Vec<usize> = (0..6).filter(|w| !who.contains(w)).collect();
+            // A short one is borne; a machine that sleeps as a whole loses nobody.
+            let spared = if length == 200 || awake.is_empty() { (0..6).collect() } else { awake };
+            never_failed(&fleet, began, &spared, &what);
+            assert!(fleet.all_agree(), "{what}: and it lasts");
+            kept(&fleet, &what);
+        }
+    });
+}
+
+/// One direction of one link, for each pair; and a ring of them. A cut, not a death, and it does not flap.
+#[test]
+fn one_sided_cuts() {
+    let members = 5;
+    let pairs: Vec<_> =
+        (0..members).flat_map(|a| (0..members).map(move |b| (a, b))).filter(|(a, b)| a != b).collect();
+    pairs.par_iter().for_each(|&(from, to)| {
+        let mut fleet = fleet(members, (from * members + to) as u64);
+        let began = fleet.now();
+        fleet.network.cut(from, to);
+        fleet.run(ms(20_000));
+        let what = format!("{from} not to {to}");
+        never_failed(&fleet, began, &[0, 1, 2, 3, 4], &what);
+        assert!(fleet.all_agree(), "{what}");
+        let link = |who: usize, other: usize, f: &Fleet| {
+            let view = f.room(who).expect("runs").view(f.now());
+            view.members.iter().find(|m| m.name == *f.name_of(other)).map(|m| m.link.state)
+        };
+        assert_eq!(link(from, to, &fleet), Some(LinkState::Cut), "{what}: shows as a cut");
+        assert_eq!(link(to, from, &fleet), Some(LinkState::Cut), "{what}: at both ends");
+        fleet.network.mend_all();
+        fleet.run(ms(15_000));
+        assert_eq!(link(from, to, &fleet), Some(LinkState::Whole), "{what}: mended");
+        kept(&fleet, &what);
+    });
+    seeds().for_each(|seed| {
+        let mut fleet = fleet(members, seed);
+        let began = fleet.now();
+        (0..members).for_each(|w| fleet.network.cut(w, (w + 1) % members));
+        fleet.run(ms(20_000));
+        never_failed(&fleet, began, &[0, 1, 2, 3, 4], "a ring of cuts");
+        assert!(fleet.all_agree(), "seed {seed}: a ring of cuts");
+        kept(&fleet, "a ring of cuts");
+    });
+}
+
+/// Heard by one only, of eight: never failed.
+#[test]
+fn heard_by_one_only() {
+    seeds().for_each(|seed| {
+        let mut fleet = fleet(8, seed);
+        (0..8).filter(|w| *w != 0 && *w != 3).for_each(|w| fleet.network.cut_both(0, w));
+        fleet.run(ms(4_000));
+        agrees(&mut fleet, "heard by one only");
+        let settled = fleet.now();
+        fleet.run(ms(30_000));
+        never_failed(
+            &fleet,
+            settled,
+            &(0..8).collect::<Vec<_>>(),
+            &format!("seed {seed}: heard by one only"),
+        );
+        fleet.network.mend_all();
+        agrees(&mut fleet, "heard by all again");
+        kept(&fleet, "heard by one only");
+    });
+}
+
+/// Two halves that each went on for a minute, with restarts in both, come together again.
+#[test]
+fn two_halves() {
+    seeds().for_each(|seed| {
+        let mut fleet = fleet(6, seed);
+        for a in [0, 2, 4] {
+            for b in [1, 3, 5] {
+                fleet.network.cut_both(a, b);
+            }
+        }
+        fleet.run(ms(20_000));
+        for who in [2, 3] {
+            fleet.kill(who);
+            fleet.run(ms(1_000));
+            fleet.start(who);
+        }
+        fleet.run(ms(40_000));
+        assert_eq!(fleet.sees(0, 1), Some(State::Failed));
+        assert_eq!(fleet.sees(0, 2), Some(State::Alive), "its own half goes on");
+        fleet.network.mend_all();
+        agrees(&mut fleet, &format!("seed {seed}: two halves"));
+        kept(&fleet, "two halves");
+    });
+}
+
+/// One cut off alone says of nobody that he failed: that it hears nobody is all that it knows.
+#[test]
+fn one_cut_off_alone() {
+    seeds().for_each(|seed| {
+        let mut fleet = fleet(5, seed);
+        let began = fleet.now();
+        (1..5).for_each(|w| fleet.network.cut_both(0, w));
+        fleet.run(ms(30_000));
+        let by_it: Vec<_> = fleet.declared_failed().filter(|(at, by, _)| *at >= began && *by == 0).collect();
+        assert!(by_it.is_empty(), "seed {seed}: {by_it:?}");
+        let view = fleet.room(0).expect("runs").view(fleet.now());
+        assert!(view.members.iter().all(|m| m.state == State::Unknown), "seed {seed}");
+        assert!((1..5).all(|w| fleet.sees(w, 0) == Some(State::Failed)), "seed {seed}");
+        fleet.network.mend_all();
+        agrees(&mut fleet, "one cut off alone");
+        kept(&fleet, "one cut off alone");
+    });
+}
+
+/// A seed that is gone, and all seeds gone: those who are in go on, and a restarted one finds them.
+#[test]
+fn seeds_are_gone() {
+    seeds().for_each(|seed| {
+        let mut fleet = fleet(6, seed);
+        fleet.run(ms(8_000));
+        fleet.kill(0);
+        fleet.kill(1);
+        fleet.run(ms(6_000));
+        agrees(&mut fleet, "seeds gone");
+        fleet.kill(4);
+        fleet.run(ms(500));
+        fleet.start(4);
+        agrees(&mut fleet, &format!("seed {seed}: started again without seeds"));
+        kept(&fleet, "seeds are gone");
+    });
+}
+
+/// Datagrams lost, twice and out of order.
+#[test]
+fn bad_networks() {
+    for (lost, spared) in [(0.05, true), (0.2, true), (0.4, false)] {
+        seeds().for_each(|seed| {
+            let mut fleet = fleet(6, seed);
+            let began = fleet.now();
+            fleet.network.all = Faults { lost, doubled: 0.2, reordered: 0.3, ..Faults::default() };
+            fleet.run(ms(60_000));
+            if spared {
+                never_failed(
+                    &fleet,
+                    began,
+                    &(0..6).collect::<Vec<_>>(),
+                    &format!("seed {seed}: {lost} lost"),
+                );
+            }
+            fleet.network.all = Faults::default();
+            agrees(&mut fleet, &format!("seed {seed}: after {lost} lost"));
+            kept(&fleet, "bad networks");
+        });
+    }
+}
+
+/// Restarted at once: at the same address, at another one, with an emptied disk, with an old copy of the disk.
+#[test]
+fn restarts() {
+    seeds().for_each(|seed| {
+        for case in ["same place", "another place", "emptied", "old copy"] {
+            let what = format!("seed {seed}: {case}");
+            let mut fleet = fleet(5, seed);
+            let old = fleet.disk(3).clone();
+            for _ in 0..3 {
+                fleet.kill(3);
+                fleet.run(ms(50));
+                fleet.start(3);
+                agrees(&mut fleet, &what);
+            }
+            fleet.kill(3);
+            match case {
+                "another place" => fleet.move_to(3, 1),
+                "emptied" => *fleet.disk(3) = Default::default(),
+                "old copy" => *fleet.disk(3) = old,
+                _ => {}
+            }
+            fleet.start(3);
+            // At another place its name is still borne until the old life is found over.
+            fleet.run(ms(7_000));
+            agrees(&mut fleet, &what);
+            if case == "same place" || case == "another place" {
+                kept(&fleet, &what);
+            }
+        }
+    });
+}
+
+/// A data folder copied to a second process: the later one is refused and told why; the first one is not harmed.
+#[test]
+fn a_name_used_twice() {
+    seeds().for_each(|seed| {
+        let mut fleet = fleet(5, seed);
+        let began = fleet.now();
+        let second = fleet.copy(3);
+        fleet.run(ms(20_000));
+        let room = fleet.room(second).expect("runs");
+        assert_eq!(room.phase(), Phase::Refused, "seed {seed}");
+        assert!(room.view(fleet.now()).phase_why.contains("borne by 127."), "seed {seed}");
+        never_failed(&fleet, began, &[0, 1, 2, 3, 4], &format!("seed {seed}: a name used twice"));
+        let told = fleet.history().iter().any(|h| matches!(h.event, Event::TurnedAway { .. }));
+        assert!(told, "seed {seed}");
+        // Once the first one is gone, the second may be it.
+        fleet.kill(3);
+        let taken = fleet.until(ms(15_000), |f| f.room(second).is_some_and(|r| r.phase() == Phase::In));
+        assert!(taken.is_some(), "seed {seed}");
+    });
+}
+
+/// Leaving is told, and is not a failure; who left comes back only by joining.
+#[test]
+fn leaving() {
+    seeds().for_each(|seed| {
+        let mut fleet = fleet(5, seed);
+        let began = fleet.now();
+        fleet.leave(2);
+        let over = fleet.until(ms(1_000), |f| f.room(2).is_some_and(|r| r.is_over()));
+        assert!(over.is_some(), "seed {seed}");
+        fleet.kill(2);
+        fleet.run(ms(5_000));
+        for who in [0, 1, 3, 4] {
+            assert_eq!(fleet.sees(who, 2), Some(State::Left), "seed {seed}: {who}");
+        }
+        never_failed(&fleet, began, &[2], "leaving");
+        fleet.start(2);
+        agrees(&mut fleet, "back after leaving");
+        kept(&fleet, "leaving");
+    });
+}
+
+/// One shut out stays out over restarts, also at those who were away when it was said, until it is let in again.
+#[test]
+fn shut_out_and_let_in() {
+    seeds().for_each(|seed| {
+        let mut fleet = fleet(5, seed);
+        fleet.run(ms(2_000));
+        fleet.kill(4);
+        fleet.run(ms(4_000));
+        let g3 = fleet.name_of(2).clone();
+        fleet.at(0, |room, now| room.shut_out(now, &g3, "does not hold what all hold"));
+        fleet.run(ms(3_000));
+        for who in [0, 1, 3] {
+            assert_eq!(fleet.sees(who, 2), Some(State::ShutOut), "seed {seed}: {who}");
+        }
+        fleet.start(4);
+        fleet.kill(2);
+        fleet.run(ms(3_000));
+        fleet.start(2);
+        fleet.run(ms(10_000));
+        let room = fleet.room(2).expect("runs");
+        assert_eq!(room.phase(), Phase::ShutOut, "seed {seed}");
+        assert_eq!(room.view(fleet.now()).phase_why, "does not hold what all hold");
+        assert!([0, 1, 3, 4].iter().all(|w| fleet.sees(*w, 2) != Some(State::Alive)), "seed {seed}");
+        fleet.at(1, |room, now| room.let_in(now, &g3));
+        fleet.run(ms(3_000));
+        agrees(&mut fleet, &format!("seed {seed}: let in"));
+        kept(&fleet, "shut out");
+    });
+}
+
+/// Random bytes, cut datagrams, another fleet's, an earlier incarnation's: dropped, counted, never answered.
+#[test]
+fn bytes_that_are_not_understood() {
+    let mut fleet = fleet(3, 5);
+    let junk: Vec<Vec<u8>> = (0..300usize)
+        .map(|n| (0..n * 5).map(|i| (i.wrapping_mul(2_654_435_761).wrapping_add(n) >> 7) as u8).collect())
+        .collect();
+    let before = fleet.room(0).expect("runs").counters().clone();
+    junk.into_iter().for_each(|bytes| fleet.inject(1, 0, bytes));
+    fleet.run(ms(5));
+    let after = fleet.room(0).expect("runs").counters().clone();
+    let dropped: u64 = after.dropped.values().sum::<u64>() - before.dropped.values().sum::<u64>();
+    assert_eq!(dropped, 300);
+    assert!(after.datagrams_out - before.datagrams_out < 20, "nothing of it is answered");
+    agrees(&mut fleet, "after random bytes");
+}
+
+/// The same seed gives the same run.
+#[test]
+fn runs_repeat() {
+    let run = || {
+        let mut fleet = fleet(6, 11);
+        fleet.network.all = Faults { lost: 0.3, ..Faults::default() };
+        fleet.pause(2);
+        fleet.run(ms(9_000));
+        fleet.resume(2);
+        fleet.run(ms(9_000));
+        fleet.history().iter().map(|h| format!("{:?} {} {:?}", h.at, h.who, h.event)).collect::<Vec<_>>()
+    };
+    assert_eq!(run(), run());
+}
+
+/// Each part that is taken out is missed: by what must hold with it.
+#[test]
+fn broken_variants_are_found() {
+    let variant = |broken: Broken| {
+        let mut fleet = Fleet::started(Plan { members: 6, seed: 3, broken, ..Plan::default() });
+        fleet.until(ms(10_000), Fleet::all_agree).expect("they come together");
+        fleet
+    };
+    let failed =
+        |fleet: &Fleet, since: Time| fleet.declared_failed().filter(|(at, _, _)| *at >= since).count();
+
+    for broken in [false, true] {
+        let mut fleet = variant(Broken { no_suspicion: broken, ..Broken::default() });
+        let began = fleet.now();
+        fleet.network.all = Faults { lost: 0.2, ..Faults::default() };
+        fleet.run(ms(60_000));
+        assert_eq!(failed(&fleet, began) > 0, broken, "suspicion");
+
+        // One that runs for 20 ms in each 620: what comes for it comes while it stands still.
+        let mut fleet = variant(Broken { no_lateness: broken, ..Broken::default() });
+        let began = fleet.now();
+        fleet.network.all.delay = ms(15);
+        for _ in 0..60 {
+            fleet.pause(1);
+            fleet.run(ms(600));
+            fleet.resume(1);
+            fleet.run(ms(20));
+        }
+        let accuses = |h: &&Happened| {
+            let by_it = h.at >= began && h.who == 1;
+            by_it && matches!(h.event, Event::Member { to: State::Suspected, why: Why::NoAnswer, .. })
+        };
+        assert_eq!(fleet.history().iter().filter(accuses).count() > 0, broken, "lateness");
+
+        let mut fleet = variant(Broken { no_relays: broken, ..Broken::default() });
+        let began = fleet.now();
+        fleet.network.cut(0, 1);
+        fleet.run(ms(20_000));
+        let suspected = fleet.history().iter().filter(|h| {
+            h.at >= began && matches!(h.event, Event::Member { to: State::Suspected | State::Failed, .. })
+        });
+        assert_eq!(suspected.count() > 0, broken, "relays");
+
+        let mut fleet = variant(Broken { no_incarnation: broken, ..Broken::default() });
+        fleet.kill(3);
+        fleet.start(3);
+        fleet.run(ms(5_000));
+        let own: Vec<_> = fleet
+            .history()
+            .iter()
+            .filter_map(|h| match &h.event {
+                Event::Began { ident } if h.who == 3 => Some(ident.incarnation),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(own.windows(2).any(|w| w[0] >= w[1]), broken, "incarnation: {own:?}");
+    }
+}
