--- /dev/null
+++ b/crates/fleet/src/config.rs
@@ -0,0 +1,297 @@
+//! The fleet file: TOML, read whole and checked before anything is opened. An error names file, line, key and what
+//! would be right.
+
+use std::fmt;
+use std::net::SocketAddrV4;
+use std::path::{Path, PathBuf};
+
+use lynxstair::types::Span;
+use lynxstair_membership::{Broken, Name, Times};
+use serde::Deserialize;
+use toml::Spanned;
+
+/// Why a fleet file can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub struct Invalid {
+    pub file: PathBuf,
+    /// From 1 on; none where the file could not be read at all.
+    pub line: Option<usize>,
+    pub key: Option<String>,
+    pub why: String,
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.file.display())?;
+        if let Some(line) = self.line {
+            write!(f, ":{line}")?;
+        }
+        if let Some(key) = &self.key {
+            write!(f, ": {key}")?;
+        }
+        write!(f, ": {}", self.why)
+    }
+}
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogForm {
+    #[default]
+    Text,
+    Json,
+}
+
+/// For trials only; never set in service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct TrialSwitches {
+    /// Parts that are taken out, to show that trials miss them.
+    pub broken: Broken,
+    /// While this file exists, writing records fails as on a full disk.
+    pub disk_full_while: Option<PathBuf>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    fleet: Spanned<String>,
+    name: Spanned<String>,
+    #[serde(default)]
+    hall: Option<Spanned<String>>,
+    bind: Spanned<String>,
+    #[serde(default)]
+    advertise: Option<Spanned<String>>,
+    #[serde(default)]
+    control: Option<Spanned<String>>,
+    #[serde(default)]
+    seeds: Vec<Spanned<String>>,
+    data: PathBuf,
+    #[serde(default)]
+    history: Option<PathBuf>,
+    #[serde(default)]
+    log: LogForm,
+    #[serde(default)]
+    seed: Option<u64>,
+    #[serde(default)]
+    times: TimesFile,
+    #[serde(default)]
+    trial: TrialSwitches,
+}
+
+/// Milliseconds.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct TimesFile {
+    probe_ms: Option<Spanned<u64>>,
+    answer_ms: Option<Spanned<u64>>,
+    suspicion_ms: Option<Spanned<u64>>,
+    gossip_ms: Option<Spanned<u64>>,
+    late_ms: Option<Spanned<u64>>,
+    quiet_ms: Option<Spanned<u64>>,
+    join_ms: Option<Spanned<u64>>,
+    exchange_ms: Option<Spanned<u64>>,
+    most_members: Option<Spanned<u64>>,
+}
+
+/// A fleet file as read and checked.
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub fleet: Name,
+    pub name: Name,
+    pub hall: Name,
+    /// Datagrams among members come here.
+    pub bind: SocketAddrV4,
+    /// Where others reach it.
+    pub advertise: SocketAddrV4,
+    /// Operators connect here, over TCP.
+    pub control: SocketAddrV4,
+    pub seeds: Vec<SocketAddrV4>,
+    pub data: PathBuf,
+    pub history: Option<PathBuf>,
+    pub log: LogForm,
+    /// Fixes all chance, for trials; none: drawn.
+    pub seed: Option<u64>,
+    pub times: Times,
+    pub trial: TrialSwitches,
+}
+
+struct Reader<'a> {
+    file: &'a Path,
+    text: &'a str,
+}
+
+impl Reader<'_> {
+    fn line(&self, at: usize) -> usize {
+        1 + self.text.as_bytes()[..at.min(self.text.len())].iter().filter(|b| **b == b'\n').count()
+    }
+
+    fn invalid(&self, at: usize, key: &str, why: String) -> Invalid {
+        let (file, line, key) = (self.file.to_path_buf(), Some(self.line(at)), Some(key.to_string()));
+        Invalid { file, line, key, why }
+    }
+
+    fn name(&self, key: &str, value: &Spanned<String>) -> Result<Name, Invalid> {
+        Name::new(value.get_ref()).map_err(|e| self.invalid(value.span().start, key, e.to_string()))
+    }
+
+    fn addr(&self, key: &str, value: &Spanned<String>) -> Result<SocketAddrV4, Invalid> {
+        let addr: SocketAddrV4 = value.get_ref().parse().map_err(|_| {
+            let why = format!("{:?} is no address; one looks like \"127.0.0.1:7101\"", value.get_ref());
+            self.invalid(value.span().start, key, why)
+        })?;
+        if addr.port() == 0 || addr.ip().is_unspecified() && key != "bind" && key != "control" {
+            let why =
+                format!("{addr} can't be reached by others; name an address and a port of this machine");
+            return Err(self.invalid(value.span().start, key, why));
+        }
+        Ok(addr)
+    }
+
+    fn times(&self, file: &TimesFile) -> Result<Times, Invalid> {
+        let mut times = Times::default();
+        let within = |key: &str, value: &Option<Spanned<u64>>, least: u64, most: u64| {
+            let Some(value) = value else { return Ok(None) };
+            let n = *value.get_ref();
+            if !(least..=most).contains(&n) {
+                let why = format!("{n} is not within {least} to {most}");
+                return Err(self.invalid(value.span().start, key, why));
+            }
+            Ok(Some(n))
+        };
+        let all: [(&str, &Option<Spanned<u64>>, &mut Span); 8] = [
+            ("times.probe_ms", &file.probe_ms, &mut times.probe),
+            ("times.answer_ms", &file.answer_ms, &mut times.answer),
+            ("times.suspicion_ms", &file.suspicion_ms, &mut times.suspicion),
+            ("times.gossip_ms", &file.gossip_ms, &mut times.gossip),
+            ("times.late_ms", &file.late_ms, &mut times.late),
+            ("times.quiet_ms", &file.quiet_ms, &mut times.quiet),
+            ("times.join_ms", &file.join_ms, &mut times.join),
+            ("times.exchange_ms", &file.exchange_ms, &mut times.exchange),
+        ];
+        for (key, value, time) in all {
+            if let Some(ms) = within(key, value, 10, 600_000)? {
+                *time = Span::from_millis(ms);
+            }
+        }
+        if let Some(most) = within("times.most_members", &file.most_members, 2, 100_000)? {
+            times.most_members = most as usize;
+        }
+        if times.probe.nanos() < 2 * times.answer.nanos() {
+            let at = file.probe_ms.as_ref().or(file.answer_ms.as_ref()).map_or(0, |v| v.span().start);
+            let why = "must be at least twice times.answer_ms: others are asked in what is left".to_string();
+            return Err(self.invalid(at, "times.probe_ms", why));
+        }
+        if times.quiet.nanos() < 2 * times.probe.nanos() {
+            let at = file.quiet_ms.as_ref().or(file.probe_ms.as_ref()).map_or(0, |v| v.span().start);
+            let why = "must be at least twice times.probe_ms: nobody may be heard for one".to_string();
+            return Err(self.invalid(at, "times.quiet_ms", why));
+        }
+        Ok(times)
+    }
+}
+
+impl Config {
+    /// Reads a fleet file. Folders in it are relative to the file.
+    ///
+    /// # Errors
+    /// Where it can't be read or holds what can't be used: file, line, key, and what would be right.
+    pub fn read(file: &Path) -> Result<Self, Invalid> {
+        let text = std::fs::read_to_string(file).map_err(|e| Invalid {
+            file: file.to_path_buf(),
+            line: None,
+            key: None,
+            why: e.to_string(),
+        })?;
+        Config::parse(file, &text)
+    }
+
+    fn parse(file: &Path, text: &str) -> Result<Self, Invalid> {
+        let reader = Reader { file, text };
+        let parsed: File = toml::from_str(text).map_err(|e| Invalid {
+            file: file.to_path_buf(),
+            line: Some(reader.line(e.span().map_or(0, |s| s.start))),
+            key: None,
+            why: e.message().to_string(),
+        })?;
+        let bind = reader.addr("bind", &parsed.bind)?;
+        let advertise = match &parsed.advertise {
+            Some(addr) => reader.addr("advertise", addr)?,
+            None if bind.ip().is_unspecified() => {
+                let why = format!("missing, and others can't reach {bind}; name an address of this machine");
+                return Err(reader.invalid(parsed.bind.span().start, "advertise", why));
+            }
+            None => bind,
+        };
+        let control = parsed.control.as_ref().map_or(Ok(bind), |addr| reader.addr("control", addr))?;
+        let seeds = parsed.seeds.iter().map(|s| reader.addr("seeds", s)).collect::<Result<_, _>>()?;
+        let hall = match &parsed.hall {
+            Some(hall) => reader.name("hall", hall)?,
+            None => Name::new("hall").map_err(|e| reader.invalid(0, "hall", e.to_string()))?,
+        };
+        let folder = file.parent().unwrap_or(Path::new("."));
+        Ok(Config {
+            fleet: reader.name("fleet", &parsed.fleet)?,
+            name: reader.name("name", &parsed.name)?,
+            hall,
+            bind,
+            advertise,
+            control,
+            seeds,
+            data: folder.join(&parsed.data),
+            history: parsed.history.map(|h| folder.join(h)),
+            log: parsed.log,
+            seed: parsed.seed,
+            times: reader.times(&parsed.times)?,
+            trial: TrialSwitches {
+                disk_full_while: parsed.trial.disk_full_while.map(|p| folder.join(p)),
+                ..parsed.trial
+            },
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::path::Path;
+
+    use super::Config;
+
+    const GOOD: &str = r#"
+fleet = "kampus"
+name = "g1"
+hall = "h1"
+bind = "127.0.0.1:7101"
+seeds = ["127.0.0.1:7101", "127.0.0.1:7102"]
+data = "g1"
+
+[times]
+probe_ms = 500
+"#;
+
+    #[test]
+    fn good_and_bad_files() {
+        let config = Config::parse(Path::new("/etc/f/g1.toml"), GOOD).expect("good");
+        assert_eq!((config.advertise, config.control), (config.bind, config.bind));
+        assert_eq!(config.data, Path::new("/etc/f/g1"));
+        assert_eq!(config.times.probe.nanos(), 500_000_000);
+        let bad = [
+            ("\"g1\"\nhall", "\"G 1\"\nhall", "f.toml:3: name: \"G 1\" is no name"),
+            ("127.0.0.1:7101\"\nseeds", "localhost\"\nseeds", "f.toml:5: bind: \"localhost\" is no address"),
+            ("\"127.0.0.1:7102\"", "\"127.0.0.1:0\"", "f.toml:6: seeds: 127.0.0.1:0 can't be reached"),
+            ("127.0.0.1:7101\"\nseeds", "0.0.0.0:7101\"\nseeds", "f.toml:5: advertise: missing"),
+            ("probe_ms = 500", "probe_ms = 5", "f.toml:10: times.probe_ms: 5 is not within 10 to 600000"),
+            ("probe_ms = 500", "probe_ms = 200", "f.toml:10: times.probe_ms: must be at least twice"),
+            ("probe_ms = 500", "probe_ms = 800", "f.toml:10: times.quiet_ms: must be at least twice"),
+            ("probe_ms = 500", "prob_ms = 500", "f.toml:10: unknown field `prob_ms`, expected one of"),
+            ("data = \"g1\"", "", "missing field `data`"),
+            ("name = \"g1\"", "name = 7", "f.toml:3: invalid type: integer `7`, expected a string"),
+            ("hall = \"h1\"", "hall = \"h1", "f.toml:4: "),
+        ];
+        for (good, changed, wanted) in bad {
+            assert!(GOOD.contains(good), "{good}");
+            let error = Config::parse(Path::new("f.toml"), &GOOD.replace(good, changed)).expect_err(changed);
+            assert!(error.to_string().contains(wanted), "{changed}: {error}, not {wanted}");
+        }
+    }
+}
--- a/crates/gatekeeper/src/program.rs
+++ b/crates/gatekeeper/src/program.rs
@@ -1,11 +1,13 @@
 //! The program from start to exit: its phases, and what all parts share.
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 
 use lynxstair::types::{Outcome, Span, Time};
+use lynxstair_fleet::Side;
 use lynxstair_settings::{Bounds, Names};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -185,15 +187,19 @@
     gate: Arc<Gate>,
     ended: Receiver<()>,
     signals: Signals,
+    /// Its part in a fleet, where it takes part in one.
+    side: Option<Arc<Side>>,
 }
 
 impl Program {
-    pub fn start() -> Result<Self, String> {
+    pub fn start(fleet: Option<&Path>) -> Result<Self, String> {
         prepare();
         let config = config::read()?;
+        let fleet = fleet.map(lynxstair_fleet::Config::read).transpose().map_err(|e| e.to_string())?;
         let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
         let gate = Arc::new(gate(&config)?);
         gate.discovery.take(&gate, &config.known, true);
+        let side = fleet.map(Side::start).transpose()?;
         let (end, ended) = channel();
         let accepting = gate.clone();
         go("accepting", move || accepting.clients.accept(&accepting));
@@ -201,7 +207,7 @@
         go("time", move || timing.keep_time(&end));
         log!("{} serves on {}", config.name, config.listen);
         gate.enter(Phase::Serving);
-        Ok(Program { gate, ended, signals })
+        Ok(Program { gate, ended, signals, side })
     }
 
     /// Serves until it is told to end, and ends. The main thread only waits: first for signals, then for
@@ -212,6 +218,9 @@
         }
         self.gate.enter(Phase::Leaving);
         self.gate.ticker.poke();
+        if let Some(side) = &self.side {
+            side.leave();
+        }
         self.ended.recv().map_err(|_| "the coroutine for time ended".to_string())
     }
 }
