--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,41 @@
+//! The `lynxstair` command. `lynxstair fleet` asks the members of a fleet; `lynxstair trial` plays trials.
+#![forbid(unsafe_code)]
+
+mod ask;
+mod fleet;
+mod trial;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// Operates a fleet of lynxstair gatekeepers.
+#[derive(Parser)]
+#[command(version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Who is there, as each member sees it
+    Fleet(fleet::Args),
+    /// Several processes with faults between them
+    Trial(trial::Args),
+}
+
+/// What the exit codes mean: 0 all is well, 1 something is not, 2 it could not be found out.
+fn main() -> ExitCode {
+    let done = match Args::parse().command {
+        Command::Fleet(args) => fleet::run(args),
+        Command::Trial(args) => trial::run(args),
+    };
+    match done {
+        Ok(code) => ExitCode::from(code),
+        Err(e) => {
+            eprintln!("lynxstair: {e:#}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -50,6 +50,8 @@
     pub broken: Broken,
     /// While this file exists, writing records fails as on a full disk.
     pub disk_full_while: Option<PathBuf>,
+    /// It is killed when the process of this number, which started it, ends, however that ends.
+    pub ends_with_parent: Option<i32>,
 }
 
 #[derive(Deserialize)]
--- a/crates/fleet/src/side.rs
+++ b/crates/fleet/src/side.rs
@@ -13,6 +13,9 @@
 use lynxstair_wire::ticker::Ticker;
 use may::coroutine::yield_now;
 use may::io::{CoIo, WaitIo};
+use nix::sys::prctl::set_pdeathsig;
+use nix::sys::signal::Signal;
+use nix::unistd::getppid;
 use rand::TryRng;
 use rand::rngs::SysRng;
 use tracing::{error, info, warn};
@@ -74,6 +77,9 @@
     /// # Errors
     /// Where a socket, the records or a thread can't be had: what, and why.
     pub fn start(config: Config) -> Result<Arc<Self>, String> {
+        if let Some(parent) = config.trial.ends_with_parent {
+            end_with(parent)?;
+        }
         let log = crate::log::begin(config.log);
         let clock = Clock::start();
         let (run, seed) = match config.seed {
@@ -342,6 +348,16 @@
     }
 }
 
+/// For trials: nothing is left running where the one that started this is killed.
+fn end_with(parent: i32) -> Result<(), String> {
+    set_pdeathsig(Signal::SIGKILL).map_err(|e| format!("trial.ends_with_parent: {e}"))?;
+    // Where it ended before that was said, somebody else is the parent already.
+    if getppid().as_raw() != parent {
+        return Err("trial.ends_with_parent: the one that started this has ended".to_string());
+    }
+    Ok(())
+}
+
 /// A disk that fails while a file is there.
 fn failing(config: &Config) -> Option<Failing> {
     let path = config.trial.disk_full_while.clone()?;
--- /dev/null
+++ b/crates/trial/src/file.rs
@@ -0,0 +1,681 @@
+//! The trial file: TOML, read whole and checked before anything is started. What can't be played is told with file,
+//! line, key and what would be right.
+
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::path::Path;
+
+use lynxstair_fleet::Invalid;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_pcg::Pcg64Mcg;
+use serde::Deserialize;
+use toml::{Spanned, Value};
+
+/// One machine holds no more gatekeepers with a relay for each.
+pub const MOST_GATEKEEPERS: usize = 100;
+const LONGEST_SECONDS: f64 = 3_600.0;
+/// Where the file does not say within how many seconds all agree.
+const AGREE_WITHIN: f64 = 10.0;
+
+/// A trial, checked: all names are numbers of gatekeepers from 0.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trial {
+    pub name: String,
+    /// Of faults and load.
+    pub seconds: f64,
+    pub gatekeepers: usize,
+    pub halls: usize,
+    pub voters: Option<usize>,
+    pub seed: u64,
+    pub load: Option<LoadPlan>,
+    pub faults: Vec<Fault>,
+    pub must: Must,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadPlan {
+    pub invocations_per_second: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Must {
+    /// Seconds after the last fault's end.
+    pub agree_within: f64,
+    pub never_failed: Vec<usize>,
+    pub seen_failed: Vec<usize>,
+}
+
+/// One fault.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    /// Seconds after all serve.
+    pub at: f64,
+    /// None: to the end of the trial, or where the kind has no end.
+    pub lasts: Option<f64>,
+    pub kind: Kind,
+}
+
+/// What a killed process finds on its disk.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Disk {
+    #[default]
+    Kept,
+    Emptied,
+    /// The last record is cut short.
+    Torn,
+}
+
+/// Directions of links, by gatekeeper.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Links(pub BTreeSet<(usize, usize)>);
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Kind {
+    Pause { who: Vec<usize> },
+    Kill { who: Vec<usize>, restart_after: Option<f64>, disk: Disk },
+    Stop { who: Vec<usize>, restart_after: Option<f64> },
+    Cut { links: Links },
+    Lose { links: Links, share: f64 },
+    Double { links: Links, share: f64 },
+    Reorder { links: Links, share: f64 },
+    Delay { links: Links, ms: f64, jitter_ms: f64 },
+    DiskFull { who: Vec<usize> },
+    Flap { links: Links, period: f64 },
+}
+
+impl Kind {
+    pub fn name(&self) -> &'static str {
+        match self {
+            Kind::Pause { .. } => "pause",
+            Kind::Kill { .. } => "kill",
+            Kind::Stop { .. } => "stop",
+            Kind::Cut { .. } => "cut",
+            Kind::Lose { .. } => "lose",
+            Kind::Double { .. } => "double",
+            Kind::Reorder { .. } => "reorder",
+            Kind::Delay { .. } => "delay",
+            Kind::DiskFull { .. } => "disk_full",
+            Kind::Flap { .. } => "flap",
+        }
+    }
+
+    /// Whose processes it is done to.
+    pub fn who(&self) -> &[usize] {
+        match self {
+            Kind::Pause { who }
+            | Kind::Kill { who, .. }
+            | Kind::Stop { who, .. }
+            | Kind::DiskFull { who } => who,
+            _ => &[],
+        }
+    }
+
+    /// Whether it ends: has `lasts`.
+    pub fn has_end(&self) -> bool {
+        !matches!(self, Kind::Kill { .. } | Kind::Stop { .. })
+    }
+}
+
+impl Fault {
+    /// Seconds after all serve when it is over, in a trial that long.
+    pub fn ends(&self, seconds: f64) -> f64 {
+        match &self.kind {
+            Kind::Kill { restart_after, .. } | Kind::Stop { restart_after, .. } => {
+                // A restart that would come after the end does not come.
+                let restarts = restart_after.map(|r| self.at + r).filter(|at| *at < seconds);
+                restarts.unwrap_or(self.at)
+            }
+            _ => self.lasts.map_or(seconds, |l| (self.at + l).min(seconds)),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileText {
+    #[serde(default)]
+    name: Option<String>,
+    seconds: Spanned<f64>,
+    gatekeepers: Spanned<i64>,
+    #[serde(default)]
+    halls: Option<Spanned<i64>>,
+    #[serde(default)]
+    voters: Option<Spanned<i64>>,
+    #[serde(default)]
+    seed: Option<Spanned<i64>>,
+    #[serde(default)]
+    load: Option<LoadText>,
+    #[serde(default)]
+    fault: Vec<Spanned<FaultText>>,
+    #[serde(default)]
+    must: MustText,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LoadText {
+    invocations_per_second: Spanned<f64>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct MustText {
+    agree_within: Option<Spanned<f64>>,
+    never_failed: Option<Spanned<Value>>,
+    seen_failed: Option<Spanned<Value>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FaultText {
+    at: Spanned<f64>,
+    kind: Spanned<String>,
+    #[serde(default)]
+    lasts: Option<Spanned<f64>>,
+    #[serde(default)]
+    who: Option<Spanned<Value>>,
+    #[serde(default)]
+    from: Option<Spanned<Value>>,
+    #[serde(default)]
+    to: Option<Spanned<Value>>,
+    #[serde(default)]
+    both: Option<Spanned<bool>>,
+    #[serde(default)]
+    share: Option<Spanned<f64>>,
+    #[serde(default)]
+    ms: Option<Spanned<f64>>,
+    #[serde(default)]
+    jitter_ms: Option<Spanned<f64>>,
+    #[serde(default)]
+    period: Option<Spanned<f64>>,
+    #[serde(default)]
+    restart_after: Option<Spanned<f64>>,
+    #[serde(default)]
+    disk: Option<Spanned<String>>,
+}
+
+struct Reader<'a> {
+    file: &'a Path,
+    text: &'a str,
+    gatekeepers: usize,
+    halls: usize,
+    voters: Option<usize>,
+    chance: Pcg64Mcg,
+}
+
+impl Reader<'_> {
+    fn invalid(&self, at: usize, key: &str, why: impl Into<String>) -> Invalid {
+        let line =
+            1 + self.text.as_bytes()[..at.min(self.text.len())].iter().filter(|b| **b == b'\n').count();
+        Invalid {
+            file: self.file.to_path_buf(),
+            line: Some(line),
+            key: Some(key.to_string()),
+            why: why.into(),
+        }
+    }
+
+    fn within<T: PartialOrd + Copy + std::fmt::Display>(
+        &self,
+        key: &str,
+        value: &Spanned<T>,
+        least: T,
+        most: T,
+    ) -> Result<T, Invalid> {
+        let n = *value.get_ref();
+        if n >= least && n <= most {
+            return Ok(n);
+        }
+        Err(self.invalid(value.span().start, key, format!("{n} is not within {least} to {most}")))
+    }
+
+    fn one(&mut self, at: usize, key: &str, word: &str) -> Result<Vec<usize>, Invalid> {
+        let all: Vec<usize> = (0..self.gatekeepers).collect();
+        let number = |text: &str| text.parse::<usize>().ok().filter(|n| *n >= 1);
+        if let Some(n) = word.strip_prefix('g').and_then(number).filter(|n| *n <= self.gatekeepers) {
+            return Ok(vec![n - 1]);
+        }
+        if let Some(rest) = word.strip_prefix("hall:") {
+            let hall = number(rest).filter(|h| *h <= self.halls).ok_or_else(|| {
+                self.invalid(at, key, format!("{word:?}: the halls are hall:1 to hall:{}", self.halls))
+            })?;
+            return Ok(all.into_iter().filter(|n| n % self.halls == hall - 1).collect());
+        }
+        if let Some(rest) = word.strip_prefix("any:") {
+            let many = number(rest).filter(|n| *n <= self.gatekeepers).ok_or_else(|| {
+                self.invalid(at, key, format!("{word:?}: any:1 to any:{} can be drawn", self.gatekeepers))
+            })?;
+            let mut drawn: Vec<_> = all.sample(&mut self.chance, many).copied().collect();
+            drawn.sort_unstable();
+            return Ok(drawn);
+        }
+        if word == "voters" {
+            let voters = self.voters.ok_or_else(|| {
+                self.invalid(at, key, "\"voters\" needs the key voters, 1 to the number of gatekeepers")
+            })?;
+            return Ok((0..voters).collect());
+        }
+        if word.starts_with("owner:") {
+            let why = format!("{word:?}: this build knows no owners of duties yet");
+            return Err(self.invalid(at, key, why));
+        }
+        let why = format!(
+            "{word:?} is nobody; g1 to g{}, \"hall:1\", \"any:2\" or \"voters\" would be",
+            self.gatekeepers
+        );
+        Err(self.invalid(at, key, why))
+    }
+
+    fn who(&mut self, key: &str, value: &Spanned<Value>) -> Result<Vec<usize>, Invalid> {
+        let at = value.span().start;
+        let words: Vec<&str> = match value.get_ref() {
+            Value::String(word) => vec![word],
+            Value::Array(words) if words.iter().all(Value::is_str) => {
+                words.iter().filter_map(Value::as_str).collect()
+            }
+            _ => return Err(self.invalid(at, key, "names in a list would be right, as [\"g2\"]")),
+        };
+        let mut all = BTreeSet::new();
+        for word in words {
+            all.extend(self.one(at, key, word)?);
+        }
+        Ok(all.into_iter().collect())
+    }
+
+    fn links(&mut self, fault: &FaultText, needed: bool) -> Result<Links, Invalid> {
+        if needed && fault.from.is_none() && fault.to.is_none() {
+            let why = "missing; cut and flap name from, to or both";
+            return Err(self.invalid(fault.kind.span().start, "from", why));
+        }
+        let all: Vec<usize> = (0..self.gatekeepers).collect();
+        let from = fault.from.as_ref().map_or(Ok(all.clone()), |v| self.who("from", v))?;
+        let to = fault.to.as_ref().map_or(Ok(all), |v| self.who("to", v))?;
+        let both = fault.both.as_ref().is_some_and(|b| *b.get_ref());
+        let mut links = BTreeSet::new();
+        for &a in &from {
+            for &b in to.iter().filter(|b| **b != a) {
+                links.insert((a, b));
+                if both {
+                    links.insert((b, a));
+                }
+            }
+        }
+        Ok(Links(links))
+    }
+
+    fn fault(&mut self, text: &FaultText, at: usize, seconds: f64) -> Result<Fault, Invalid> {
+        let kind = text.kind.get_ref().as_str();
+        let keys: &[&str] = match kind {
+            "pause" | "disk_full" => &["lasts", "who"],
+            "kill" => &["who", "restart_after", "disk"],
+            "stop" => &["who", "restart_after"],
+            "cut" => &["lasts", "from", "to", "both"],
+            "lose" | "double" | "reorder" => &["lasts", "from", "to", "both", "share"],
+            "delay" => &["lasts", "from", "to", "both", "ms", "jitter_ms"],
+            "flap" => &["lasts", "from", "to", "both", "period"],
+            _ => {
+                let why = format!(
+                    "{kind:?} is no kind this build knows; pause, kill, stop, cut, lose, double, reorder, delay, \
+                     disk_full and flap are"
+                );
+                return Err(self.invalid(text.kind.span().start, "fault.kind", why));
+            }
+        };
+        let given = [
+            ("lasts", text.lasts.as_ref().map(Spanned::span)),
+            ("who", text.who.as_ref().map(Spanned::span)),
+            ("from", text.from.as_ref().map(Spanned::span)),
+            ("to", text.to.as_ref().map(Spanned::span)),
+            ("both", text.both.as_ref().map(Spanned::span)),
+            ("share", text.share.as_ref().map(Spanned::span)),
+            ("ms", text.ms.as_ref().map(Spanned::span)),
+            ("jitter_ms", text.jitter_ms.as_ref().map(Spanned::span)),
+            ("period", text.period.as_ref().map(Spanned::span)),
+            ("restart_after", text.restart_after.as_ref().map(Spanned::span)),
+            ("disk", text.disk.as_ref().map(Spanned::span)),
+        ];
+        for (key, span) in given {
+            if let Some(span) = span
+                && !keys.contains(&key)
+            {
+                let why = format!("{kind} has no such key; at, {} are its keys", keys.join(", "));
+                return Err(self.invalid(span.start, key, why));
+            }
+        }
+        let begins = self.within("at", &text.at, 0.0, seconds)?;
+        let positive = |key: &str, value: &Option<Spanned<f64>>| {
+            value.as_ref().map(|v| self.within(key, v, 0.0, LONGEST_SECONDS)).transpose()
+        };
+        let lasts = positive("lasts", &text.lasts)?;
+        let restart_after = positive("restart_after", &text.restart_after)?;
+        let missing = |key: &str| self.invalid(at, key, format!("missing, and {kind} needs it"));
+        let share = || {
+            let share = text.share.as_ref().ok_or_else(|| missing("share"))?;
+            self.within("share", share, 0.0, 1.0)
+        };
+        let period = || {
+            let period = text.period.as_ref().ok_or_else(|| missing("period"))?;
+            self.within("period", period, 0.01, LONGEST_SECONDS)
+        };
+        let ms = || {
+            let ms = text.ms.as_ref().ok_or_else(|| missing("ms"))?;
+            let jitter = text.jitter_ms.as_ref().map(|j| self.within("jitter_ms", j, 0.0, 60_000.0));
+            Ok((self.within("ms", ms, 0.0, 60_000.0)?, jitter.transpose()?.unwrap_or_default()))
+        };
+        let disk = match text.disk.as_ref().map(|d| (d.get_ref().as_str(), d.span().start)) {
+            None | Some(("kept", _)) => Disk::Kept,
+            Some(("emptied", _)) => Disk::Emptied,
+            Some(("torn", _)) => Disk::Torn,
+            Some((other, at)) => {
+                let why = format!("{other:?} is no state of a disk; \"kept\", \"emptied\" and \"torn\" are");
+                return Err(self.invalid(at, "disk", why));
+            }
+        };
+        // Checked before anything is drawn, so that what is drawn hangs on the seed alone.
+        let (share, period, ms) = match kind {
+            "lose" | "double" | "reorder" => (share()?, 0.0, (0.0, 0.0)),
+            "flap" => (0.0, period()?, (0.0, 0.0)),
+            "delay" => (0.0, 0.0, ms()?),
+            _ => (0.0, 0.0, (0.0, 0.0)),
+        };
+        let who = match &text.who {
+            Some(who) => self.who("who", who)?,
+            None if keys.contains(&"who") => return Err(missing("who")),
+            None => Vec::new(),
+        };
+        let kind = match kind {
+            "pause" => Kind::Pause { who },
+            "disk_full" => Kind::DiskFull { who },
+            "kill" => Kind::Kill { who, restart_after, disk },
+            "stop" => Kind::Stop { who, restart_after },
+            "cut" => Kind::Cut { links: self.links(text, true)? },
+            "lose" => Kind::Lose { links: self.links(text, false)?, share },
+            "double" => Kind::Double { links: self.links(text, false)?, share },
+            "reorder" => Kind::Reorder { links: self.links(text, false)?, share },
+            "delay" => Kind::Delay { links: self.links(text, false)?, ms: ms.0, jitter_ms: ms.1 },
+            _ => Kind::Flap { links: self.links(text, true)?, period },
+        };
+        Ok(Fault { at: begins, lasts, kind })
+    }
+}
+
+impl Trial {
+    /// Reads a trial file. `seed` takes the place of the one in it.
+    ///
+    /// # Errors
+    /// Where it can't be read or played: file, line, key, and what would be right.
+    pub fn read(file: &Path, seed: Option<u64>) -> Result<Self, Invalid> {
+        let text = std::fs::read_to_string(file).map_err(|e| Invalid {
+            file: file.to_path_buf(),
+            line: None,
+            key: None,
+            why: e.to_string(),
+        })?;
+        Trial::parse(file, &text, seed)
+    }
+
+    /// The same, of a text.
+    ///
+    /// # Errors
+    /// As `read`.
+    pub fn parse(file: &Path, text: &str, seed: Option<u64>) -> Result<Self, Invalid> {
+        let mut reader =
+            Reader { file, text, gatekeepers: 0, halls: 1, voters: None, chance: Pcg64Mcg::seed_from_u64(0) };
+        let parsed: FileText = toml::from_str(text).map_err(|e| {
+            let at = e.span().map_or(0, |s| s.start);
+            let mut invalid = reader.invalid(at, "", e.message());
+            invalid.key = None;
+            invalid
+        })?;
+        let seconds = reader.within("seconds", &parsed.seconds, 0.1, LONGEST_SECONDS)?;
+        let most = MOST_GATEKEEPERS as i64;
+        let gatekeepers = reader.within("gatekeepers", &parsed.gatekeepers, 1, most)?;
+        let halls = parsed.halls.as_ref().map(|h| reader.within("halls", h, 1, gatekeepers)).transpose()?;
+        let voters =
+            parsed.voters.as_ref().map(|v| reader.within("voters", v, 1, gatekeepers)).transpose()?;
+        let file_seed = parsed.seed.as_ref().map(|s| reader.within("seed", s, 0, i64::MAX)).transpose()?;
+        let seed = seed.unwrap_or(file_seed.unwrap_or(1) as u64);
+        reader.gatekeepers = gatekeepers as usize;
+        reader.halls = halls.unwrap_or(1) as usize;
+        reader.voters = voters.map(|v| v as usize);
+        reader.chance = Pcg64Mcg::seed_from_u64(seed);
+        let load = match &parsed.load {
+            Some(load) => {
+                let per_second = reader.within(
+                    "load.invocations_per_second",
+                    &load.invocations_per_second,
+                    0.1,
+                    20_000.0,
+                )?;
+                Some(LoadPlan { invocations_per_second: per_second })
+            }
+            None => None,
+        };
+        let mut faults = Vec::new();
+        for fault in &parsed.fault {
+            faults.push(reader.fault(fault.get_ref(), fault.span().start, seconds)?);
+        }
+        let must = &parsed.must;
+        let agree = must.agree_within.as_ref();
+        let agree = agree.map(|a| reader.within("must.agree_within", a, 0.0, LONGEST_SECONDS)).transpose()?;
+        let mut names = |key: &str, value: &Option<Spanned<Value>>| {
+            value.as_ref().map_or(Ok(Vec::new()), |v| reader.who(key, v))
+        };
+        let never_failed = names("must.never_failed", &must.never_failed)?;
+        let seen_failed = names("must.seen_failed", &must.seen_failed)?;
+        let stem = file.file_stem().map_or_else(String::new, |s| s.to_string_lossy().into_owned());
+        Ok(Trial {
+            name: parsed.name.unwrap_or(stem),
+            seconds,
+            gatekeepers: reader.gatekeepers,
+            halls: reader.halls,
+            voters: reader.voters,
+            seed,
+            load,
+            faults,
+            must: Must { agree_within: agree.unwrap_or(AGREE_WITHIN), never_failed, seen_failed },
+        })
+    }
+
+    /// The name of a gatekeeper.
+    pub fn name_of(number: usize) -> String {
+        format!("g{}", number + 1)
+    }
+
+    /// Seconds after all serve when the last fault is over.
+    pub fn faults_over(&self) -> f64 {
+        self.faults.iter().map(|f| f.ends(self.seconds)).fold(0.0, f64::max)
+    }
+
+    /// The same trial as a file.
+    pub fn to_toml(&self) -> String {
+        let mut out = String::new();
+        let names = |who: &[usize]| {
+            let names: Vec<_> = who.iter().map(|w| format!("\"{}\"", Trial::name_of(*w))).collect();
+            format!("[{}]", names.join(", "))
+        };
+        let name = self.name.replace('\\', "\\\\").replace('"', "\\\"");
+        let _ = writeln!(out, "name = \"{name}\"\nseconds = {:?}", self.seconds);
+        let _ = writeln!(out, "gatekeepers = {}\nhalls = {}", self.gatekeepers, self.halls);
+        if let Some(voters) = self.voters {
+            let _ = writeln!(out, "voters = {voters}");
+        }
+        let _ = writeln!(out, "seed = {}", self.seed);
+        if let Some(load) = self.load {
+            let _ = writeln!(out, "\n[load]\ninvocations_per_second = {:?}", load.invocations_per_second);
+        }
+        for fault in &self.faults {
+            // Links that no two lists of names give are written one by one.
+            for (n, (links, rest)) in fault.lines(&names).into_iter().enumerate() {
+                let _ = n;
+                let _ = writeln!(out, "\n[[fault]]\nat = {:?}", fault.at);
+                if let Some(lasts) = fault.lasts {
+                    let _ = writeln!(out, "lasts = {lasts:?}");
+                }
+                let _ = writeln!(out, "kind = \"{}\"\n{links}{rest}", fault.kind.name());
+                out.truncate(out.trim_end().len());
+                out.push('\n');
+            }
+        }
+        let _ = writeln!(out, "\n[must]\nagree_within = {:?}", self.must.agree_within);
+        if !self.must.never_failed.is_empty() {
+            let _ = writeln!(out, "never_failed = {}", names(&self.must.never_failed));
+        }
+        if !self.must.seen_failed.is_empty() {
+            let _ = writeln!(out, "seen_failed = {}", names(&self.must.seen_failed));
+        }
+        out
+    }
+}
+
+impl Fault {
+    /// Its keys besides `at`, `lasts` and `kind`, once for each group of links.
+    fn lines(&self, names: &impl Fn(&[usize]) -> String) -> Vec<(String, String)> {
+        let who = |who: &[usize]| format!("who = {}\n", names(who));
+        let (links, rest) = match &self.kind {
+            Kind::Pause { who: w } | Kind::DiskFull { who: w } => return vec![(who(w), String::new())],
+            Kind::Kill { who: w, restart_after, disk } => {
+                let mut rest = restart_after.map_or(String::new(), |r| format!("restart_after = {r:?}\n"));
+                match disk {
+                    Disk::Kept => {}
+                    Disk::Emptied => rest.push_str("disk = \"emptied\"\n"),
+                    Disk::Torn => rest.push_str("disk = \"torn\"\n"),
+                }
+                return vec![(who(w), rest)];
+            }
+            Kind::Stop { who: w, restart_after } => {
+                let rest = restart_after.map_or(String::new(), |r| format!("restart_after = {r:?}\n"));
+                return vec![(who(w), rest)];
+            }
+            Kind::Cut { links } => (links, String::new()),
+            Kind::Lose { links, share } | Kind::Double { links, share } | Kind::Reorder { links, share } => {
+                (links, format!("share = {share:?}\n"))
+            }
+            Kind::Delay { links, ms, jitter_ms } => {
+                (links, format!("ms = {ms:?}\njitter_ms = {jitter_ms:?}\n"))
+            }
+            Kind::Flap { links, period } => (links, format!("period = {period:?}\n")),
+        };
+        let mut groups: Vec<(Vec<usize>, Vec<usize>)> = Vec::new();
+        for from in links.0.iter().map(|(a, _)| *a).collect::<BTreeSet<_>>() {
+            let to: Vec<usize> = links.0.iter().filter(|(a, _)| *a == from).map(|(_, b)| *b).collect();
+            groups.push((vec![from], to));
+        }
+        let line =
+            |(from, to): (Vec<usize>, Vec<usize>)| format!("from = {}\nto = {}\n", names(&from), names(&to));
+        groups.into_iter().map(|g| (line(g), rest.clone())).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::path::Path;
+
+    use super::{Disk, Kind, Trial};
+
+    const GOOD: &str = r#"name = "Whole"
+seconds = 20
+gatekeepers = 6
+halls = 2
+voters = 3
+seed = 7
+
+[load]
+invocations_per_second = 200
+
+[[fault]]
+at = 4.0
+lasts = 8.0
+kind = "pause"
+who = ["g2"]
+
+[[fault]]
+at = 1
+kind = "kill"
+who = ["any:2"]
+restart_after = 2.0
+disk = "torn"
+
+[[fault]]
+at = 1
+kind = "cut"
+from = "hall:1"
+to = ["hall:2", "g3"]
+both = true
+
+[[fault]]
+at = 2
+kind = "lose"
+share = 0.4
+
+[must]
+agree_within = 5
+never_failed = ["g3"]
+seen_failed = ["hall:2"]
+"#;
+
+    fn parse(text: &str) -> Result<Trial, String> {
+        Trial::parse(Path::new("t.toml"), text, None).map_err(|e| e.to_string())
+    }
+
+    #[test]
+    fn a_whole_file() {
+        let trial = parse(GOOD).expect("good");
+        assert_eq!((trial.gatekeepers, trial.seed, trial.seconds), (6, 7, 20.0));
+        assert!(matches!(&trial.faults[1].kind, Kind::Kill { who, disk: Disk::Torn, .. } if who.len() == 2));
+        let Kind::Cut { links } = &trial.faults[2].kind else { panic!("a cut") };
+        assert!(links.0.contains(&(0, 1)) && links.0.contains(&(1, 0)) && links.0.contains(&(0, 2)));
+        let Kind::Lose { links, .. } = &trial.faults[3].kind else { panic!("loss") };
+        assert_eq!(links.0.len(), 30);
+        assert_eq!(trial.must.seen_failed, [1, 3, 5]);
+        assert_eq!(trial.faults_over(), 20.0);
+        let other = Trial::parse(Path::new("t.toml"), GOOD, Some(8)).expect("good");
+        assert_eq!(other.seed, 8);
+    }
+
+    #[test]
+    fn written_and_read_again_it_is_the_same() {
+        let mut trial = parse(GOOD).expect("good");
+        let again = parse(&trial.to_toml()).expect("good");
+        assert_eq!(again.faults_over(), trial.faults_over());
+        trial.faults.retain(|f| !matches!(f.kind, Kind::Cut { .. } | Kind::Lose { .. }));
+        assert_eq!(parse(&trial.to_toml()).expect("good"), trial);
+    }
+
+    #[test]
+    fn what_cannot_be_played() {
+        let cases = [
+            ("\"pause\"\nwho", "\"nap\"\nwho", "t.toml:14: fault.kind: \"nap\" is no kind this build knows"),
+            ("\"pause\"\nwho", "\"change\"\nwho", "t.toml:14: fault.kind: \"change\" is no kind this build"),
+            ("[\"g2\"]", "[\"g9\"]", "t.toml:15: who: \"g9\" is nobody; g1 to g6"),
+            (
+                "[\"g2\"]",
+                "[\"owner:export\"]",
+                "t.toml:15: who: \"owner:export\": this build knows no owners",
+            ),
+            ("[\"g2\"]", "[2]", "t.toml:15: who: names in a list"),
+            ("lasts = 8.0", "last = 8.0", "t.toml:13: unknown field `last`"),
+            ("lasts = 8.0", "lasts = -1.0", "t.toml:13: lasts: -1 is not within 0"),
+            ("lasts = 8.0", "share = 0.5", "t.toml:13: share: pause has no such key; at, lasts, who are"),
+            ("restart_after = 2.0", "lasts = 2.0", "t.toml:21: lasts: kill has no such key"),
+            ("\"torn\"", "\"wet\"", "t.toml:22: disk: \"wet\" is no state of a disk"),
+            ("\"any:2\"", "\"any:9\"", "t.toml:20: who: \"any:9\": any:1 to any:6"),
+            ("[\"hall:2\", ", "[\"hall:4\", ", "t.toml:28: to: \"hall:4\": the halls are hall:1 to hall:2"),
+            ("share = 0.4", "share = 1.4", "t.toml:34: share: 1.4 is not within 0 to 1"),
+            ("share = 0.4", "", "t.toml:31: share: missing, and lose needs it"),
+            ("gatekeepers = 6", "gatekeepers = 0", "t.toml:3: gatekeepers: 0 is not within 1 to 100"),
+            ("gatekeepers = 6", "", "missing field `gatekeepers`"),
+            ("halls = 2", "halls = 7", "t.toml:4: halls: 7 is not within 1 to 6"),
+            ("at = 4.0", "at = 40.0", "t.toml:12: at: 40 is not within 0 to 20"),
+            ("seconds = 20", "seconds = \"long\"", "t.toml:2: invalid type: string \"long\""),
+            ("[must]", "[should]", "unknown field `should`"),
+            ("name = \"Whole\"", "name = \"Whole", "t.toml:1: "),
+        ];
+        for (good, changed, wanted) in cases {
+            assert!(GOOD.contains(good), "{good}");
+            let error = parse(&GOOD.replacen(good, changed, 1)).expect_err(changed);
+            assert!(error.contains(wanted), "{changed}: {error}, not {wanted}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/trial/src/judge.rs
@@ -0,0 +1,754 @@
+//! The judge: reads what processes wrote down and what clients and workers saw, and says what broke. It knows no
+//! code of what it judges, only the words of the history; what may follow what is written here once more.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use lynxstair_standins::{Answered, Delivered};
+use serde::Serialize;
+use serde_json::Value;
+
+/// After a worker drains: the grace, and what a busy machine may add to it, in nanoseconds.
+const DRAINED: u64 = 1_000_000_000;
+/// Of the invocations at gatekeepers that nothing was done to, such a part succeeds at least.
+const SERVED: f64 = 0.8;
+
+/// Something that must hold in every trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Rule {
+    pub name: &'static str,
+    pub says: &'static str,
+}
+
+/// All rules, by name.
+pub const RULES: [Rule; 15] = [
+    Rule { name: "all-join", says: "all that start are in, and see each other, before the faults begin" },
+    Rule { name: "states-follow", says: "no state of a member follows one that it may not follow" },
+    Rule {
+        name: "incarnation-forward",
+        says: "an incarnation never goes back, neither one's own nor as seen by others",
+    },
+    Rule {
+        name: "over-stays-over",
+        says: "one that failed, left or was shut out is there again only in a later incarnation",
+    },
+    Rule {
+        name: "not-failed-for-good",
+        says: "one that runs and is heard is not failed, at the end, as seen by any that runs",
+    },
+    Rule {
+        name: "all-agree",
+        says: "all that run see the same members, from agree_within after the last fault to the end",
+    },
+    Rule { name: "status-as-history", says: "what a member answers at the end is what its history comes to" },
+    Rule { name: "never-failed", says: "those under must.never_failed are declared failed by nobody" },
+    Rule {
+        name: "seen-failed",
+        says: "those under must.seen_failed are declared failed by all others, at some time",
+    },
+    Rule { name: "ends-well", says: "no process ends by itself, and each ends with 0 when it is told to" },
+    Rule { name: "history-whole", says: "each process that runs has a history, and it can be read" },
+    Rule {
+        name: "one-answer",
+        says: "each invocation gets one final answer, in time, at gatekeepers that nothing is done to",
+    },
+    Rule { name: "no-effect-twice", says: "no invocation that is not idempotent is run twice" },
+    Rule { name: "nothing-to-drained", says: "nothing new goes to a worker that drains, after the grace" },
+    Rule {
+        name: "served-through",
+        says: "gatekeepers that nothing is done to serve as if there were no fault",
+    },
+];
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Break {
+    pub rule: &'static str,
+    /// Seconds after all served.
+    pub at: f64,
+    /// Between whom.
+    pub who: Vec<String>,
+    pub what: String,
+    /// Of the histories.
+    pub lines: Vec<String>,
+}
+
+/// What came of a trial.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Verdict {
+    pub name: String,
+    pub kept: bool,
+    pub breaks: Vec<Break>,
+    /// Seconds from the last fault's end until all agreed for good; measured, and no rule.
+    pub agreed_after: Option<f64>,
+    /// For each that was declared failed after its process was killed: seconds until the first and until the last of
+    /// the others had.
+    pub detections: Vec<Detection>,
+    pub invocations: Invocations,
+    /// CPU of a gatekeeper a second, as a part of a core; the mean over those that ran through.
+    pub cpu: Option<f64>,
+}
+
+/// How long a death took to be seen.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Detection {
+    pub who: String,
+    pub first: f64,
+    pub last: f64,
+}
+
+/// Counts of a load.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Invocations {
+    pub sent: usize,
+    pub succeeded: usize,
+    pub throttled: usize,
+    pub errored: usize,
+    pub unanswered: usize,
+    pub deliveries: usize,
+}
+
+/// One gatekeeper as the trial had it.
+#[derive(Clone, Debug, Default)]
+pub struct Process {
+    pub name: String,
+    /// At the end.
+    pub runs: bool,
+    /// It was killed or stopped at some time.
+    pub was_ended: bool,
+    /// Its records were emptied or cut short at these times.
+    pub disk_lost: Vec<u64>,
+    /// Times when something was done to the process itself.
+    pub disturbed: Vec<(u64, u64)>,
+    /// When it was killed.
+    pub killed: Vec<u64>,
+    /// Why it ended, where it should not have, or not so.
+    pub ended_badly: Option<(u64, String)>,
+    /// Whom it said were there, when it was asked at the end; none: no answer.
+    pub status: Option<BTreeSet<String>>,
+    pub history: Vec<String>,
+}
+
+/// All that was seen. Times are of the machine's monotonic clock, in nanoseconds.
+#[derive(Clone, Debug, Default)]
+pub struct Observed {
+    pub name: String,
+    pub began: u64,
+    pub faults_over: u64,
+    /// Before anybody was told to end.
+    pub ended: u64,
+    pub agree_within: f64,
+    pub never_failed: Vec<String>,
+    pub seen_failed: Vec<String>,
+    pub processes: Vec<Process>,
+    pub answered: Vec<Answered>,
+    pub delivered: Vec<Delivered>,
+    pub drained: Option<(usize, u64)>,
+    /// Not all were in when the time for it was up: what each said.
+    pub not_joined: Option<String>,
+    pub cpu: Option<f64>,
+}
+
+/// What may follow what, in one incarnation.
+fn may_follow(from: &str, to: &str) -> bool {
+    match from {
+        "unknown" => true,
+        "joining" => matches!(to, "alive" | "suspected" | "failed" | "left" | "shut_out"),
+        "alive" => matches!(to, "suspected" | "failed" | "left" | "shut_out"),
+        "suspected" => matches!(to, "alive" | "failed" | "left" | "shut_out"),
+        "failed" => matches!(to, "left" | "shut_out"),
+        "left" => to == "shut_out",
+        "shut_out" => to == "unknown",
+        _ => false,
+    }
+}
+
+fn is_over(state: &str) -> bool {
+    matches!(state, "failed" | "left" | "shut_out")
+}
+
+fn is_there(state: &str) -> bool {
+    matches!(state, "alive" | "suspected")
+}
+
+/// A line of a history.
+#[derive(Clone, Debug)]
+struct Line {
+    mono: u64,
+    run: u64,
+    value: Value,
+    text: String,
+}
+
+impl Line {
+    fn read(text: &str) -> Option<Line> {
+        let value: Value = serde_json::from_str(text).ok()?;
+        let (mono, run) = (value["mono"].as_u64()?, value["run"].as_u64()?);
+        Some(Line { mono, run, value, text: text.to_string() })
+    }
+
+    fn is(&self, event: &str) -> bool {
+        self.value["event"] == event
+    }
+
+    fn text(&self, key: &str) -> &str {
+        self.value[key].as_str().unwrap_or_default()
+    }
+
+    fn number(&self, key: &str) -> u64 {
+        self.value[key].as_u64().unwrap_or_default()
+    }
+}
+
+struct Judge<'a> {
+    seen: &'a Observed,
+    lines: Vec<Vec<Line>>,
+    breaks: Vec<Break>,
+}
+
+/// Judges a trial.
+pub fn judge(seen: &Observed) -> Verdict {
+    let mut judge = Judge { seen, lines: Vec::new(), breaks: Vec::new() };
+    judge.read();
+    judge.joined();
+    for who in 0..seen.processes.len() {
+        judge.one_history(who);
+        judge.ended(who);
+    }
+    let agreed_after = judge.agreement();
+    judge.declared();
+    judge.invocations();
+    let detections = judge.detections();
+    let mut breaks = judge.breaks;
+    breaks.sort_by(|a, b| a.at.total_cmp(&b.at));
+    Verdict {
+        name: seen.name.clone(),
+        kept: breaks.is_empty(),
+        breaks,
+        agreed_after,
+        detections,
+        invocations: counted(seen),
+        cpu: seen.cpu,
+    }
+}
+
+impl Judge<'_> {
+    fn secs(&self, mono: u64) -> f64 {
+        (mono as f64 - self.seen.began as f64) / 1e9
+    }
+
+    fn breaks(&mut self, rule: &'static str, mono: u64, who: &[&str], what: String, lines: Vec<String>) {
+        debug_assert!(RULES.iter().any(|r| r.name == rule), "{rule}");
+        // One of a kind between the same tells enough.
+        let who: Vec<_> = who.iter().map(|w| w.to_string()).collect();
+        if !self.breaks.iter().any(|b| b.rule == rule && b.who == who) {
+            let at = self.secs(mono);
+            self.breaks.push(Break { rule, at, who, what, lines });
+        }
+    }
+
+    fn read(&mut self) {
+        let seen = self.seen;
+        for process in &seen.processes {
+            let mut lines = Vec::new();
+            let count = process.history.len();
+            for (n, text) in process.history.iter().enumerate() {
+                match Line::read(text) {
+                    Some(line) => lines.push(line),
+                    // A kill cuts the last line of a run short.
+                    None if process.was_ended || n + 1 == count => {}
+                    None => {
+                        let what = format!("line {} can't be read", n + 1);
+                        self.breaks("history-whole", seen.began, &[&process.name], what, vec![text.clone()]);
+                    }
+                }
+            }
+            if lines.is_empty() && process.runs {
+                self.breaks("history-whole", seen.began, &[&process.name], "no history".to_string(), vec![]);
+            }
+            // The run that begins later comes later.
+            lines.sort_by_key(|l| l.mono);
+            self.lines.push(lines);
+        }
+    }
+
+    fn joined(&mut self) {
+        if let Some(what) = self.seen.not_joined.clone() {
+            self.breaks("all-join", self.seen.began, &[], what, Vec::new());
+        }
+    }
+
+    /// What one process wrote of itself and of others.
+    fn one_history(&mut self, who: usize) {
+        let seen = self.seen;
+        let process = &seen.processes[who];
+        let me = process.name.as_str();
+        let lines = std::mem::take(&mut self.lines[who]);
+        let mut own: Option<(u64, &Line)> = None;
+        let mut held: HashMap<(u64, String), &Line> = HashMap::new();
+        for line in lines.iter().filter(|l| l.mono <= seen.ended) {
+            if line.is("began") {
+                let incarnation = line.value["ident"]["incarnation"].as_u64().unwrap_or_default();
+                if let Some((last, before)) = own {
+                    // One whose disk was emptied can't know what it was, until others tell it.
+                    let forgot = process.disk_lost.iter().any(|at| (before.mono..=line.mono).contains(at));
+                    if incarnation <= last && !forgot {
+                        let what = format!("{me} begins as {incarnation} after it was {last}");
+                        let lines = vec![before.text.clone(), line.text.clone()];
+                        self.breaks("incarnation-forward", line.mono, &[me], what, lines);
+                    }
+                }
+                own = Some((incarnation, line));
+            }
+            if !line.is("member") {
+                continue;
+            }
+            let other = line.text("name").to_string();
+            let (from, to) = (line.text("from").to_string(), line.text("to").to_string());
+            let (was, now) = (line.number("was"), line.number("incarnation"));
+            let before = held.insert((line.run, other.clone()), line);
+            let texts =
+                || before.iter().map(|b| b.text.clone()).chain([line.text.clone()]).collect::<Vec<_>>();
+            if let Some(before) = before
+                && (before.text("to") != from || before.number("incarnation") != was)
+            {
+                let what = format!("{other} was {}, and becomes {to} from {from}", before.text("to"));
+                self.breaks("states-follow", line.mono, &[me, &other], what, texts());
+            }
+            if now < was {
+                let what = format!("{me} sees {other} go back from incarnation {was} to {now}");
+                self.breaks("incarnation-forward", line.mono, &[me, &other], what, texts());
+            }
+            if now == was && is_over(&from) && (is_there(&to) || to == "joining") {
+                let what = format!("{me} sees {other} {to} after {from}, both in incarnation {now}");
+                self.breaks("over-stays-over", line.mono, &[me, &other], what, texts());
+            } else if now == was && !may_follow(&from, &to) || now > was && from == "shut_out" {
+                let what = format!("{me} sees {other} become {to} from {from}");
+                self.breaks("states-follow", line.mono, &[me, &other], what, texts());
+            }
+        }
+        self.lines[who] = lines;
+    }
+
+    fn ended(&mut self, who: usize) {
+        if let Some((at, why)) = self.seen.processes[who].ended_badly.clone() {
+            let name = self.seen.processes[who].name.clone();
+            self.breaks("ends-well", at, &[&name], format!("{name}: {why}"), Vec::new());
+        }
+    }
+
+    /// The changes of whom one process sees as there, in its last run: from when on.
+    fn sees(&self, who: usize) -> Vec<(u64, BTreeSet<String>, bool)> {
+        let lines = &self.lines[who];
+        let Some(run) = lines.last().map(|l| l.run) else { return Vec::new() };
+        let (mut there, mut blind) = (BTreeSet::new(), false);
+        let mut steps = Vec::new();
+        for line in lines.iter().filter(|l| l.run == run && l.mono <= self.seen.ended) {
+            if line.is("member") {
+                let name = line.text("name").to_string();
+                if is_there(line.text("to")) {
+                    there.insert(name)
+                } else {
+                    there.remove(&name)
+                };
+            } else if line.is("doubt_began") {
+                blind = line.text("why") == "hears_nobody";
+            } else if line.is("doubt_ended") {
+                blind = false;
+            } else {
+                continue;
+            }
+            steps.push((line.mono, there.clone(), blind));
+        }
+        steps
+    }
+
+    /// Whether all that run see the same; how long after the last fault that was so for good.
+    fn agreement(&mut self) -> Option<f64> {
+        let seen = self.seen;
+        if seen.not_joined.is_some() {
+            return None;
+        }
+        let running: Vec<usize> = (0..seen.processes.len()).filter(|n| seen.processes[*n].runs).collect();
+        let names: BTreeSet<String> = running.iter().map(|n| seen.processes[*n].name.clone()).collect();
+        let by = seen.faults_over + (seen.agree_within * 1e9) as u64;
+        let mut agreed_at = seen.faults_over;
+        for &who in &running {
+            let me = seen.processes[who].name.clone();
+            let mut wanted = names.clone();
+            wanted.remove(&me);
+            let steps = self.sees(who);
+            let mut last_bad: Option<(u64, BTreeSet<String>, bool)> = None;
+            for (n, (at, there, blind)) in steps.iter().enumerate() {
+                if *there == wanted && !blind {
+                    continue;
+                }
+                let until = steps.get(n + 1).map_or(seen.ended, |(at, _, _)| *at);
+                agreed_at = agreed_at.max(until);
+                if until > by || n + 1 == steps.len() {
+                    last_bad = Some((*at, there.clone(), *blind));
+                }
+            }
+            if steps.is_empty() && !wanted.is_empty() {
+                last_bad = Some((seen.began, BTreeSet::new(), false));
+            }
+            if let Some((at, there, blind)) = last_bad {
+                let missing: Vec<_> = wanted.difference(&there).cloned().collect();
+                let over: Vec<_> = there.difference(&wanted).cloned().collect();
+                let mut what = format!("{me} sees {} others", there.len());
+                if !missing.is_empty() {
+                    what += &format!(", not {}", missing.join(", "));
+                }
+                if !over.is_empty() {
+                    what += &format!(", and {} that does not run", over.join(", "));
+                }
+                if blind {
+                    what += ", and hears nobody";
+                }
+                what += &format!(
+                    ", {:.1} s after the last fault",
+                    (seen.ended.max(by) - seen.faults_over) as f64 / 1e9
+                );
+                let texts = self.last_lines(who, &missing, &over);
+                self.breaks("all-agree", at.max(by), &[&me], what, texts);
+            }
+            if let Some(status) = &seen.processes[who].status {
+                let last = steps.last().map(|(_, there, blind)| (there.clone(), *blind));
+                let (there, blind) = last.unwrap_or_default();
+                let says = if blind { BTreeSet::new() } else { there };
+                if *status != says {
+                    let what = format!("{me} answers {status:?}, and its history comes to {says:?}");
+                    self.breaks("status-as-history", seen.ended, &[&me], what, Vec::new());
+                }
+            } else {
+                let what = format!("{me} did not answer at its control port at the end");
+                self.breaks("status-as-history", seen.ended, &[&me], what, Vec::new());
+            }
+            self.failed_for_good(who, &running);
+        }
+        Some((agreed_at - seen.faults_over) as f64 / 1e9)
+    }
+
+    /// The last word of one on each of these.
+    fn last_lines(&self, who: usize, missing: &[String], over: &[String]) -> Vec<String> {
+        let of = |name: &String| {
+            let about = |l: &&Line| l.is("member") && l.text("name") == name;
+            self.lines[who].iter().rev().find(about).map(|l| l.text.clone())
+        };
+        missing.iter().chain(over).filter_map(of).take(6).collect()
+    }
+
+    fn failed_for_good(&mut self, who: usize, running: &[usize]) {
+        let seen = self.seen;
+        let me = seen.processes[who].name.clone();
+        for &other in running.iter().filter(|o| **o != who) {
+            let name = &seen.processes[other].name;
+            let about = |l: &&Line| l.is("member") && l.text("name") == name && l.mono <= seen.ended;
+            let last = self.lines[who].iter().rev().find(about);
+            if let Some(line) = last.filter(|l| l.text("to") == "failed") {
+                let (at, text) = (line.mono, line.text.clone());
+                let what = format!("{me} holds {name} failed, and it runs");
+                self.breaks("not-failed-for-good", at, &[&me, name], what, vec![text]);
+            }
+        }
+    }
+
+    /// What must be seen, and must not.
+    fn declared(&mut self) {
+        let seen = self.seen;
+        let mut by: BTreeMap<&str, Vec<(usize, u64, String)>> = BTreeMap::new();
+        for (who, lines) in self.lines.iter().enumerate() {
+            let within = |l: &&Line| l.mono >= seen.began && l.mono <= seen.ended;
+            for line in lines.iter().filter(within).filter(|l| l.is("member") && l.text("to") == "failed") {
+                let name = seen.processes.iter().map(|p| p.name.as_str()).find(|n| *n == line.text("name"));
+                if let Some(name) = name {
+                    by.entry(name).or_default().push((who, line.mono, line.text.clone()));
+                }
+            }
+        }
+        for name in &seen.never_failed {
+            for (who, at, text) in by.get(name.as_str()).cloned().unwrap_or_default() {
+                let me = &seen.processes[who].name;
+                let what = format!("{me} declares {name} failed");
+                self.breaks("never-failed", at, &[me, name], what, vec![text]);
+            }
+        }
+        for name in &seen.seen_failed {
+            let said: Vec<usize> =
+                by.get(name.as_str()).iter().flat_map(|b| b.iter().map(|(w, _, _)| *w)).collect();
+            for (who, process) in seen.processes.iter().enumerate() {
+                // Whoever was ended meanwhile may have been away when it was to be seen.
+                if process.name != *name && !process.was_ended && !said.contains(&who) {
+                    let what = format!("{} never declares {name} failed", process.name);
+                    self.breaks("seen-failed", seen.ended, &[&process.name, name], what, Vec::new());
+                }
+            }
+        }
+    }
+
+    fn detections(&self) -> Vec<Detection> {
+        let seen = self.seen;
+        let mut all = Vec::new();
+        for process in &seen.processes {
+            for &killed in &process.killed {
+                let mut took = Vec::new();
+                for (who, lines) in self.lines.iter().enumerate() {
+                    if seen.processes[who].name == process.name || seen.processes[who].was_ended {
+                        continue;
+                    }
+                    let after =
+                        |l: &&Line| l.mono >= killed && l.is("member") && l.text("name") == process.name;
+                    let found = lines.iter().filter(after).find(|l| l.text("to") == "failed");
+                    took.extend(found.map(|l| (l.mono - killed) as f64 / 1e9));
+                }
+                if let (Some(first), Some(last)) =
+                    (took.iter().copied().reduce(f64::min), took.iter().copied().reduce(f64::max))
+                {
+                    all.push(Detection { who: process.name.clone(), first, last });
+                }
+            }
+        }
+        all
+    }
+
+    fn invocations(&mut self) {
+        let seen = self.seen;
+        let of: HashMap<&str, &Process> = seen.processes.iter().map(|p| (p.name.as_str(), p)).collect();
+        let quiet = |name: &str, from: u64, to: u64| {
+            of.get(name).is_some_and(|p| !p.disturbed.iter().any(|(a, b)| *a <= to && from <= *b))
+        };
+        let mut served: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for one in &seen.answered {
+            let who = one.gatekeeper.as_str();
+            let undisturbed = quiet(who, one.sent.saturating_sub(500_000_000), one.ended);
+            let said = || vec![serde_json::to_string(one).unwrap_or_default()];
+            if one.extra > 0 {
+                let what = format!("{} bytes came behind the one answer to {:x}", one.extra, one.id);
+                self.breaks("one-answer", one.ended, &[who], what, said());
+            }
+            if undisturbed && one.status.is_none() && one.why != "crossed" {
+                let what = format!("no answer to {:x} in time: {}", one.id, one.why);
+                self.breaks("one-answer", one.ended, &[who], what, said());
+            }
+            if undisturbed && one.why != "crossed" {
+                let count = served.entry(who).or_default();
+                count.0 += 1;
+                count.1 += usize::from(one.status == Some(200));
+            }
+        }
+        for (who, (sent, succeeded)) in served {
+            if sent >= 20 && (succeeded as f64) < SERVED * sent as f64 {
+                let what = format!("{succeeded} of {sent} invocations at {who} succeeded");
+                self.breaks("served-through", seen.ended, &[who], what, Vec::new());
+            }
+        }
+        let by_id: HashMap<u64, &Answered> = seen.answered.iter().map(|a| (a.id, a)).collect();
+        let mut runs: HashMap<u64, Vec<&Delivered>> = HashMap::new();
+        for one in &seen.delivered {
+            runs.entry(one.id).or_default().push(one);
+        }
+        for (id, runs) in &runs {
+            let Some(asked) = by_id.get(id) else { continue };
+            let said =
+                || runs.iter().map(|d| serde_json::to_string(d).unwrap_or_default()).collect::<Vec<_>>();
+            if asked.operation == "put" && runs.len() > 1 {
+                let what = format!("{id:x} is not idempotent and was run {} times", runs.len());
+                self.breaks("no-effect-twice", runs[1].at, &[&asked.gatekeeper], what, said());
+            }
+            let Some((worker, told)) = seen.drained else { continue };
+            for run in runs.iter().filter(|r| r.worker == worker && r.at > told + DRAINED) {
+                if quiet(&asked.gatekeeper, told.saturating_sub(DRAINED), run.at) {
+                    let what = format!(
+                        "{id:x} went to worker {worker}, {:.2} s after it drained",
+                        (run.at - told) as f64 / 1e9
+                    );
+                    self.breaks("nothing-to-drained", run.at, &[&asked.gatekeeper], what, said());
+                }
+            }
+        }
+    }
+}
+
+fn counted(seen: &Observed) -> Invocations {
+    let with = |is: fn(u16) -> bool| seen.answered.iter().filter(|a| a.status.is_some_and(is)).count();
+    Invocations {
+        sent: seen.answered.len(),
+        succeeded: with(|s| s == 200),
+        throttled: with(|s| s == 429 || s == 503),
+        errored: with(|s| s != 200 && s != 429 && s != 503),
+        unanswered: seen.answered.iter().filter(|a| a.status.is_none()).count(),
+        deliveries: seen.delivered.len(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SECOND: u64 = 1_000_000_000;
+
+    fn member(at: f64, run: u64, name: &str, change: (&str, u64), to: (&str, u64)) -> String {
+        format!(
+            r#"{{"mono":{},"who":"x","run":{run},"event":"member","name":"{name}","from":"{}","was":{},"to":"{}","incarnation":{},"why":"heard"}}"#,
+            (at * 1e9) as u64,
+            change.0,
+            change.1,
+            to.0,
+            to.1
+        )
+    }
+
+    fn began(at: f64, run: u64, incarnation: u64) -> String {
+        format!(
+            r#"{{"mono":{},"who":"x","run":{run},"event":"began","ident":{{"incarnation":{incarnation}}}}}"#,
+            (at * 1e9) as u64
+        )
+    }
+
+    /// Three that run and agree, from second 1 to second 30; the faults are over at 10.
+    fn good() -> Observed {
+        let names = ["g1", "g2", "g3"];
+        let process = |me: &str| {
+            let others: Vec<&str> = names.into_iter().filter(|n| *n != me).collect();
+            let mut history = vec![began(1.0, 7, 1)];
+            history.extend(others.iter().map(|o| member(2.0, 7, o, ("unknown", 1), ("alive", 1))));
+            Process {
+                name: me.to_string(),
+                runs: true,
+                status: Some(others.iter().map(|o| o.to_string()).collect()),
+                history,
+                ..Process::default()
+            }
+        };
+        Observed {
+            name: "test".to_string(),
+            began: 3 * SECOND,
+            faults_over: 10 * SECOND,
+            ended: 30 * SECOND,
+            agree_within: 5.0,
+            processes: names.into_iter().map(process).collect(),
+            ..Observed::default()
+        }
+    }
+
+    fn answered(id: u64, operation: &'static str, status: Option<u16>) -> Answered {
+        let (sent, ended) = (5 * SECOND, 5 * SECOND + 1_000_000);
+        let why = if status.is_none() { "none" } else { "" };
+        Answered { id, gatekeeper: "g1".to_string(), operation, sent, ended, status, why, extra: 0 }
+    }
+
+    fn broken(seen: &Observed) -> Vec<&'static str> {
+        let mut rules: Vec<_> = judge(seen).breaks.iter().map(|b| b.rule).collect();
+        rules.dedup();
+        rules
+    }
+
+    type Breaks = fn(&mut Observed);
+
+    /// A whole trial is kept; and each rule has something done to it that it, and it alone, cries out at.
+    #[test]
+    fn each_rule_cries_out() {
+        assert_eq!(broken(&good()), Vec::<&str>::new());
+        let cases: [(&str, Breaks); 22] = [
+            ("all-join", |s| s.not_joined = Some("g2 is joining".to_string())),
+            ("states-follow", |s| {
+                s.processes[0].history.push(member(6.0, 7, "g2", ("alive", 1), ("joining", 1)));
+                s.processes[0].history.push(member(6.1, 7, "g2", ("joining", 1), ("alive", 1)));
+            }),
+            ("states-follow", |s| {
+                // From a state that it was not in.
+                s.processes[0].history.push(member(6.0, 7, "g2", ("suspected", 1), ("alive", 1)));
+            }),
+            ("incarnation-forward", |s| {
+                s.processes[0].history.push(member(6.0, 7, "g2", ("alive", 1), ("alive", 0)));
+            }),
+            ("incarnation-forward", |s| s.processes[0].history.push(began(6.0, 7, 1))),
+            ("over-stays-over", |s| {
+                s.processes[0].history.push(member(6.0, 7, "g2", ("alive", 1), ("failed", 1)));
+                s.processes[0].history.push(member(6.1, 7, "g2", ("failed", 1), ("alive", 1)));
+            }),
+            ("never-failed", |s| {
+                s.never_failed = vec!["g2".to_string()];
+                s.processes[0].history.push(member(6.0, 7, "g2", ("alive", 1), ("failed", 1)));
+                s.processes[0].history.push(member(6.1, 7, "g2", ("failed", 1), ("alive", 2)));
+            }),
+            ("seen-failed", |s| s.seen_failed = vec!["g2".to_string()]),
+            ("all-agree", |s| {
+                // Late, though it agrees at the end.
+                s.processes[0].history.push(member(6.0, 7, "g2", ("alive", 1), ("failed", 1)));
+                s.processes[0].history.push(member(16.0, 7, "g2", ("failed", 1), ("alive", 2)));
+            }),
+            ("all-agree", |s| {
+                s.processes[0].history.push(member(20.0, 7, "g2", ("alive", 1), ("left", 1)));
+                s.processes[0].status = Some(BTreeSet::from(["g3".to_string()]));
+            }),
+            ("all-agree", |s| {
+                let doubt =
+                    r#"{"mono":20000000000,"who":"x","run":7,"event":"doubt_began","why":"hears_nobody"}"#;
+                s.processes[0].history.push(doubt.to_string());
+                s.processes[0].status = Some(BTreeSet::new());
+            }),
+            ("all-agree", |s| {
+                // Sees one that does not run.
+                s.processes[2].runs = false;
+                s.processes[1].history.push(member(6.0, 7, "g3", ("alive", 1), ("failed", 1)));
+                s.processes[1].status = Some(BTreeSet::from(["g1".to_string()]));
+            }),
+            ("status-as-history", |s| s.processes[0].status = Some(BTreeSet::new())),
+            ("status-as-history", |s| s.processes[0].status = None),
+            ("ends-well", |s| s.processes[0].ended_badly = Some((6 * SECOND, "code 101".to_string()))),
+            ("history-whole", |s| s.processes[0].history.insert(1, "{\"mono\":".to_string())),
+            ("one-answer", |s| s.answered = vec![answered(1, "get", None)]),
+            ("one-answer", |s| s.answered = vec![Answered { extra: 5, ..answered(1, "get", Some(200)) }]),
+            ("no-effect-twice", |s| {
+                s.answered = vec![answered(1, "put", Some(200))];
+                s.delivered = vec![Delivered { id: 1, worker: 1, at: 6 * SECOND }; 2];
+            }),
+            ("nothing-to-drained", |s| {
+                s.answered = vec![answered(1, "get", Some(200))];
+                s.drained = Some((1, 4 * SECOND));
+                s.delivered = vec![Delivered { id: 1, worker: 1, at: 6 * SECOND }];
+            }),
+            ("served-through", |s| s.answered = (0..40).map(|n| answered(n, "get", Some(429))).collect()),
+            ("states-follow", |s| {
+                // Shut out and back without being let in.
+                s.processes[0].history.push(member(6.0, 7, "g2", ("alive", 1), ("shut_out", 1)));
+                s.processes[0].history.push(member(6.1, 7, "g2", ("shut_out", 1), ("alive", 2)));
+            }),
+        ];
+        for (n, (rule, breaks)) in cases.into_iter().enumerate() {
+            let mut seen = good();
+            breaks(&mut seen);
+            assert_eq!(broken(&seen), [rule], "case {n}: {:?}", judge(&seen).breaks);
+        }
+        // One that holds a running one failed breaks two.
+        let mut seen = good();
+        seen.processes[0].history.push(member(6.0, 7, "g2", ("alive", 1), ("failed", 1)));
+        seen.processes[0].status = Some(BTreeSet::from(["g3".to_string()]));
+        assert_eq!(broken(&seen), ["not-failed-for-good", "all-agree"]);
+    }
+
+    /// What the faults themselves do is no break.
+    #[test]
+    fn what_is_allowed() {
+        let mut seen = good();
+        // Its clients got no answer while it was paused.
+        seen.answered = vec![answered(1, "get", None)];
+        seen.processes[0].disturbed = vec![(4 * SECOND, 7 * SECOND)];
+        // An emptied disk forgets its incarnation.
+        seen.processes[1].history.push(began(6.0, 8, 1));
+        seen.processes[1].history.push(began(6.1, 8, 2));
+        seen.processes[1]
+            .history
+            .extend(["g1", "g3"].map(|o| member(6.2, 8, o, ("unknown", 1), ("alive", 1))));
+        seen.processes[1].disk_lost = vec![5 * SECOND];
+        // A kill cuts a line short.
+        seen.processes[1].was_ended = true;
+        seen.processes[1].history.push("{\"mono\":600".to_string());
+        // Failed and back by joining, in time.
+        seen.processes[0].history.push(member(6.0, 7, "g2", ("alive", 1), ("failed", 1)));
+        seen.processes[0].history.push(member(12.0, 7, "g2", ("failed", 1), ("alive", 2)));
+        let verdict = judge(&seen);
+        assert!(verdict.kept, "{:?}", verdict.breaks);
+        assert_eq!(verdict.agreed_after, Some(2.0));
+    }
+}
--- /dev/null
+++ b/crates/trial/src/run.rs
@@ -0,0 +1,670 @@
+//! Plays a trial: starts the processes and the links between them, does the faults, stops everything, and hands what
+//! was seen to the judge.
+//!
+//! Nothing is left running: each gatekeeper is told to end with the process that started it (its fleet file says
+//! so), which also holds where this one is killed; on every way out of here all are killed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::{self, OpenOptions};
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddrV4, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use lynxstair_fleet::protocol::{Answer, Ask};
+use lynxstair_membership::{Broken, Phase, State};
+use lynxstair_standins::{Load, Message, Plan, ask, config_named, free_port, mono};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+use crate::file::{Disk, Kind, Trial};
+use crate::judge::{Observed, Process, Verdict, judge};
+use crate::ports::Place;
+use crate::relay::{Link, Relay};
+
+/// All are to be in by then.
+const JOINED_WITHIN: Duration = Duration::from_secs(40);
+/// One that is told to end is to have ended by then.
+const ENDED_WITHIN: Duration = Duration::from_secs(6);
+/// What is left of the time after all have to agree, to see that it lasts.
+const LASTS: Duration = Duration::from_millis(700);
+const WORKERS: usize = 4;
+const TURN: Duration = Duration::from_millis(5);
+
+/// The machine failed the trial, or it was told to stop: nothing is known of the rules.
+#[derive(Debug, thiserror::Error)]
+pub enum Failed {
+    #[error("{what}: {source}")]
+    Io { what: String, source: io::Error },
+    #[error("{0} ended before it served: {1}")]
+    DidNotStart(String, String),
+    #[error("told to stop")]
+    Stopped,
+}
+
+fn failed(what: impl Into<String>) -> impl FnOnce(io::Error) -> Failed {
+    let what = what.into();
+    move |source| Failed::Io { what, source }
+}
+
+/// Where and how a trial is played.
+pub struct Stage<'a> {
+    /// The gatekeeper's program.
+    pub program: &'a Path,
+    /// Histories, logs and records are left in a folder of the trial's name in here; none: nothing is left.
+    pub keep: Option<&'a Path>,
+    pub broken: Broken,
+    /// Told to stop from outside.
+    pub stop: &'a AtomicBool,
+}
+
+struct Gatekeeper {
+    child: Option<Child>,
+    process: Process,
+    disturbed_since: Option<u64>,
+    /// CPU so far, in seconds, when the trial began.
+    cpu: f64,
+}
+
+/// What is to be done, and when.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    Begins(usize),
+    Ends(usize),
+    Restarts(usize),
+    Drains,
+}
+
+struct Run<'a> {
+    trial: &'a Trial,
+    stage: &'a Stage<'a>,
+    folder: PathBuf,
+    place: Place,
+    relay: Relay,
+    load: Option<Load>,
+    gatekeepers: Vec<Gatekeeper>,
+    active: BTreeSet<usize>,
+    began: Instant,
+}
+
+/// Plays a trial and judges it.
+///
+/// # Errors
+/// Where the machine failed it (a port, a file, a program that does not start), or it was told to stop.
+pub fn play(trial: &Trial, stage: &Stage<'_>) -> Result<Verdict, Failed> {
+    let temporary = tempfile::tempdir().map_err(failed("a folder for the trial"))?;
+    let folder = match stage.keep {
+        Some(keep) => keep.join(file_name(&trial.name)),
+        None => temporary.path().to_path_buf(),
+    };
+    if stage.keep.is_some() {
+        let _ = fs::remove_dir_all(&folder);
+    }
+    fs::create_dir_all(&folder).map_err(failed(folder.display().to_string()))?;
+    let place = Place::find(trial.gatekeepers).map_err(failed("addresses of its own"))?;
+    let relay = Relay::start(place, trial.gatekeepers, trial.seed).map_err(failed("the links"))?;
+    let load = trial.load.map(|l| Load::new(Plan { per_second: l.invocations_per_second, workers: WORKERS }));
+    let gatekeepers = (0..trial.gatekeepers)
+        .map(|n| Gatekeeper {
+            child: None,
+            process: Process { name: Trial::name_of(n), ..Process::default() },
+            disturbed_since: None,
+            cpu: 0.0,
+        })
+        .collect();
+    let active = BTreeSet::new();
+    let began = Instant::now();
+    let mut run = Run { trial, stage, folder, place, relay, load, gatekeepers, active, began };
+    let observed = run.play()?;
+    if stage.keep.is_some() {
+        let text = trial.to_toml();
+        fs::write(run.folder.join("trial.toml"), text).map_err(failed("the trial's file"))?;
+    }
+    Ok(judge(&observed))
+}
+
+fn file_name(name: &str) -> String {
+    let word = |c: char| if c.is_ascii_alphanumeric() { c.to_ascii_lowercase() } else { '-' };
+    name.chars().map(word).collect()
+}
+
+impl Drop for Run<'_> {
+    /// On every way out nothing is left running.
+    fn drop(&mut self) {
+        for gatekeeper in &mut self.gatekeepers {
+            if let Some(child) = &mut gatekeeper.child {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+impl Run<'_> {
+    fn name(&self, n: usize) -> &str {
+        &self.gatekeepers[n].process.name
+    }
+
+    fn data(&self, n: usize) -> PathBuf {
+        self.folder.join(self.name(n))
+    }
+
+    fn full(&self, n: usize) -> PathBuf {
+        self.folder.join(format!("{}.full", self.name(n)))
+    }
+
+    /// The two files that a gatekeeper is started with.
+    fn write_files(&self, n: usize) -> io::Result<()> {
+        let name = self.name(n);
+        let hall = n % self.trial.halls + 1;
+        let seeds: Vec<_> =
+            (0..self.trial.gatekeepers.min(3)).map(|s| format!("\"{}\"", self.place.front(s))).collect();
+        let broken = self.stage.broken;
+        let fleet = format!(
+            "fleet = \"trial\"\nname = \"{name}\"\nhall = \"h{hall}\"\nbind = \"{}\"\nadvertise = \"{}\"\n\
+             seeds = [{}]\ndata = \"{name}\"\nhistory = \"{name}.jsonl\"\nlog = \"json\"\nseed = {}\n\n\
+             [trial]\nends_with_parent = {}\ndisk_full_while = \"{name}.full\"\n\n\
+             [trial.broken]\nno-suspicion = {}\nno-lateness = {}\nno-incarnation = {}\nno-relays = {}\n",
+            self.place.member(n),
+            self.place.front(n),
+            seeds.join(", "),
+            (self.trial.seed.wrapping_mul(1_000_003).wrapping_add(n as u64)) & 0x7fff_ffff,
+            std::process::id(),
+            broken.no_suspicion,
+            broken.no_lateness,
+            broken.no_incarnation,
+            broken.no_relays,
+        );
+        fs::write(self.folder.join(format!("{name}.toml")), fleet)?;
+        let nobody = free_port();
+        let (known, counter, discovery) = match &self.load {
+            Some(load) => (load.known(), load.counter.addr, load.discovery.addr),
+            None => (r#"{"revision":1,"complete":true,"members":[]}"#.to_string(), nobody, nobody),
+        };
+        let config = config_named(name, self.place.serving(n).into(), &known, counter, discovery);
+        fs::write(self.folder.join(format!("{name}.json")), config)
+    }
+
+    fn start(&mut self, n: usize) -> Result<(), Failed> {
+        let name = self.name(n).to_string();
+        let log = OpenOptions::new().create(true).append(true).open(self.folder.join(format!("{name}.log")));
+        let log = log.map_err(failed(format!("the log of {name}")))?;
+        let child = Command::new(self.stage.program)
+            .arg("--fleet")
+            .arg(self.folder.join(format!("{name}.toml")))
+            .env("RELAY_CONFIG", self.folder.join(format!("{name}.json")))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(failed(self.stage.program.display().to_string()))?;
+        self.gatekeepers[n].child = Some(child);
+        Ok(())
+    }
+
+    fn signal(&self, n: usize, signal: Signal) {
+        if let Some(child) = &self.gatekeepers[n].child {
+            let _ = kill(Pid::from_raw(child.id() as i32), signal);
+        }
+    }
+
+    /// Sees that it is not told to stop and that nobody ended by itself, for so long.
+    fn wait(&mut self, until: Instant) -> Result<(), Failed> {
+        loop {
+            if self.stage.stop.load(Ordering::SeqCst) {
+                return Err(Failed::Stopped);
+            }
+            for n in 0..self.gatekeepers.len() {
+                self.look_at(n);
+            }
+            let now = Instant::now();
+            if now >= until {
+                return Ok(());
+            }
+            thread::sleep((until - now).min(TURN));
+        }
+    }
+
+    fn look_at(&mut self, n: usize) {
+        let gatekeeper = &mut self.gatekeepers[n];
+        let Some(child) = &mut gatekeeper.child else { return };
+        if let Ok(Some(status)) = child.try_wait() {
+            gatekeeper.child = None;
+            let why = format!("ended by itself, {status}");
+            gatekeeper.process.ended_badly.get_or_insert((mono(), why));
+        }
+    }
+
+    fn play(&mut self) -> Result<Observed, Failed> {
+        for n in 0..self.trial.gatekeepers {
+            self.write_files(n).map_err(failed("the files of a gatekeeper"))?;
+        }
+        for n in 0..self.trial.gatekeepers {
+            self.start(n)?;
+        }
+        let not_joined = self.all_join()?;
+        let mut observed = Observed {
+            name: self.trial.name.clone(),
+            agree_within: self.trial.must.agree_within,
+            never_failed: self.trial.must.never_failed.iter().map(|n| Trial::name_of(*n)).collect(),
+            seen_failed: self.trial.must.seen_failed.iter().map(|n| Trial::name_of(*n)).collect(),
+            began: mono(),
+            ..Observed::default()
+        };
+        self.began = Instant::now();
+        if not_joined.is_none() {
+            self.play_faults(&mut observed)?;
+        }
+        observed.not_joined = not_joined;
+        self.end(&mut observed)?;
+        Ok(observed)
+    }
+
+    /// Waits until all serve and see each other. What is wrong, where they do not in time.
+    fn all_join(&mut self) -> Result<Option<String>, Failed> {
+        let began = Instant::now();
+        loop {
+            self.wait(Instant::now() + Duration::from_millis(100))?;
+            for n in 0..self.gatekeepers.len() {
+                if let Some((_, why)) = &self.gatekeepers[n].process.ended_badly {
+                    return Err(Failed::DidNotStart(self.name(n).to_string(), self.last_words(n, why)));
+                }
+            }
+            let all = self.trial.gatekeepers;
+            let wrong = (0..all).find_map(|n| {
+                if !self.serves(n) {
+                    return Some(format!("{} does not serve", self.name(n)));
+                }
+                let Some((phase, there)) = status(self.place.member(n)) else {
+                    return Some(format!("{} does not answer at its control port", self.name(n)));
+                };
+                let is_in = phase == Phase::In && there.len() + 1 == all;
+                (!is_in).then(|| format!("{} is {phase:?} and sees {} others", self.name(n), there.len()))
+            });
+            match wrong {
+                None => return Ok(None),
+                Some(wrong) if began.elapsed() > JOINED_WITHIN => return Ok(Some(wrong)),
+                Some(_) => {}
+            }
+        }
+    }
+
+    fn last_words(&self, n: usize, why: &str) -> String {
+        let log = fs::read_to_string(self.folder.join(format!("{}.log", self.name(n)))).unwrap_or_default();
+        format!("{why}; {}", log.lines().last().unwrap_or("it said nothing"))
+    }
+
+    fn serves(&self, n: usize) -> bool {
+        let addr = self.place.serving(n).into();
+        let Ok(stream) = TcpStream::connect_timeout(&addr, Duration::from_millis(200)) else { return false };
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
+        ask(&stream, "GET /up HTTP/1.1\r\n\r\n").is_some_and(|m: Message| m.status() == 200)
+    }
+
+    fn steps(&self) -> Vec<(f64, Step)> {
+        let seconds = self.trial.seconds;
+        let mut steps = Vec::new();
+        for (n, fault) in self.trial.faults.iter().enumerate() {
+            steps.push((fault.at, Step::Begins(n)));
+            match &fault.kind {
+                Kind::Kill { who, restart_after, .. } | Kind::Stop { who, restart_after } => {
+                    let at = restart_after.map(|r| fault.at + r).filter(|at| *at < seconds);
+                    steps.extend(at.iter().flat_map(|at| who.iter().map(|w| (*at, Step::Restarts(*w)))));
+                }
+                _ => steps.push((fault.ends(seconds), Step::Ends(n))),
+            }
+        }
+        if self.load.is_some() {
+            steps.push((seconds / 2.0, Step::Drains));
+        }
+        // What ends is over before what begins in the same moment.
+        steps.sort_by(|a, b| {
+            a.0.total_cmp(&b.0)
+                .then_with(|| matches!(a.1, Step::Begins(_)).cmp(&matches!(b.1, Step::Begins(_))))
+        });
+        steps
+    }
+
+    fn play_faults(&mut self, observed: &mut Observed) -> Result<(), Failed> {
+        let serving: Vec<_> = (0..self.trial.gatekeepers)
+            .map(|n| (self.name(n).to_string(), self.place.serving(n).into()))
+            .collect();
+        if let Some(load) = &mut self.load {
+            load.begin(&serving);
+        }
+        for gatekeeper in &mut self.gatekeepers {
+            gatekeeper.cpu = gatekeeper.child.as_ref().and_then(|c| cpu(c.id())).unwrap_or_default();
+        }
+        let mut faults_over = mono();
+        for (at, step) in self.steps() {
+            self.wait_to(at)?;
+            self.take(step)?;
+            if step != Step::Drains {
+                faults_over = mono();
+            }
+        }
+        self.wait_to(self.trial.seconds)?;
+        observed.faults_over = faults_over;
+        observed.cpu = self.cpu();
+        // Long enough to see whether all agree in time, and that it lasts; flaps need their clock no more.
+        let agree = Duration::from_secs_f64(self.trial.must.agree_within);
+        let since = Duration::from_nanos(mono() - faults_over);
+        let left = (agree + LASTS).saturating_sub(since);
+        self.wait(Instant::now() + left.max(LASTS))?;
+        if let Some(load) = &mut self.load {
+            load.end();
+        }
+        Ok(())
+    }
+
+    /// To so many seconds after all served; flaps go on meanwhile.
+    fn wait_to(&mut self, at: f64) -> Result<(), Failed> {
+        let until = self.began + Duration::from_secs_f64(at);
+        loop {
+            let flapping =
+                self.active.iter().any(|f| matches!(self.trial.faults[*f].kind, Kind::Flap { .. }));
+            if !flapping {
+                return self.wait(until);
+            }
+            self.set_links();
+            let now = Instant::now();
+            if now >= until {
+                return Ok(());
+            }
+            self.wait((now + TURN).min(until))?;
+        }
+    }
+
+    fn take(&mut self, step: Step) -> Result<(), Failed> {
+        match step {
+            Step::Begins(fault) => self.begins(fault),
+            Step::Ends(fault) => self.ends(fault),
+            Step::Restarts(who) => return self.restarts(who),
+            Step::Drains => {
+                if let Some(load) = &self.load {
+                    load.drain_one();
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn disturb(&mut self, n: usize) {
+        self.gatekeepers[n].disturbed_since.get_or_insert(mono());
+    }
+
+    /// Nothing is done to it any more; what it missed it has a second for.
+    fn calm(&mut self, n: usize) {
+        if let Some(since) = self.gatekeepers[n].disturbed_since.take() {
+            self.gatekeepers[n].process.disturbed.push((since, mono() + 1_000_000_000));
+        }
+    }
+
+    fn begins(&mut self, fault: usize) {
+        self.active.insert(fault);
+        let kind = self.trial.faults[fault].kind.clone();
+        match &kind {
+            Kind::Pause { who } => {
+                for &n in who {
+                    self.disturb(n);
+                    self.signal(n, Signal::SIGSTOP);
+                }
+            }
+            Kind::Kill { who, disk, .. } => {
+                for &n in who {
+                    self.kill_one(n, *disk);
+                }
+                self.active.remove(&fault);
+            }
+            Kind::Stop { who, .. } => {
+                for &n in who {
+                    self.stop_one(n);
+                }
+                self.active.remove(&fault);
+            }
+            Kind::DiskFull { who } => {
+                for &n in who {
+                    let _ = fs::write(self.full(n), "");
+                }
+            }
+            _ => self.set_links(),
+        }
+    }
+
+    fn ends(&mut self, fault: usize) {
+        self.active.remove(&fault);
+        let kind = self.trial.faults[fault].kind.clone();
+        // Another fault of the same kind may still hold some of them.
+        let holds = |k: &Kind, n: usize| k.name() == kind.name() && k.who().contains(&n);
+        let still = |n: usize| self.active.iter().any(|f| holds(&self.trial.faults[*f].kind, n));
+        let free: Vec<usize> = kind.who().iter().copied().filter(|n| !still(*n)).collect();
+        match &kind {
+            Kind::Pause { .. } => {
+                for n in free {
+                    self.signal(n, Signal::SIGCONT);
+                    self.calm(n);
+                }
+            }
+            Kind::DiskFull { .. } => {
+                for n in free {
+                    let _ = fs::remove_file(self.full(n));
+                }
+            }
+            _ => self.set_links(),
+        }
+    }
+
+    fn kill_one(&mut self, n: usize, disk: Disk) {
+        self.disturb(n);
+        let gatekeeper = &mut self.gatekeepers[n];
+        gatekeeper.process.was_ended = true;
+        if let Some(mut child) = gatekeeper.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+            gatekeeper.process.killed.push(mono());
+        }
+        let data = self.data(n);
+        let lost = match disk {
+            Disk::Kept => false,
+            Disk::Emptied => fs::remove_dir_all(&data).is_ok(),
+            Disk::Torn => tear(&data.join("ledger")).is_ok(),
+        };
+        if lost {
+            self.gatekeepers[n].process.disk_lost.push(mono());
+        }
+    }
+
+    /// Told to end; one that is paused or slow to end is killed when its time is up, and that is a break.
+    fn stop_one(&mut self, n: usize) {
+        self.disturb(n);
+        self.gatekeepers[n].process.was_ended = true;
+        self.signal(n, Signal::SIGTERM);
+        let paused = self.is_paused(n);
+        let gatekeeper = &mut self.gatekeepers[n];
+        let Some(mut child) = gatekeeper.child.take() else { return };
+        let ended = if paused { None } else { ended(&mut child) };
+        match ended {
+            Some(status) if status.success() => {}
+            Some(status) => {
+                gatekeeper.process.ended_badly.get_or_insert((mono(), format!("told to end, {status}")));
+            }
+            None => {
+                let _ = child.kill();
+                let _ = child.wait();
+                if !paused {
+                    let why = "told to end, and had not after 6 s".to_string();
+                    gatekeeper.process.ended_badly.get_or_insert((mono(), why));
+                }
+            }
+        }
+    }
+
+    fn is_paused(&self, n: usize) -> bool {
+        let pauses = self.active.iter().map(|f| &self.trial.faults[*f].kind);
+        pauses.into_iter().any(|k| matches!(k, Kind::Pause { who } if who.contains(&n)))
+    }
+
+    fn restarts(&mut self, n: usize) -> Result<(), Failed> {
+        if self.gatekeepers[n].child.is_some() {
+            return Ok(());
+        }
+        self.start(n)?;
+        if self.is_paused(n) {
+            self.signal(n, Signal::SIGSTOP);
+            return Ok(());
+        }
+        // Until it serves nothing is asked of it.
+        self.calm(n);
+        if let Some((_, until)) = self.gatekeepers[n].process.disturbed.last_mut() {
+            *until += 1_000_000_000;
+        }
+        Ok(())
+    }
+
+    /// All links as the faults that are on have them.
+    fn set_links(&self) {
+        let many = self.trial.gatekeepers;
+        let mut links = vec![vec![Link::default(); many]; many];
+        let since = self.began.elapsed().as_secs_f64();
+        for fault in self.active.iter().map(|f| &self.trial.faults[*f]) {
+            let mut each = |of: &crate::file::Links, change: &dyn Fn(&mut Link)| {
+                of.0.iter().for_each(|(a, b)| change(&mut links[*a][*b]));
+            };
+            // Shares of several faults on one link add up as chances do.
+            let either = |a: f64, b: f64| a + b - a * b;
+            match &fault.kind {
+                Kind::Cut { links } => each(links, &|l| l.cut = true),
+                Kind::Flap { links, period } => {
+                    let cut = (since - fault.at).max(0.0) % period < period / 2.0;
+                    each(links, &|l| l.cut |= cut);
+                }
+                Kind::Lose { links, share } => each(links, &|l| l.lose = either(l.lose, *share)),
+                Kind::Double { links, share } => each(links, &|l| l.double = either(l.double, *share)),
+                Kind::Reorder { links, share } => each(links, &|l| l.reorder = either(l.reorder, *share)),
+                Kind::Delay { links, ms, jitter_ms } => each(links, &|l| {
+                    l.delay += Duration::from_secs_f64(ms / 1e3);
+                    l.jitter += Duration::from_secs_f64(jitter_ms / 1e3);
+                }),
+                _ => {}
+            }
+        }
+        self.relay.set(links);
+    }
+
+    /// CPU a second of those that ran through, as a part of a core.
+    fn cpu(&self) -> Option<f64> {
+        let seconds = self.began.elapsed().as_secs_f64();
+        let through = self.gatekeepers.iter().filter(|g| !g.process.was_ended);
+        let used: Vec<f64> = through.filter_map(|g| Some(cpu(g.child.as_ref()?.id())? - g.cpu)).collect();
+        (!used.is_empty()).then(|| used.iter().sum::<f64>() / used.len() as f64 / seconds)
+    }
+
+    /// Asks all, has all end, and reads what they wrote.
+    fn end(&mut self, observed: &mut Observed) -> Result<(), Failed> {
+        for n in 0..self.gatekeepers.len() {
+            self.look_at(n);
+            self.gatekeepers[n].process.runs = self.gatekeepers[n].child.is_some();
+        }
+        let ended = mono();
+        observed.ended = ended;
+        for n in 0..self.gatekeepers.len() {
+            self.calm(n);
+            if self.gatekeepers[n].process.runs {
+                let there = status(self.place.member(n)).map(|(_, there)| there);
+                self.gatekeepers[n].process.status = there;
+            }
+        }
+        // Whatever was written before all were asked is there a moment later.
+        thread::sleep(Duration::from_millis(150));
+        for n in 0..self.gatekeepers.len() {
+            self.signal(n, Signal::SIGTERM);
+        }
+        for gatekeeper in &mut self.gatekeepers {
+            let Some(mut child) = gatekeeper.child.take() else { continue };
+            let why = match self::ended(&mut child) {
+                Some(status) if status.success() => continue,
+                Some(status) => format!("told to end, {status}"),
+                None => {
+                    let _ = child.kill();
+                    let _ = child.wait();
+                    "told to end, and had not after 6 s".to_string()
+                }
+            };
+            gatekeeper.process.ended_badly.get_or_insert((mono(), why));
+        }
+        for gatekeeper in &mut self.gatekeepers {
+            let path = self.folder.join(format!("{}.jsonl", gatekeeper.process.name));
+            let bytes = fs::read(&path).unwrap_or_default();
+            let text = String::from_utf8_lossy(&bytes);
+            gatekeeper.process.history = text.lines().map(str::to_string).collect();
+            observed.processes.push(gatekeeper.process.clone());
+        }
+        if let Some(load) = &self.load {
+            let traffic = &load.traffic;
+            observed.answered = traffic.answered.lock().map(|a| a.clone()).unwrap_or_default();
+            observed.delivered = traffic.delivered.lock().map(|d| d.clone()).unwrap_or_default();
+            observed.drained = traffic.drained.lock().ok().and_then(|d| *d);
+        }
+        if self.stage.keep.is_some() {
+            self.leave_behind(observed).map_err(failed("what is kept"))?;
+        }
+        Ok(())
+    }
+
+    /// The trace of the load, beside the histories.
+    fn leave_behind(&self, observed: &Observed) -> io::Result<()> {
+        let mut out = Vec::new();
+        for one in &observed.answered {
+            serde_json::to_writer(&mut out, one)?;
+            out.push(b'\n');
+        }
+        fs::write(self.folder.join("answered.jsonl"), out)?;
+        let times: BTreeMap<_, _> =
+            [("began", observed.began), ("faults_over", observed.faults_over), ("ended", observed.ended)]
+                .into();
+        fs::write(self.folder.join("times.json"), serde_json::to_vec(&times)?)
+    }
+}
+
+fn ended(child: &mut Child) -> Option<std::process::ExitStatus> {
+    let began = Instant::now();
+    while began.elapsed() < ENDED_WITHIN {
+        if let Ok(Some(status)) = child.try_wait() {
+            return Some(status);
+        }
+        thread::sleep(TURN);
+    }
+    None
+}
+
+/// As if the disk had lost the end of the last record.
+fn tear(ledger: &Path) -> io::Result<()> {
+    let file = OpenOptions::new().write(true).open(ledger)?;
+    let len = file.metadata()?.len();
+    file.set_len(len.saturating_sub(5))
+}
+
+/// CPU that a process used so far, in seconds.
+fn cpu(pid: u32) -> Option<f64> {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let mut fields = stat.rsplit_once(')')?.1.split_whitespace().skip(11);
+    let ticks = fields.next()?.parse::<f64>().ok()? + fields.next()?.parse::<f64>().ok()?;
+    Some(ticks / 100.0)
+}
+
+/// What a member answers: its phase, and whom it sees as there.
+fn status(addr: SocketAddrV4) -> Option<(Phase, BTreeSet<String>)> {
+    let stream = TcpStream::connect_timeout(&addr.into(), Duration::from_millis(500)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+    let mut said = serde_json::to_vec(&Ask::Status).ok()?;
+    said.push(b'\n');
+    (&stream).write_all(&said).ok()?;
+    let mut line = String::new();
+    BufReader::new(&stream).read_line(&mut line).ok()?;
+    let Answer::Status { view, .. } = serde_json::from_str(&line).ok()? else { return None };
+    let there = view.members.iter().filter(|m| matches!(m.state, State::Alive | State::Suspected));
+    Some((view.phase, there.map(|m| m.name.as_str().to_string()).collect()))
+}
