--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -336,7 +336,8 @@
         }
     }
 
-    /// The changes of whom one process sees as there, in its last run: from when on.
+    /// The changes of whom one process sees as there, in its last run: from when on. One that hears nobody says of
+    /// nobody that he is there.
     fn sees(&self, who: usize) -> Vec<(u64, BTreeSet<String>, bool)> {
         let lines = &self.lines[who];
         let Some(run) = lines.last().map(|l| l.run) else { return Vec::new() };
@@ -357,7 +358,8 @@
             } else {
                 continue;
             }
-            steps.push((line.mono, there.clone(), blind));
+            let says = if blind { BTreeSet::new() } else { there.clone() };
+            steps.push((line.mono, says, blind));
         }
         steps
     }
@@ -379,7 +381,7 @@
             let steps = self.sees(who);
             let mut last_bad: Option<(u64, BTreeSet<String>, bool)> = None;
             for (n, (at, there, blind)) in steps.iter().enumerate() {
-                if *there == wanted && !blind {
+                if *there == wanted {
                     continue;
                 }
                 let until = steps.get(n + 1).map_or(seen.ended, |(at, _, _)| *at);
@@ -412,9 +414,7 @@
                 self.breaks("all-agree", at.max(by), &[&me], what, texts);
             }
             if let Some(status) = &seen.processes[who].status {
-                let last = steps.last().map(|(_, there, blind)| (there.clone(), *blind));
-                let (there, blind) = last.unwrap_or_default();
-                let says = if blind { BTreeSet::new() } else { there };
+                let says = steps.last().map(|(_, there, _)| there.clone()).unwrap_or_default();
                 if *status != says {
                     let what = format!("{me} answers {status:?}, and its history comes to {says:?}");
                     self.breaks("status-as-history", seen.ended, &[&me], what, Vec::new());
