Deaths of many are found sooner, and a life in an incarnation lived already begins after it

Such a life is now told to begin after it. Seen with it: where two of six were left, the last death was found after 8.7 s, since each unanswered question widened the times and one that hears one other only gave the time to object once more. Now a question that stays unanswered widens only where nobody was heard meanwhile, and who is suspected is told by more members each time.

--- a/crates/emulator/tests/membership.rs
+++ b/crates/emulator/tests/membership.rs
@@ -304,6 +304,22 @@
     });
 }
 
+/// Several lose their disks at once and are let in by others who know nothing either: a life that begins in an
+/// incarnation that was lived already is told so, whoever hears of it first.
+#[test]
+fn disks_lost_at_several() {
+    seeds().for_each(|seed| {
+        let mut fleet = fleet(6, seed);
+        [0, 1, 4].into_iter().for_each(|w| fleet.kill(w));
+        fleet.run(ms(100 * seed));
+        for w in [0, 1, 4] {
+            *fleet.disk(w) = Default::default();
+            fleet.start(w);
+        }
+        agrees(&mut fleet, &format!("seed {seed}: disks lost at several"));
+    });
+}
+
 /// A data folder copied to a second process: the later one is refused and told why; the first one is not harmed.
 #[test]
 fn a_name_used_twice() {
--- a/crates/membership/src/datagram.rs
+++ b/crates/membership/src/datagram.rs
@@ -119,6 +119,11 @@
         you: Ident,
         objection: u16,
     },
+    /// Another life of your name was in this incarnation, or a later one: begin after it.
+    Behind {
+        you: Ident,
+        held: Incarnation,
+    },
 }
 
 pub(crate) fn put_name(out: &mut impl BufMut, name: &Name) -> Option<()> {
@@ -182,6 +187,7 @@
         Ours::Relay { .. } => 6,
         Ours::Relayed { .. } => 7,
         Ours::Accused { .. } => 8,
+        Ours::Behind { .. } => 9,
     };
     let mut out = Vec::with_capacity(LARGEST);
     out.put_slice(&[VERSION, kind]);
@@ -208,6 +214,10 @@
             put_ident(&mut out, you);
             out.put_u16(*objection);
         }
+        Ours::Behind { you, held } => {
+            put_ident(&mut out, you);
+            out.put_u64(held.0);
+        }
     }
     let sum = checksum(&out);
     out[10..14].copy_from_slice(&sum.to_be_bytes());
@@ -293,6 +303,7 @@
             let you = take_ident(&mut rest)?;
             Some(Ours::Accused { from, you, objection: rest.try_get_u16().ok()? })
         }),
+        9 => message(&mut rest).map(|(you, held)| Ours::Behind { you, held: Incarnation(held) }),
         _ => return Err(Dropped::Kind),
     };
     // Nothing may stand behind a message: what we do not know we did not understand.
@@ -443,6 +454,7 @@
             Ours::Relay { to: from.name.clone(), swim: b"swim" },
             Ours::Relayed { from: from.name.clone(), swim: b"swim" },
             Ours::Accused { you: ident("g2"), from, objection: 3 },
+            Ours::Behind { you: ident("g2"), held: Incarnation(8) },
         ]
     }
 
--- a/crates/membership/src/health.rs
+++ b/crates/membership/src/health.rs
@@ -85,8 +85,13 @@
         self.heard_at = self.heard_at.max(now);
     }
 
+    /// For how long nobody was heard.
+    pub fn unheard_for(&self, now: Time) -> Span {
+        now - self.heard_at
+    }
+
     pub fn is_quiet(&self, now: Time, times: &Times) -> bool {
-        self.is_watching && now - self.heard_at > times.quiet
+        self.is_watching && self.unheard_for(now) > times.quiet
     }
 
     /// Every change of what it thinks of itself goes through here and `fresh`.
--- a/crates/membership/src/room.rs
+++ b/crates/membership/src/room.rs
@@ -26,8 +26,6 @@
 const VOUCHED_BY: f64 = 8.0;
 /// Who finds another silent tells it so often while it may object.
 const ACCUSED: u32 = 3;
-/// One that is itself nearly cut off gives others so many times the time to object, once more.
-const BADLY_LINKED: f64 = 2.0;
 /// What is told on leaving is told so often.
 const LEAVING_TOLD: u32 = 4;
 /// One that is refused or shut out asks again by so many times the usual wait.
@@ -198,8 +196,6 @@
 #[derive(Clone, Debug)]
 enum Due {
     Swim(Timer<Ident>),
-    /// The time to object, given once more.
-    Longer(Timer<Ident>),
     Join,
     /// Asks others whether it is heard, while it doubts itself.
     Ask,
@@ -451,7 +447,7 @@
         for at in held.into_iter().filter(|(at, _)| *at <= soon) {
             let Some(due) = self.timers.remove(&at) else { continue };
             let after = match due {
-                Due::Swim(Timer::ChangeSuspectToDown { .. }) | Due::Longer(_) => self.times.suspicion,
+                Due::Swim(Timer::ChangeSuspectToDown { .. }) => self.times.suspicion,
                 _ => self.times.answer,
             };
             self.set(now, due, after);
@@ -485,10 +481,7 @@
 
     fn do_one(&mut self, now: Time, due: Due) {
         match due {
-            Due::Swim(timer @ Timer::ChangeSuspectToDown { .. }) if self.is_cautious(now) => {
-                self.set(now, Due::Longer(timer), self.times.suspicion.times(BADLY_LINKED));
-            }
-            Due::Swim(timer) | Due::Longer(timer) => self.swim_timer(now, timer),
+            Due::Swim(timer) => self.swim_timer(now, timer),
             Due::Join => self.ask_to_join(now),
             Due::Ask => self.ask_others(now),
             Due::LookAround => self.look_around(now),
@@ -528,7 +521,10 @@
             }
             Some(State::Suspected) => {
                 self.links.not_reached(name);
-                self.health.widen();
+                // Where others were heard meanwhile, it is hardly this one.
+                if self.health.unheard_for(now) > self.times.probe {
+                    self.health.widen();
+                }
                 self.set(now, Due::Accuse(name.clone(), ACCUSED), Span::ZERO);
             }
             _ => {}
@@ -719,6 +715,13 @@
                 Ok(())
             }
             Ours::Accused { from: by, you, objection } => self.accused(now, from, by, you, objection),
+            Ours::Behind { you, held } => {
+                if you != self.me || held < self.me.incarnation {
+                    return Err(Dropped::NotForUs);
+                }
+                self.begin_after(held, "this name had a later incarnation");
+                Ok(())
+            }
             Ours::Answer { from, number, verdict } => self.answered(now, &from, number, verdict),
         }
     }
@@ -938,8 +941,16 @@
             return;
         }
         let (you, objection) = (seen.ident.clone(), seen.swim.map_or(0, |(_, n)| n));
-        let mut to = vec![you.addr];
-        to.extend(self.heard_lately().into_iter().filter(|i| i.name != name).map(|i| i.addr));
+        // Those it says it hears; and others, more of them each time: who hears it may be few.
+        let board = self.board.held();
+        let said = board.links(&name).filter(|(_, only, _)| *only).map_or(&[][..], |(_, _, named)| named);
+        let others = self.there().map(|s| &s.ident).filter(|i| i.name != name);
+        let (said, others): (Vec<_>, Vec<_>) = others.partition(|i| said.contains(&i.name));
+        let mut to: Vec<_> = said.iter().map(|i| i.addr).chain([you.addr]).collect();
+        let others: Vec<_> = others.iter().map(|i| i.addr).collect();
+        drop(board);
+        let more = ASKED_AT_ONCE << (ACCUSED - left);
+        to.extend(others.sample(&mut self.chance, more).copied());
         for to in to {
             let from = self.me.clone();
             self.send(to, &Ours::Accused { from, you: you.clone(), objection });
@@ -1050,21 +1061,6 @@
         }
     }
 
-    fn is_cautious(&self, now: Time) -> bool {
-        !self.broken.no_suspicion && !self.broken.no_lateness && self.is_badly_linked(now)
-    }
-
-    /// Of several only one was heard directly lately, or most are reached only by others: it is this one that is
-    /// nearly cut off, and objections take long to come to it.
-    fn is_badly_linked(&self, now: Time) -> bool {
-        let links = || self.there().filter_map(|s| Some((s, self.links.get(&s.ident.name)?)));
-        let lately = |at: Time| now - at <= self.times.quiet.times(1.5);
-        let heard = links().filter(|(_, l)| l.heard_at().is_some_and(lately)).count();
-        let alive = links().filter(|(s, _)| s.life.state() == State::Alive);
-        let (bad, good): (Vec<_>, Vec<_>) = alive.partition(|(s, _)| self.links.is_doubtful(&s.ident.name));
-        (heard <= 1 && self.there().nth(2).is_some()) || bad.len() > good.len()
-    }
-
     fn send_swim(&mut self, to: &Ident, swim: &[u8]) {
         let Some(header) = take_header(&mut &swim[..]) else { return };
         if self.broken.no_relays && matches!(header.message, Message::PingReq { .. }) {
@@ -1205,6 +1201,15 @@
         let Some(seen) = self.members.get_mut(&name) else { return };
         seen.swim = Some(swim);
         let held = seen.life;
+        if seen.ident.run != ident.run
+            && held.incarnation() == ident.incarnation
+            && swim.0 != foca::State::Down
+        {
+            // Two lives in one incarnation: the disk of the later one was emptied, and nobody it asked knew of the
+            // earlier one. It has to begin after it.
+            self.send(ident.addr, &Ours::Behind { you: ident.clone(), held: ident.incarnation });
+            return;
+        }
         if held.incarnation() <= ident.incarnation {
             seen.ident = ident.clone();
         }
@@ -1285,6 +1290,6 @@
         due,
         Due::Swim(
             Timer::ProbeRandomMember(_) | Timer::SendIndirectProbe { .. } | Timer::ChangeSuspectToDown { .. }
-        ) | Due::Longer(_)
+        )
     )
 }
