Tests of fleets and trials as processes; one shut out and let in again begins a new life

Need: what must hold is to be shown by several processes of the program. Seen by one of them: a member that was let in again without a restart kept its old life, which was over for foca; it begins the next one now.

--- a/crates/emulator/tests/membership.rs
+++ b/crates/emulator/tests/membership.rs
@@ -407,6 +407,13 @@
         fleet.at(1, |room, now| room.let_in(now, &g3));
         fleet.run(ms(3_000));
         agrees(&mut fleet, &format!("seed {seed}: let in"));
+        // Once more, without a restart.
+        fleet.at(0, |room, now| room.shut_out(now, &g3, "once more"));
+        fleet.run(ms(3_000));
+        assert_eq!(fleet.sees(1, 2), Some(State::ShutOut), "seed {seed}");
+        fleet.at(3, |room, now| room.let_in(now, &g3));
+        fleet.run(ms(3_000));
+        agrees(&mut fleet, &format!("seed {seed}: let in once more"));
         kept(&fleet, "shut out");
     });
 }
--- a/crates/membership/src/room.rs
+++ b/crates/membership/src/room.rs
@@ -892,6 +892,11 @@
                 if self.recording.is_some() {
                     return Ok(());
                 }
+                if matches!(self.phase, Phase::Refused | Phase::ShutOut) {
+                    // This life was over for others.
+                    self.begin_after(self.me.incarnation, "let in again");
+                    return Ok(());
+                }
                 if self.phase != Phase::In {
                     self.enter_in(now, &format!("let in by {}", from.name));
                 }
