--- a/crates/cli/src/ask.rs
+++ b/crates/cli/src/ask.rs
@@ -1,31 +1,15 @@
 //! Asks a member at its control port.
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddrV4, TcpStream};
+use std::net::SocketAddrV4;
 use std::path::Path;
-use std::time::Duration;
 
 use anyhow::{Context, Result, bail};
 use lynxstair_fleet::Config;
-use lynxstair_fleet::protocol::{Answer, Ask, LONGEST_ANSWER};
-
-const CONNECTS_WITHIN: Duration = Duration::from_millis(1_000);
-const ANSWERS_WITHIN: Duration = Duration::from_millis(3_000);
+use lynxstair_fleet::protocol::{Answer, Ask};
 
 /// Asks one thing.
 pub fn ask(addr: SocketAddrV4, ask: &Ask) -> Result<Answer> {
-    let stream = TcpStream::connect_timeout(&addr.into(), CONNECTS_WITHIN).context("not reached")?;
-    stream.set_read_timeout(Some(ANSWERS_WITHIN))?;
-    stream.set_write_timeout(Some(ANSWERS_WITHIN))?;
-    let mut said = serde_json::to_vec(ask)?;
-    said.push(b'\n');
-    (&stream).write_all(&said).context("not reached")?;
-    let mut line = String::new();
-    BufReader::new((&stream).take(LONGEST_ANSWER as u64)).read_line(&mut line).context("no answer")?;
-    if line.is_empty() {
-        bail!("no answer");
-    }
-    serde_json::from_str(&line).context("an answer that this program does not understand")
+    lynxstair_fleet::ask(addr, ask).context("not reached")
 }
 
 /// The addresses to ask: of a fleet file, or the one address that is given.
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -164,7 +164,7 @@
 
 fn status_of(addr: SocketAddrV4) -> Result<Asked> {
     match ask(addr, &Ask::Status)? {
-        Answer::Status { fleet, version, view, disk } => Ok(Asked { fleet, version, view: *view, disk }),
+        Answer::Status { fleet, version, view, disk, .. } => Ok(Asked { fleet, version, view: *view, disk }),
         Answer::No { why } => bail!(why),
         Answer::Done => bail!("an answer to something else"),
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! and whatever waits for a disk has a thread of its own.
 #![deny(unsafe_code)]
 
+mod client;
 mod config;
 mod control;
 mod history;
@@ -14,5 +15,6 @@
 pub mod protocol;
 mod side;
 
+pub use client::ask;
 pub use config::{Config, Invalid, LogForm, TrialSwitches};
 pub use side::Side;
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -36,6 +36,9 @@
         view: Box<View>,
         /// Records that could not be written, and why the last one could not; none: all are on disk.
         disk: Option<String>,
+        /// Datagrams that were thrown away unread, since too many came; and those that could not be sent.
+        unread: u64,
+        unsent: u64,
     },
     Done,
     No {
--- a/crates/fleet/src/side.rs
+++ b/crates/fleet/src/side.rs
@@ -51,7 +51,7 @@
     disk: Mutex<Disk>,
     history: Option<History>,
     /// Datagrams that were thrown away unread, and sends that did not go.
-    over: AtomicU64,
+    unread: AtomicU64,
     unsent: AtomicU64,
     _log: WorkerGuard,
 }
@@ -159,7 +159,7 @@
             done,
             disk: Mutex::new(Disk::default()),
             history,
-            over: AtomicU64::new(0),
+            unread: AtomicU64::new(0),
             unsent: AtomicU64::new(0),
             _log: log,
             config,
@@ -201,6 +201,8 @@
                 version: env!("CARGO_PKG_VERSION").to_string(),
                 view: Box::new(lock(&self.room).view(now)),
                 disk: lock(&self.disk).trouble.clone(),
+                unread: self.unread.load(Ordering::Relaxed),
+                unsent: self.unsent.load(Ordering::Relaxed),
             },
             Ask::Leave => {
                 self.leave();
@@ -323,7 +325,7 @@
                     }
                     let std::net::SocketAddr::V4(from) = from else { continue };
                     if allowed == 0 {
-                        self.over.fetch_add(1, Ordering::Relaxed);
+                        self.unread.fetch_add(1, Ordering::Relaxed);
                     } else {
                         allowed -= 1;
                         self.with_room(now, |room| room.heard(now, from, &buffer[..len]));
--- a/crates/membership/src/room.rs
+++ b/crates/membership/src/room.rs
@@ -1379,16 +1379,12 @@
             phase: self.phase,
             phase_why: self.phase_why.clone(),
             doubt: doubt.map(|(why, since)| (why, ms(now - since))),
+            wider: self.health.wider(),
             members: members.collect(),
             counters: self.counters.clone(),
         }
     }
 
-    /// By how many more of each the times are widened now.
-    pub fn wider(&self) -> u8 {
-        self.health.wider()
-    }
-
     /// The state of one other member; none: never heard of.
     pub fn state_of(&self, name: &Name) -> Option<(State, Incarnation)> {
         self.members.get(name).map(|s| (s.life.state(), s.life.incarnation()))
--- a/crates/membership/src/times.rs
+++ b/crates/membership/src/times.rs
@@ -35,9 +35,9 @@
 impl Default for Times {
     fn default() -> Self {
         Times {
-            probe: Span::from_millis(400),
-            answer: Span::from_millis(130),
-            suspicion: Span::from_millis(1_300),
+            probe: Span::from_millis(350),
+            answer: Span::from_millis(120),
+            suspicion: Span::from_millis(1_200),
             gossip: Span::from_millis(150),
             late: Span::from_millis(150),
             quiet: Span::from_millis(1_000),
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -42,6 +42,8 @@
     pub phase_why: String,
     /// It doubts itself, and for how many milliseconds.
     pub doubt: Option<(Doubt, u64)>,
+    /// By how many more of each its times are widened now.
+    pub wider: u8,
     pub members: Vec<MemberSeen>,
     pub counters: Counters,
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -19,7 +19,7 @@
 pub use config::{config, config_named};
 pub use counter::{Counter, counter, counter_that_says, counting};
 pub use list::{Discovery, discovery, member};
-pub use load::{Answered, Delivered, Load, Plan, Traffic, line, mono};
+pub use load::{Answered, Delivered, Load, Plan, Traffic, mono};
 pub use message::{Message, ask, text};
 pub use worker::{Does, Seen, worker};
 
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -1,8 +1,7 @@
 //! A load of clients on several gatekeepers, with workers, a counter and a list of their own, and a trace of all that
 //! was sent and answered. One worker is drained half way.
 
-use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -253,21 +252,3 @@
         locked(&self.traffic.answered).push(note);
     }
 }
-
-/// Deliveries by invocation.
-impl Traffic {
-    pub fn delivered_by_id(&self) -> HashMap<u64, Vec<Delivered>> {
-        let mut by_id: HashMap<u64, Vec<Delivered>> = HashMap::new();
-        for one in locked(&self.delivered).iter() {
-            by_id.entry(one.id).or_default().push(*one);
-        }
-        by_id
-    }
-}
-
-/// Reads one line; for tests of what comes over a control port.
-pub fn line(from: impl Read) -> Option<String> {
-    let mut line = String::new();
-    BufReader::new(from).read_line(&mut line).ok().filter(|n| *n > 0)?;
-    Some(line)
-}
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, OpenOptions};
-use std::io::{self, BufRead, BufReader, Write};
+use std::io;
 use std::net::{SocketAddrV4, TcpStream};
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
@@ -679,14 +679,7 @@
 
 /// What a member answers: its phase, and whom it sees as there.
 fn status(addr: SocketAddrV4) -> Option<(Phase, BTreeSet<String>)> {
-    let stream = TcpStream::connect_timeout(&addr.into(), Duration::from_millis(500)).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
-    let mut said = serde_json::to_vec(&Ask::Status).ok()?;
-    said.push(b'\n');
-    (&stream).write_all(&said).ok()?;
-    let mut line = String::new();
-    BufReader::new(&stream).read_line(&mut line).ok()?;
-    let Answer::Status { view, .. } = serde_json::from_str(&line).ok()? else { return None };
+    let Answer::Status { view, .. } = lynxstair_fleet::ask(addr, &Ask::Status).ok()? else { return None };
     let there = view.members.iter().filter(|m| matches!(m.state, State::Alive | State::Suspected));
     Some((view.phase, there.map(|m| m.name.as_str().to_string()).collect()))
 }
