--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -20,6 +20,43 @@
     pub why: String,
 }
 
+impl Invalid {
+    /// At a place in a file's text, in bytes.
+    pub fn at(file: &Path, text: &str, at: usize, key: Option<&str>, why: impl Into<String>) -> Self {
+        let line = 1 + text.as_bytes()[..at.min(text.len())].iter().filter(|b| **b == b'\n').count();
+        let (file, key) = (file.to_path_buf(), key.map(str::to_string));
+        Invalid { file, line: Some(line), key, why: why.into() }
+    }
+
+    /// The file could not be read.
+    pub fn unread(file: &Path, e: &std::io::Error) -> Self {
+        Invalid { file: file.to_path_buf(), line: None, key: None, why: e.to_string() }
+    }
+
+    /// What TOML itself says.
+    pub fn toml(file: &Path, text: &str, e: &toml::de::Error) -> Self {
+        Invalid::at(file, text, e.span().map_or(0, |s| s.start), None, e.message())
+    }
+
+    /// A number that is not within its bounds.
+    ///
+    /// # Errors
+    /// Where it is not.
+    pub fn unless_within<T: PartialOrd + Copy + fmt::Display>(
+        (file, text): (&Path, &str),
+        key: &str,
+        value: &Spanned<T>,
+        (least, most): (T, T),
+    ) -> Result<T, Self> {
+        let n = *value.get_ref();
+        if n >= least && n <= most {
+            return Ok(n);
+        }
+        let why = format!("{n} is not within {least} to {most}");
+        Err(Invalid::at(file, text, value.span().start, Some(key), why))
+    }
+}
+
 impl fmt::Display for Invalid {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.file.display())?;
@@ -124,13 +161,8 @@
 }
 
 impl Reader<'_> {
-    fn line(&self, at: usize) -> usize {
-        1 + self.text.as_bytes()[..at.min(self.text.len())].iter().filter(|b| **b == b'\n').count()
-    }
-
     fn invalid(&self, at: usize, key: &str, why: String) -> Invalid {
-        let (file, line, key) = (self.file.to_path_buf(), Some(self.line(at)), Some(key.to_string()));
-        Invalid { file, line, key, why }
+        Invalid::at(self.file, self.text, at, Some(key), why)
     }
 
     fn name(&self, key: &str, value: &Spanned<String>) -> Result<Name, Invalid> {
@@ -153,13 +185,8 @@
     fn times(&self, file: &TimesFile) -> Result<Times, Invalid> {
         let mut times = Times::default();
         let within = |key: &str, value: &Option<Spanned<u64>>, least: u64, most: u64| {
-            let Some(value) = value else { return Ok(None) };
-            let n = *value.get_ref();
-            if !(least..=most).contains(&n) {
-                let why = format!("{n} is not within {least} to {most}");
-                return Err(self.invalid(value.span().start, key, why));
-            }
-            Ok(Some(n))
+            let here = (self.file, self.text);
+            value.as_ref().map(|v| Invalid::unless_within(here, key, v, (least, most))).transpose()
         };
         let all: [(&str, &Option<Spanned<u64>>, &mut Span); 8] = [
             ("times.probe_ms", &file.probe_ms, &mut times.probe),
@@ -199,23 +226,13 @@
     /// # Errors
     /// Where it can't be read or holds what can't be used: file, line, key, and what would be right.
     pub fn read(file: &Path) -> Result<Self, Invalid> {
-        let text = std::fs::read_to_string(file).map_err(|e| Invalid {
-            file: file.to_path_buf(),
-            line: None,
-            key: None,
-            why: e.to_string(),
-        })?;
+        let text = std::fs::read_to_string(file).map_err(|e| Invalid::unread(file, &e))?;
         Config::parse(file, &text)
     }
 
     fn parse(file: &Path, text: &str) -> Result<Self, Invalid> {
         let reader = Reader { file, text };
-        let parsed: File = toml::from_str(text).map_err(|e| Invalid {
-            file: file.to_path_buf(),
-            line: Some(reader.line(e.span().map_or(0, |s| s.start))),
-            key: None,
-            why: e.message().to_string(),
-        })?;
+        let parsed: File = toml::from_str(text).map_err(|e| Invalid::toml(file, text, &e))?;
         let bind = reader.addr("bind", &parsed.bind)?;
         let advertise = match &parsed.advertise {
             Some(addr) => reader.addr("advertise", addr)?,
--- a/crates/trial/src/file.rs
+++ b/crates/trial/src/file.rs
@@ -206,14 +206,7 @@
 
 impl Reader<'_> {
     fn invalid(&self, at: usize, key: &str, why: impl Into<String>) -> Invalid {
-        let line =
-            1 + self.text.as_bytes()[..at.min(self.text.len())].iter().filter(|b| **b == b'\n').count();
-        Invalid {
-            file: self.file.to_path_buf(),
-            line: Some(line),
-            key: Some(key.to_string()),
-            why: why.into(),
-        }
+        Invalid::at(self.file, self.text, at, Some(key), why)
     }
 
     fn within<T: PartialOrd + Copy + std::fmt::Display>(
@@ -223,11 +216,7 @@
         least: T,
         most: T,
     ) -> Result<T, Invalid> {
-        let n = *value.get_ref();
-        if n >= least && n <= most {
-            return Ok(n);
-        }
-        Err(self.invalid(value.span().start, key, format!("{n} is not within {least} to {most}")))
+        Invalid::unless_within((self.file, self.text), key, value, (least, most))
     }
 
     fn one(&mut self, at: usize, key: &str, word: &str) -> Result<Vec<usize>, Invalid> {
@@ -406,12 +395,7 @@
     /// # Errors
     /// Where it can't be read or played: file, line, key, and what would be right.
     pub fn read(file: &Path, seed: Option<u64>) -> Result<Self, Invalid> {
-        let text = std::fs::read_to_string(file).map_err(|e| Invalid {
-            file: file.to_path_buf(),
-            line: None,
-            key: None,
-            why: e.to_string(),
-        })?;
+        let text = std::fs::read_to_string(file).map_err(|e| Invalid::unread(file, &e))?;
         Trial::parse(file, &text, seed)
     }
 
@@ -422,12 +406,7 @@
     pub fn parse(file: &Path, text: &str, seed: Option<u64>) -> Result<Self, Invalid> {
         let mut reader =
             Reader { file, text, gatekeepers: 0, halls: 1, voters: None, chance: Pcg64Mcg::seed_from_u64(0) };
-        let parsed: FileText = toml::from_str(text).map_err(|e| {
-            let at = e.span().map_or(0, |s| s.start);
-            let mut invalid = reader.invalid(at, "", e.message());
-            invalid.key = None;
-            invalid
-        })?;
+        let parsed: FileText = toml::from_str(text).map_err(|e| Invalid::toml(file, text, &e))?;
         let seconds = reader.within("seconds", &parsed.seconds, 0.1, LONGEST_SECONDS)?;
         let most = MOST_GATEKEEPERS as i64;
         let gatekeepers = reader.within("gatekeepers", &parsed.gatekeepers, 1, most)?;
