--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -48,6 +48,19 @@
     assert!(out.contains("nobody could be asked"), "{out}");
 }
 
+/// The files of the README's example can be used.
+#[test]
+fn the_example_files() {
+    for n in 1..=3 {
+        let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/fleet");
+        let fleet = lynxstair_fleet::Config::read(&folder.join(format!("g{n}.toml"))).expect("can be used");
+        assert_eq!(fleet.name.as_str(), format!("g{n}"));
+        let config = fs::read_to_string(folder.join(format!("g{n}.json"))).expect("there");
+        let config: serde_json::Value = serde_json::from_str(&config).expect("JSON");
+        assert_eq!(config["name"], fleet.name.as_str());
+    }
+}
+
 /// Disagreement is shown, by whom: a member that hears nobody says unknown of all.
 #[test]
 fn disagreement_is_shown() {
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -8,6 +8,7 @@
 use lynxstair::types::{Span, Time};
 use lynxstair_membership::{
     Broken, Do, Event, Ident, Incarnation, Known, Name, Notice, Phase, Record, Room, Start, State, Times,
+    View,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -54,6 +55,8 @@
     disk: Disk,
     process: Option<Process>,
     runs: u32,
+    /// Its clock is ahead of the fleet's time by so much.
+    ahead: Span,
 }
 
 enum Next {
@@ -115,6 +118,7 @@
                 disk: Disk::default(),
                 process: None,
                 runs: 0,
+                ahead: Span::from_millis(7_200_000),
             })
             .collect();
         let places = nodes.iter().enumerate().map(|(n, node)| (node.addr, n)).collect();
@@ -158,8 +162,9 @@
         // Each by itself, and nothing of it hangs on the order.
         fleet.nodes.par_iter_mut().enumerate().for_each(|(who, node)| {
             let Some(process) = node.process.as_mut() else { return };
-            process.room.written(at[who], all[who].incarnation);
-            process.room.settle(at[who], &all);
+            let at = at[who] + node.ahead;
+            process.room.written(at, all[who].incarnation);
+            process.room.settle(at, &all);
             process.wakes_at = None;
             node.disk.last = Some(all[who].incarnation);
         });
@@ -177,6 +182,23 @@
         self.now
     }
 
+    /// What a member's own clock says.
+    fn clock(&self, who: usize) -> Time {
+        self.now + self.nodes[who].ahead
+    }
+
+    /// Its wall clock is set back by an hour while it does not run: a process takes it over at its start only.
+    pub fn set_clock_back(&mut self, who: usize) {
+        self.kill(who);
+        let hour = Span::from_millis(3_600_000);
+        self.nodes[who].ahead = (Time::default() + self.nodes[who].ahead) - (Time::default() + hour);
+    }
+
+    /// Who is there, as one sees it.
+    pub fn view(&self, who: usize) -> Option<View> {
+        self.room(who).map(|room| room.view(self.clock(who)))
+    }
+
     pub fn members(&self) -> usize {
         self.nodes.len()
     }
@@ -212,7 +234,7 @@
         let node = &mut self.nodes[who];
         node.runs += 1;
         let room = Room::begin(
-            self.now,
+            self.now + node.ahead,
             Start {
                 fleet: name("f", 1),
                 name: node.name.clone(),
@@ -255,12 +277,21 @@
         self.places.insert(self.nodes[who].addr, who);
     }
 
+    /// It is at the address that another had, who is at none any more.
+    pub fn take_place(&mut self, who: usize, of: usize) {
+        let (old, place) = (self.nodes[who].addr, self.nodes[of].addr);
+        self.places.remove(&old);
+        self.nodes[who].addr = place;
+        self.places.insert(place, who);
+    }
+
     /// One more process under the name of another, with a copy of its disk, at an address of its own. Its number.
     pub fn copy(&mut self, of: usize) -> usize {
         let who = self.nodes.len();
         let (name, hall) = (self.nodes[of].name.clone(), self.nodes[of].hall.clone());
         let (addr, disk) = (address(who, 0), self.nodes[of].disk.clone());
-        self.nodes.push(Node { name, hall, addr, disk, process: None, runs: 0 });
+        let ahead = self.nodes[of].ahead;
+        self.nodes.push(Node { name, hall, addr, disk, process: None, runs: 0, ahead });
         self.places.insert(addr, who);
         self.start(who);
         who
@@ -276,23 +307,23 @@
     /// It goes on, first with what lies in its socket or first with its timers, as chance has it.
     pub fn resume(&mut self, who: usize) {
         let timers_first: bool = self.chance.random();
-        let (now, run) = (self.now, self.nodes[who].runs);
+        let (now, run, clock) = (self.now, self.nodes[who].runs, self.clock(who));
         let Some(process) = self.nodes[who].process.as_mut().filter(|p| p.stopped) else { return };
         process.stopped = false;
         process.wakes_at = None;
         if timers_first {
-            process.room.tick(now);
+            process.room.tick(clock);
         }
         process.buffered = 0;
         for (from, datagram) in std::mem::take(&mut process.buffer) {
-            process.room.heard(now, from, &datagram);
+            process.room.heard(clock, from, &datagram);
         }
         self.plan_next(now, Next::Wakes { who, run });
         self.after(who);
     }
 
     pub fn leave(&mut self, who: usize) {
-        let now = self.now;
+        let now = self.clock(who);
         if let Some(process) = self.nodes[who].process.as_mut() {
             process.room.leave(now);
         }
@@ -301,7 +332,7 @@
 
     /// Has one member do something, and carries out what comes of it.
     pub fn at(&mut self, who: usize, acts: impl FnOnce(&mut Room, Time)) {
-        let now = self.now;
+        let now = self.clock(who);
         if let Some(process) = self.nodes[who].process.as_mut() {
             acts(&mut process.room, now);
         }
@@ -354,6 +385,7 @@
         match next {
             Next::Arrives { from, to, datagram } => {
                 let Some(who) = self.places.get(&to).copied() else { return };
+                let ahead = self.nodes[who].ahead;
                 let Some(process) = self.nodes[who].process.as_mut() else { return };
                 if process.stopped {
                     let size = datagram.len() + OVERHEAD;
@@ -365,20 +397,21 @@
                     process.buffer.push_back((from, datagram));
                     return;
                 }
-                process.room.heard(now, from, &datagram);
+                process.room.heard(now + ahead, from, &datagram);
                 self.after(who);
             }
             Next::Wakes { who, run } => {
                 if self.nodes[who].runs != run {
                     return;
                 }
+                let ahead = self.nodes[who].ahead;
                 let Some(process) = self.nodes[who].process.as_mut().filter(|p| !p.stopped) else { return };
                 // Woken for something that is due later by now, or was done already.
                 if process.wakes_at.is_some_and(|at| at > now) {
                     return;
                 }
                 process.wakes_at = None;
-                process.room.tick(now);
+                process.room.tick(now + ahead);
                 self.after(who);
             }
             Next::Written { who, run, incarnation } => {
@@ -393,7 +426,7 @@
                     self.plan_next(at, Next::Written { who, run, incarnation });
                     return;
                 }
-                process.room.written(now, incarnation);
+                process.room.written(now + node.ahead, incarnation);
                 self.after(who);
             }
         }
@@ -402,7 +435,7 @@
     /// Carries out what a member wants done, and plans its next wake.
     fn after(&mut self, who: usize) {
         let now = self.now;
-        let (addr, run) = (self.nodes[who].addr, self.nodes[who].runs);
+        let (addr, run, ahead) = (self.nodes[who].addr, self.nodes[who].runs, self.nodes[who].ahead);
         let Some(process) = self.nodes[who].process.as_mut() else { return };
         for todo in process.room.take() {
             match todo {
@@ -416,7 +449,7 @@
             }
         }
         let Some(process) = self.nodes[who].process.as_mut() else { return };
-        let due = process.room.next_due();
+        let due = process.room.next_due().map(|at| at.saturating_sub(ahead));
         if let Some(at) = due
             && process.wakes_at.is_none_or(|set| at < set)
         {
--- a/crates/emulator/tests/membership.rs
+++ b/crates/emulator/tests/membership.rs
@@ -24,7 +24,7 @@
 fn agrees(fleet: &mut Fleet, what: &str) {
     if fleet.until(AGREE, Fleet::all_agree).is_none() {
         for who in (0..fleet.members()).filter(|w| fleet.runs(*w)) {
-            let view = fleet.room(who).expect("runs").view(fleet.now());
+            let view = fleet.view(who).expect("runs");
             let seen: Vec<_> = view.members.iter().map(|m| format!("{} {:?}", m.name, m.state)).collect();
             eprintln!(
                 "{} {:?} ({}) {:?}: {}",
@@ -143,7 +143,7 @@
         never_failed(&fleet, began, &[0, 1, 2, 3, 4], &what);
         assert!(fleet.all_agree(), "{what}");
         let link = |who: usize, other: usize, f: &Fleet| {
-            let view = f.room(who).expect("runs").view(f.now());
+            let view = f.view(who).expect("runs");
             view.members.iter().find(|m| m.name == *f.name_of(other)).map(|m| m.link.state)
         };
         assert_eq!(link(from, to, &fleet), Some(LinkState::Cut), "{what}: shows as a cut");
@@ -221,7 +221,7 @@
         fleet.run(ms(30_000));
         let by_it: Vec<_> = fleet.declared_failed().filter(|(at, by, _)| *at >= began && *by == 0).collect();
         assert!(by_it.is_empty(), "seed {seed}: {by_it:?}");
-        let view = fleet.room(0).expect("runs").view(fleet.now());
+        let view = fleet.view(0).expect("runs");
         assert!(view.members.iter().all(|m| m.state == State::Unknown), "seed {seed}");
         assert!((1..5).all(|w| fleet.sees(w, 0) == Some(State::Failed)), "seed {seed}");
         fleet.network.mend_all();
@@ -339,6 +339,40 @@
     });
 }
 
+/// A wall clock set back an hour over a restart changes nothing: no clock goes into a life's number.
+#[test]
+fn a_clock_set_back() {
+    seeds().for_each(|seed| {
+        let mut fleet = fleet(5, seed);
+        let began = fleet.now();
+        fleet.set_clock_back(2);
+        fleet.run(ms(100));
+        fleet.start(2);
+        agrees(&mut fleet, &format!("seed {seed}: a clock set back"));
+        fleet.run(ms(10_000));
+        never_failed(&fleet, began, &[0, 1, 2, 3, 4], &format!("seed {seed}: a clock set back"));
+        kept(&fleet, "a clock set back");
+    });
+}
+
+/// An address that another member had: who is told of by name is not taken for the other.
+#[test]
+fn an_address_taken_by_another() {
+    seeds().for_each(|seed| {
+        let mut fleet = fleet(5, seed);
+        fleet.kill(3);
+        fleet.kill(4);
+        fleet.take_place(4, 3);
+        fleet.run(ms(20 * seed));
+        fleet.start(4);
+        fleet.run(ms(7_000));
+        agrees(&mut fleet, &format!("seed {seed}: an address taken by another"));
+        assert_eq!(fleet.sees(0, 3), Some(State::Failed), "seed {seed}");
+        assert_eq!(fleet.sees(0, 4), Some(State::Alive), "seed {seed}");
+        kept(&fleet, "an address taken by another");
+    });
+}
+
 /// A data folder copied to a second process: the later one is refused and told why; the first one is not harmed.
 #[test]
 fn a_name_used_twice() {
@@ -349,7 +383,7 @@
         fleet.run(ms(20_000));
         let room = fleet.room(second).expect("runs");
         assert_eq!(room.phase(), Phase::Refused, "seed {seed}");
-        assert!(room.view(fleet.now()).phase_why.contains("borne by 127."), "seed {seed}");
+        assert!(fleet.view(second).expect("runs").phase_why.contains("borne by 127."), "seed {seed}");
         never_failed(&fleet, began, &[0, 1, 2, 3, 4], &format!("seed {seed}: a name used twice"));
         let told = fleet.history().iter().any(|h| matches!(h.event, Event::TurnedAway { .. }));
         assert!(told, "seed {seed}");
@@ -402,7 +436,7 @@
         fleet.run(ms(10_000));
         let room = fleet.room(2).expect("runs");
         assert_eq!(room.phase(), Phase::ShutOut, "seed {seed}");
-        assert_eq!(room.view(fleet.now()).phase_why, "does not hold what all hold");
+        assert_eq!(fleet.view(2).expect("runs").phase_why, "does not hold what all hold");
         assert!([0, 1, 3, 4].iter().all(|w| fleet.sees(*w, 2) != Some(State::Alive)), "seed {seed}");
         fleet.at(1, |room, now| room.let_in(now, &g3));
         fleet.run(ms(3_000));
