What was suspected while cut off is asked anew before it is held against anybody

Cause: its suspicion had been told to nobody, as all it sent was lost, and the time to object was only put off (room.rs, doubt_ended). Change: at the end of a doubt, and at the beginning of a next life, whoever is suspected is told so.

--- a/crates/emulator/tests/membership.rs
+++ b/crates/emulator/tests/membership.rs
@@ -226,6 +226,9 @@
         assert!((1..5).all(|w| fleet.sees(w, 0) == Some(State::Failed)), "seed {seed}");
         fleet.network.mend_all();
         agrees(&mut fleet, "one cut off alone");
+        // What it suspected when it was cut off is asked anew, not held against them.
+        fleet.run(ms(8_000));
+        never_failed(&fleet, began, &[1, 2, 3, 4], &format!("seed {seed}: mended"));
         kept(&fleet, "one cut off alone");
     });
 }
--- a/crates/membership/src/room.rs
+++ b/crates/membership/src/room.rs
@@ -454,11 +454,23 @@
         for at in held.into_iter().filter(|(at, _)| *at <= soon) {
             let Some(due) = self.timers.remove(&at) else { continue };
             let after = match due {
-                Due::Swim(Timer::ChangeSuspectToDown { .. }) | Due::Overdue(..) => self.times.suspicion,
+                Due::Swim(Timer::ChangeSuspectToDown { .. }) | Due::Overdue(..) => {
+                    self.times.suspicion.times(2.0)
+                }
                 _ => self.times.answer,
             };
             self.set(now, due, after);
         }
+        self.accuse_anew(now);
+    }
+
+    /// Whoever was suspected while nobody could be heard was hardly told so: told now, it may object.
+    fn accuse_anew(&mut self, now: Time) {
+        let suspected = self.members.values().filter(|s| s.life.state() == State::Suspected);
+        let suspected: Vec<_> = suspected.map(|s| s.ident.name.clone()).collect();
+        for name in suspected {
+            self.set(now, Due::Accuse(name, ACCUSED), Span::ZERO);
+        }
     }
 
     /// Does all that is due.
@@ -589,6 +601,15 @@
         self.set(now, Due::TellLinks, self.times.exchange);
         self.set(now, Due::Remember, self.times.exchange);
         self.set(now, Due::Seek, self.times.exchange);
+        // What an earlier life suspected is this one's to settle.
+        let overdue: Vec<_> =
+            self.timers.iter().filter(|(_, d)| matches!(d, Due::Overdue(..))).map(|(at, _)| *at).collect();
+        for at in overdue {
+            if let Some(Due::Overdue(ident, objection)) = self.timers.remove(&at) {
+                self.set(now, Due::Unsettled(ident, objection), self.times.suspicion);
+            }
+        }
+        self.accuse_anew(now);
     }
 
     /// Asks seeds that are nobody's who is there, and one of those known by name only, to let it in as well: where
@@ -1041,6 +1062,10 @@
         if self.broken.no_relays || self.broken.no_suspicion {
             return;
         }
+        if !self.takes_part() {
+            // Begins its next life just now; nobody would listen to this one.
+            return self.set(now, Due::Accuse(name, left), self.times.answer);
+        }
         let (you, objection) = (seen.ident.clone(), seen.swim.map_or(0, |(_, n)| n));
         // Those it says it hears; and others, more of them each time: who hears it may be few.
         let board = self.board.held();
@@ -1076,7 +1101,7 @@
         if !self.takes_part() {
             return Err(Dropped::NotTakingPart);
         }
-        if self.members.get(&from.name).is_none_or(|s| s.ident != from) {
+        if !self.members.contains_key(&from.name) {
             return Err(Dropped::NotAMember);
         }
         if you.name != self.me.name {
