--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -1,5 +1,5 @@
-//! `lynxstair fleet`: each member as seen by each member that could be asked. Nothing is averaged, and who could not
-//! be reached is `unknown`, with since when.
+//! `lynxstair fleet`: each member as seen by each member that could be asked. Nothing is averaged, and who
+//! could not be reached is `unknown`, with since when.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
@@ -28,8 +28,8 @@
 enum Command {
     /// Each member as seen by each member that could be asked.
     ///
-    /// Exit code 0: all could be asked and see the same; 1: some could not, or see it otherwise; 2: nobody could be
-    /// asked.
+    /// Exit code 0: all could be asked and see the same; 1: some could not, or see it otherwise; 2: nobody
+    /// could be asked.
     Status {
         /// A fleet file, or the address of a member
         member: String,
@@ -91,7 +91,8 @@
     incarnation: u64,
     /// What it says of itself; none: it could not be asked.
     says: Option<Said>,
-    /// Why it could not be asked, and since when others do not see it as there; `unknown` where nobody can say.
+    /// Why it could not be asked, and since when others do not see it as there; `unknown` where nobody can
+    /// say.
     unreached: Option<Unreached>,
     /// By state: who sees it so.
     seen: BTreeMap<State, Vec<Seen>>,
@@ -109,7 +110,8 @@
 #[derive(Serialize)]
 struct Unreached {
     why: String,
-    /// Milliseconds for which those who could be asked have held it so; none: `unknown`, they see it as there.
+    /// Milliseconds for which those who could be asked have held it so; none: `unknown`, they see it as
+    /// there.
     for_ms: Option<u64>,
 }
 
--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -19,9 +19,11 @@
     Relays,
 }
 
-/// Starts several gatekeepers with links between them, plays the faults, stops everything, judges the histories.
+/// Starts several gatekeepers with links between them, plays the faults, stops everything, judges the
+/// histories.
 ///
-/// Exit code 0: all that must hold held; 1: something broke; 2: a file can't be played, or the machine failed it.
+/// Exit code 0: all that must hold held; 1: something broke; 2: a file can't be played, or the machine failed
+/// it.
 #[derive(clap::Args)]
 pub struct Args {
     /// Trial files, played one after another
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -13,7 +13,8 @@
 use nix::sys::signal::Signal;
 use support::{Hand, gatekeeper, run, until};
 
-/// Three by hand: all agree; one that is gone shows as unknown, with since when; nobody there is told as that.
+/// Three by hand: all agree; one that is gone shows as unknown, with since when; nobody there is told as
+/// that.
 #[test]
 fn three_by_hand() {
     let mut hand = Hand::start(3);
@@ -102,7 +103,8 @@
     assert!(out.contains(r#"{"by":"g1","is":"left","member":"g2","was":null}"#), "{out}");
 }
 
-/// What can't be used is told with file, line and key; what is not understood at a port gets no more than a no.
+/// What can't be used is told with file, line and key; what is not understood at a port gets no more than a
+/// no.
 #[test]
 fn bad_input() {
     let hand = Hand::start(1);
--- a/crates/cli/tests/trials.rs
+++ b/crates/cli/tests/trials.rs
@@ -1,5 +1,5 @@
-//! Trials of several processes: all that are committed are kept, each part that is taken out is missed, and nothing
-//! is left running whatever becomes of the one that plays them.
+//! Trials of several processes: all that are committed are kept, each part that is taken out is missed, and
+//! nothing is left running whatever becomes of the one that plays them.
 
 mod support;
 
--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -1,4 +1,5 @@
-//! Experiments on membership: what the results page tables. Each run hangs on its seed alone; runs go side by side.
+//! Experiments on membership: what the results page tables. Each run hangs on its seed alone; runs go side by
+//! side.
 
 use lynxstair::types::{Span, Time};
 use lynxstair_membership::{Broken, Event, State, Times};
@@ -47,7 +48,8 @@
     Fleet::settled(Plan { members, halls: 3, seeds: 3, times: Times::default(), broken: care.broken(), seed })
 }
 
-/// Kills so many members one after another, eight seconds apart, and watches when the others have found each out.
+/// Kills so many members one after another, eight seconds apart, and watches when the others have found each
+/// out.
 pub fn deaths(members: usize, kills: usize, lost: f64, seed: u64) -> Vec<Death> {
     let mut fleet = settled(members, seed, Care::With);
     let mut chance = Pcg64Mcg::seed_from_u64(seed ^ 0x9e37);
@@ -137,8 +139,8 @@
     (declared, members as f64 * minutes as f64 / 60.0)
 }
 
-/// Bytes and datagrams that a member sends in a second, with nothing going on; and the largest datagram until three
-/// seconds after thirty members, or a tenth of fewer, died at once.
+/// Bytes and datagrams that a member sends in a second, with nothing going on; and the largest datagram until
+/// three seconds after thirty members, or a tenth of fewer, died at once.
 pub fn traffic(members: usize, seed: u64) -> (f64, f64, usize) {
     let mut fleet = settled(members, seed, Care::With);
     fleet.run(Span::from_millis(3_000));
@@ -151,8 +153,8 @@
     (rest.0, rest.1, fleet.largest)
 }
 
-/// Of a fleet in which one is heard by a single other only: whether it was declared failed, and whether it declared
-/// anybody, within half a minute.
+/// Of a fleet in which one is heard by a single other only: whether it was declared failed, and whether it
+/// declared anybody, within half a minute.
 pub fn heard_by_one(members: usize, seed: u64) -> (bool, bool) {
     let mut fleet = settled(members, seed, Care::With);
     fleet.run(Span::from_millis(5_000));
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -1,5 +1,5 @@
-//! A fleet of members on a virtual clock: each a room of `lynxstair-membership` with a disk, a socket's buffer
-//! and an address.
+//! A fleet of members on a virtual clock: each a room of `lynxstair-membership` with a disk, a socket's
+//! buffer and an address.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -187,7 +187,8 @@
         self.now + self.nodes[who].ahead
     }
 
-    /// Its wall clock is set back by an hour while it does not run: a process takes it over at its start only.
+    /// Its wall clock is set back by an hour while it does not run: a process takes it over at its start
+    /// only.
     pub fn set_clock_back(&mut self, who: usize) {
         self.kill(who);
         let hour = Span::from_millis(3_600_000);
@@ -285,7 +286,8 @@
         self.places.insert(place, who);
     }
 
-    /// One more process under the name of another, with a copy of its disk, at an address of its own. Its number.
+    /// One more process under the name of another, with a copy of its disk, at an address of its own. Its
+    /// number.
     pub fn copy(&mut self, of: usize) -> usize {
         let who = self.nodes.len();
         let (name, hall) = (self.nodes[of].name.clone(), self.nodes[of].hall.clone());
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,7 +1,7 @@
 //! The project's own code on a virtual clock, with a network of its own whose faults are scripted.
 //!
-//! One seed gives one run, at any size and on any machine. Today it holds a fleet's membership; it decides nothing
-//! itself and knows no more of a member than what the room hands out.
+//! One seed gives one run, at any size and on any machine. Today it holds a fleet's membership; it decides
+//! nothing itself and knows no more of a member than what the room hands out.
 #![forbid(unsafe_code)]
 
 pub mod experiment;
--- a/crates/emulator/tests/membership.rs
+++ b/crates/emulator/tests/membership.rs
@@ -275,7 +275,8 @@
     }
 }
 
-/// Restarted at once: at the same address, at another one, with an emptied disk, with an old copy of the disk.
+/// Restarted at once: at the same address, at another one, with an emptied disk, with an old copy of the
+/// disk.
 #[test]
 fn restarts() {
     seeds().for_each(|seed| {
@@ -307,7 +308,8 @@
     });
 }
 
-/// Groups that came together each by itself, since seeds were slow to start or datagrams were lost, find each other.
+/// Groups that came together each by itself, since seeds were slow to start or datagrams were lost, find each
+/// other.
 #[test]
 fn groups_at_the_start() {
     seeds().for_each(|seed| {
@@ -326,8 +328,8 @@
     });
 }
 
-/// Several lose their disks at once and are let in by others who know nothing either: a life that begins in an
-/// incarnation that was lived already is told so, whoever hears of it first.
+/// Several lose their disks at once and are let in by others who know nothing either: a life that begins in
+/// an incarnation that was lived already is told so, whoever hears of it first.
 #[test]
 fn disks_lost_at_several() {
     seeds().for_each(|seed| {
@@ -376,7 +378,8 @@
     });
 }
 
-/// A data folder copied to a second process: the later one is refused and told why; the first one is not harmed.
+/// A data folder copied to a second process: the later one is refused and told why; the first one is not
+/// harmed.
 #[test]
 fn a_name_used_twice() {
     seeds().for_each(|seed| {
@@ -418,7 +421,8 @@
     });
 }
 
-/// One shut out stays out over restarts, also at those who were away when it was said, until it is let in again.
+/// One shut out stays out over restarts, also at those who were away when it was said, until it is let in
+/// again.
 #[test]
 fn shut_out_and_let_in() {
     seeds().for_each(|seed| {
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -1,5 +1,5 @@
-//! The fleet file: TOML, read whole and checked before anything is opened. An error names file, line, key and what
-//! would be right.
+//! The fleet file: TOML, read whole and checked before anything is opened. An error names file, line, key and
+//! what would be right.
 
 use std::fmt;
 use std::net::SocketAddrV4;
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -1,5 +1,5 @@
-//! The control port: an operator asks one thing in one line, and gets one line. Bounded in connections, bytes and
-//! time; what can't be understood is told so.
+//! The control port: an operator asks one thing in one line, and gets one line. Bounded in connections, bytes
+//! and time; what can't be understood is told so.
 
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
--- a/crates/fleet/src/history.rs
+++ b/crates/fleet/src/history.rs
@@ -17,7 +17,8 @@
 
 #[derive(Serialize)]
 struct Line<'a> {
-    /// The machine's monotonic clock, in nanoseconds: the same for all processes on it, whatever the wall clock says.
+    /// The machine's monotonic clock, in nanoseconds: the same for all processes on it, whatever the wall
+    /// clock says.
     mono: u64,
     who: &'a str,
     run: u32,
--- a/crates/fleet/src/side.rs
+++ b/crates/fleet/src/side.rs
@@ -1,4 +1,5 @@
-//! The control side as it runs: one socket for datagrams, one timer, one control port, a writer for the records.
+//! The control side as it runs: one socket for datagrams, one timer, one control port, a writer for the
+//! records.
 
 use std::io;
 use std::net::{SocketAddrV4, UdpSocket};
@@ -173,7 +174,8 @@
         Ok(side)
     }
 
-    /// Tells the others that it goes. Nobody waits for it: the gatekeeper ends when its invocations are answered.
+    /// Tells the others that it goes. Nobody waits for it: the gatekeeper ends when its invocations are
+    /// answered.
     pub fn leave(&self) {
         let now = self.clock.now();
         self.with_room(now, |room| room.leave(now));
--- a/crates/ledger/src/file.rs
+++ b/crates/ledger/src/file.rs
@@ -73,7 +73,8 @@
 /// What was mended on opening.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Repair {
-    /// The last record had not been written whole when the process ended: cut off. It was never said to be on disk.
+    /// The last record had not been written whole when the process ended: cut off. It was never said to be on
+    /// disk.
     TornEnd { number: u64, bytes: u64 },
     /// The process ended while the file was being written anew: the old one stands.
     Leftover,
@@ -207,8 +208,8 @@
 }
 
 impl Ledger {
-    /// Opens the ledger of that owner in a folder, both made where they are not there yet. At most 255 bytes of the
-    /// owner's name count.
+    /// Opens the ledger of that owner in a folder, both made where they are not there yet. At most 255 bytes
+    /// of the owner's name count.
     ///
     /// # Errors
     /// Each thing that can be wrong is one of its own; nothing is changed then.
@@ -290,7 +291,8 @@
         self.file.sync_data()
     }
 
-    /// Writes the file anew with these records only. The chain goes on: the new head holds the hash of all before.
+    /// Writes the file anew with these records only. The chain goes on: the new head holds the hash of all
+    /// before.
     ///
     /// # Errors
     /// Where it can't be written; the old file stands then.
--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer.rs
@@ -28,8 +28,8 @@
 }
 
 impl<T: Send + 'static> Writer<T> {
-    /// Takes the ledger over. `written` is called for each record; `kept` tells what a file that grew over 1 MiB is
-    /// to hold instead.
+    /// Takes the ledger over. `written` is called for each record; `kept` tells what a file that grew over 1
+    /// MiB is to hold instead.
     ///
     /// # Errors
     /// Where no thread can be had.
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -10,7 +10,8 @@
 use lynxstair_ledger::{Error, Ledger, Opened, Repair, Writer};
 use tempfile::TempDir;
 
-/// In memory where there is such a place: hundreds of files are opened, and a disk takes 50 ms to say that it wrote.
+/// In memory where there is such a place: hundreds of files are opened, and a disk takes 50 ms to say that it
+/// wrote.
 fn folder() -> TempDir {
     tempfile::tempdir_in("/dev/shm").or_else(|_| tempfile::tempdir()).expect("a folder")
 }
--- a/crates/membership/src/datagram.rs
+++ b/crates/membership/src/datagram.rs
@@ -1,4 +1,5 @@
-//! What goes over the network: an envelope with version, fleet and checksum round messages of `foca` and our own.
+//! What goes over the network: an envelope with version, fleet and checksum round messages of `foca` and our
+//! own.
 //!
 //! Whatever can't be read is told as the reason it is dropped for, never answered.
 //!
--- a/crates/membership/src/health.rs
+++ b/crates/membership/src/health.rs
@@ -1,9 +1,10 @@
-//! Own lateness: one that stood still, is slow or hears nobody doubts itself first, and accuses nobody until it has
-//! heard from others again. The idea is Lifeguard's (Local Health Awareness for More Accurate Failure Detection).
+//! Own lateness: one that stood still, is slow or hears nobody doubts itself first, and accuses nobody until
+//! it has heard from others again. The idea is Lifeguard's (Local Health Awareness for More Accurate Failure
+//! Detection).
 //!
-//! Two things come of it. The timers run on *time awake*: what this process stood still is taken off the clock, so
-//! that nobody's time to answer ran out while nobody could be heard. And while it doubts, no time to object runs out
-//! and nobody is asked, so nobody can be found silent.
+//! Two things come of it. The timers run on *time awake*: what this process stood still is taken off the
+//! clock, so that nobody's time to answer ran out while nobody could be heard. And while it doubts, no time
+//! to object runs out and nobody is asked, so nobody can be found silent.
 
 use lynxstair::types::{Span, Time};
 use serde::{Deserialize, Serialize};
--- a/crates/membership/src/ident.rs
+++ b/crates/membership/src/ident.rs
@@ -8,8 +8,8 @@
 
 use serde::{Deserialize, Serialize};
 
-/// The longest name of a member, a hall or a fleet, in bytes. Two of them and the rest of a header leave room for
-/// some forty members in a datagram.
+/// The longest name of a member, a hall or a fleet, in bytes. Two of them and the rest of a header leave room
+/// for some forty members in a datagram.
 pub const LONGEST_NAME: usize = 32;
 
 /// Why a name can't be used.
@@ -26,8 +26,8 @@
     key: Key,
 }
 
-/// A number of 64 bits that stands for a name. Among 100,000 names two alike are not to be expected in a billion
-/// fleets.
+/// A number of 64 bits that stands for a name. Among 100,000 names two alike are not to be expected in a
+/// billion fleets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Key(u64);
 
@@ -114,8 +114,8 @@
     }
 }
 
-/// Counts the lives of a name: one more at each start, and each time it was declared failed and came back. Kept
-/// on disk before anybody is told of it, so that it never goes back; no clock goes into it.
+/// Counts the lives of a name: one more at each start, and each time it was declared failed and came back.
+/// Kept on disk before anybody is told of it, so that it never goes back; no clock goes into it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
 
@@ -139,15 +139,16 @@
     /// Where others reach it.
     pub addr: SocketAddrV4,
     pub incarnation: Incarnation,
-    /// Drawn at each start of a process: two processes of one name differ in it even with copied data folders.
+    /// Drawn at each start of a process: two processes of one name differ in it even with copied data
+    /// folders.
     pub run: u32,
 }
 
 impl foca::Identity for Ident {
     type Addr = Key;
 
-    /// None: a member that learns that it was declared failed has to write its next incarnation down before it
-    /// tells anybody of it, so the room brings it back and not `foca`.
+    /// None: a member that learns that it was declared failed has to write its next incarnation down before
+    /// it tells anybody of it, so the room brings it back and not `foca`.
     fn renew(&self) -> Option<Self> {
         None
     }
--- a/crates/membership/src/links.rs
+++ b/crates/membership/src/links.rs
@@ -1,6 +1,6 @@
-//! Who hears whom directly. A direct question that stays unanswered while others reach that member is a matter of
-//! the link and not of the member: from then on what goes to it goes by two others as well, until the direct way
-//! answers again. So a one-sided cut shows as a cut, not as a death, and does not flap.
+//! Who hears whom directly. A direct question that stays unanswered while others reach that member is a
+//! matter of the link and not of the member: from then on what goes to it goes by two others as well, until
+//! the direct way answers again. So a one-sided cut shows as a cut, not as a death, and does not flap.
 
 use std::collections::HashMap;
 
@@ -99,7 +99,8 @@
         Links::change(link, LinkState::Cut)
     }
 
-    /// Nobody reached it: whether it is there is another matter, but until it answers others are asked as well.
+    /// Nobody reached it: whether it is there is another matter, but until it answers others are asked as
+    /// well.
     pub fn not_reached(&mut self, name: &Name) {
         self.links.entry(name.clone()).or_default().unanswered += 1;
     }
--- a/crates/membership/src/notices.rs
+++ b/crates/membership/src/notices.rs
@@ -1,7 +1,8 @@
-//! What goes round the fleet besides who is alive: who left, who is shut out or let in again, whose links are cut.
+//! What goes round the fleet besides who is alive: who left, who is shut out or let in again, whose links are
+//! cut.
 //!
-//! Notices ride on `foca`'s own messages. Of one kind about one member the highest order holds; what is older or
-//! held already is not passed on.
+//! Notices ride on `foca`'s own messages. Of one kind about one member the highest order holds; what is older
+//! or held already is not passed on.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -67,8 +68,8 @@
         name: Name,
         number: u32,
     },
-    /// What this member says of its links: whom it does not hear and reach directly, or, where these are more, the
-    /// only ones that it does.
+    /// What this member says of its links: whom it does not hear and reach directly, or, where these are
+    /// more, the only ones that it does.
     Links {
         name: Name,
         incarnation: Incarnation,
@@ -247,7 +248,8 @@
         std::mem::take(&mut self.fresh)
     }
 
-    /// Those that must not get lost: who is shut out, or let in again, is told again when somebody comes back.
+    /// Those that must not get lost: who is shut out, or let in again, is told again when somebody comes
+    /// back.
     pub fn lasting(&self) -> Vec<Notice> {
         let lasts = |n: &&Notice| matches!(n, Notice::ShutOut { .. } | Notice::LetIn { .. });
         self.held.values().filter(lasts).cloned().collect()
--- a/crates/membership/src/room.rs
+++ b/crates/membership/src/room.rs
@@ -206,8 +206,8 @@
     TellLinks,
     Remember,
     Accuse(Name, u32),
-    /// One that others suspected: neither an objection nor its end was heard of. And then, with its own time to
-    /// object over as well.
+    /// One that others suspected: neither an objection nor its end was heard of. And then, with its own time
+    /// to object over as well.
     Unsettled(Ident, u16),
     Overdue(Ident, u16),
     Leave(u32),
@@ -447,8 +447,8 @@
     fn doubt_ended(&mut self, now: Time, turn: Option<Turn>) {
         let Some(Turn::Ended { since }) = turn else { return };
         self.out.push(Do::Tell(Event::DoubtEnded { ms: (now - since).nanos() / 1_000_000 }));
-        // Whoever was suspected before has all its time to object once more, and what was asked before has time to
-        // be answered.
+        // Whoever was suspected before has all its time to object once more, and what was asked before has
+        // time to be answered.
         let held: Vec<_> = self.timers.iter().filter(|(_, due)| accuses(due)).map(|(at, _)| *at).collect();
         let soon = self.health.awake(now) + self.times.suspicion;
         for at in held.into_iter().filter(|(at, _)| *at <= soon) {
@@ -612,8 +612,9 @@
         self.accuse_anew(now);
     }
 
-    /// Asks seeds that are nobody's who is there, and one of those known by name only, to let it in as well: where
-    /// several started at once they may have come together in more than one group, and a datagram may be lost.
+    /// Asks seeds that are nobody's who is there, and one of those known by name only, to let it in as well:
+    /// where several started at once they may have come together in more than one group, and a datagram may
+    /// be lost.
     fn seek(&mut self, now: Time) {
         if self.phase != Phase::In {
             return;
@@ -1053,8 +1054,8 @@
         taken.map_err(|_| Dropped::Malformed)
     }
 
-    /// Tells one that did not answer that it is suspected here: directly, and by those who were heard lately. What
-    /// `foca` spreads may never come to it, nor its objection back, where this one hears few others.
+    /// Tells one that did not answer that it is suspected here: directly, and by those who were heard lately.
+    /// What `foca` spreads may never come to it, nor its objection back, where this one hears few others.
     fn accuse(&mut self, now: Time, name: Name, left: u32) {
         let Some(seen) = self.members.get(&name).filter(|s| s.life.state() == State::Suspected) else {
             return;
@@ -1138,8 +1139,8 @@
         heard.into_iter().take(ASKED_AT_ONCE).map(|(_, ident)| ident).collect()
     }
 
-    /// Another is newly suspected: where it is heard here directly, it is told at once, since those who suspect it
-    /// may be the very ones it can't hear. In a large fleet some do, or those it says it hears.
+    /// Another is newly suspected: where it is heard here directly, it is told at once, since those who
+    /// suspect it may be the very ones it can't hear. In a large fleet some do, or those it says it hears.
     fn vouch(&mut self, now: Time, ident: &Ident, objection: u16) {
         let name = &ident.name;
         let heard_at = self.links.get(name).and_then(|l| l.heard_at());
@@ -1158,8 +1159,8 @@
         }
     }
 
-    /// Says that it is there to those whom it hears: `foca` tells members at random, and where links are cut few of
-    /// them may hear it.
+    /// Says that it is there to those whom it hears: `foca` tells members at random, and where links are cut
+    /// few of them may hear it.
     fn object(&mut self, now: Time) {
         for to in self.heard_lately() {
             let mut hands = AccumulatingRuntime::new();
@@ -1195,7 +1196,8 @@
         if self.broken.no_relays && matches!(header.message, Message::PingReq { .. }) {
             return;
         }
-        // When the time to object is over, foca 2.0 tells the member that it is over also where it has objected.
+        // When the time to object is over, foca 2.0 tells the member that it is over also where it has
+        // objected.
         if header.message == Message::TurnUndead && self.foca.iter_members().any(|m| m.id() == to) {
             return;
         }
@@ -1203,8 +1205,9 @@
             self.links.asked(&to.name, number);
         }
         if let (Some(by), Message::Ack(_) | Message::Announce) = (self.came_by, &header.message) {
-            // Whoever could bring the question can bring the answer. It does not go directly as well: that would be
-            // taken for an answer to the direct question, and a link that is cut one way for a whole one.
+            // Whoever could bring the question can bring the answer. It does not go directly as well: that
+            // would be taken for an answer to the direct question, and a link that is cut one way for a whole
+            // one.
             let to = to.name.clone();
             return self.send(by, &Ours::Relay { to, swim });
         }
@@ -1220,7 +1223,8 @@
         }
     }
 
-    /// Members who are likely to reach that one: first those it says it hears, then those heard here directly.
+    /// Members who are likely to reach that one: first those it says it hears, then those heard here
+    /// directly.
     fn ways_to(&mut self, to: &Name) -> Vec<SocketAddrV4> {
         let board = self.board.held();
         let said = board.links(to);
@@ -1341,8 +1345,8 @@
             && held.incarnation() == ident.incarnation
             && swim.0 != foca::State::Down
         {
-            // Two lives in one incarnation: the disk of the later one was emptied, and nobody it asked knew of the
-            // earlier one. It has to begin after it.
+            // Two lives in one incarnation: the disk of the later one was emptied, and nobody it asked knew
+            // of the earlier one. It has to begin after it.
             self.send(ident.addr, &Ours::Behind { you: ident.clone(), held: ident.incarnation });
             return;
         }
--- a/crates/membership/src/states.rs
+++ b/crates/membership/src/states.rs
@@ -75,8 +75,8 @@
         self.incarnation
     }
 
-    /// Whether this may come next. Incarnations never go back; what is over in one incarnation stays over in it,
-    /// but may be learnt to have ended otherwise (it had left before it was found silent).
+    /// Whether this may come next. Incarnations never go back; what is over in one incarnation stays over in
+    /// it, but may be learnt to have ended otherwise (it had left before it was found silent).
     pub fn may_become(self, state: State, incarnation: Incarnation) -> bool {
         use State::*;
         if incarnation < self.incarnation {
--- a/crates/standins/src/counter.rs
+++ b/crates/standins/src/counter.rs
@@ -39,8 +39,8 @@
     counter
 }
 
-/// A counter that adds, as the protocol's page has it. What has expired is forgotten with the whole name's window: the
-/// names of later windows differ.
+/// A counter that adds, as the protocol's page has it. What has expired is forgotten with the whole name's
+/// window: the names of later windows differ.
 pub fn counting() -> Counter {
     let (on, addr) = listener();
     let counter = Counter { addr, calls: Arc::default(), closed: Arc::default() };
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,8 +1,8 @@
-//! Peers of a gatekeeper on loopback, written from the protocol's page, with faults by script: workers, counters,
-//! the list of workers, and a load of clients. Used by the gatekeeper's own tests and by trials.
+//! Peers of a gatekeeper on loopback, written from the protocol's page, with faults by script: workers,
+//! counters, the list of workers, and a load of clients. Used by the gatekeeper's own tests and by trials.
 //!
-//! Plain threads and blocking reads: they run in tests and command-line tools, never in a gatekeeper. They decide
-//! nothing and know nothing of the gatekeeper's code.
+//! Plain threads and blocking reads: they run in tests and command-line tools, never in a gatekeeper. They
+//! decide nothing and know nothing of the gatekeeper's code.
 #![forbid(unsafe_code)]
 
 mod config;
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -1,5 +1,5 @@
-//! A load of clients on several gatekeepers, with workers, a counter and a list of their own, and a trace of all that
-//! was sent and answered. One worker is drained half way.
+//! A load of clients on several gatekeepers, with workers, a counter and a list of their own, and a trace of
+//! all that was sent and answered. One worker is drained half way.
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/trial/src/file.rs
+++ b/crates/trial/src/file.rs
@@ -1,5 +1,5 @@
-//! The trial file: TOML, read whole and checked before anything is started. What can't be played is told with file,
-//! line, key and what would be right.
+//! The trial file: TOML, read whole and checked before anything is started. What can't be played is told with
+//! file, line, key and what would be right.
 
 use std::collections::BTreeSet;
 use std::fmt::Write;
--- a/crates/trial/src/hunt.rs
+++ b/crates/trial/src/hunt.rs
@@ -8,8 +8,8 @@
 
 use crate::file::{Disk, Fault, Kind, Links, Trial};
 
-/// A trial like this one with faults drawn from a seed. What must hold of single members is dropped: it was meant
-/// for the faults of the base.
+/// A trial like this one with faults drawn from a seed. What must hold of single members is dropped: it was
+/// meant for the faults of the base.
 pub fn drawn(base: &Trial, seed: u64) -> Trial {
     let mut chance = Pcg64Mcg::seed_from_u64(seed);
     let many = chance.random_range(1..=4usize);
@@ -79,8 +79,8 @@
     Fault { at, lasts, kind }
 }
 
-/// The same trial with only the faults it needs to break: each is left out in turn, as long as it still breaks.
-/// Without one of those that are left it was kept.
+/// The same trial with only the faults it needs to break: each is left out in turn, as long as it still
+/// breaks. Without one of those that are left it was kept.
 pub fn shortened<E>(trial: &Trial, mut breaks: impl FnMut(&Trial) -> Result<bool, E>) -> Result<Trial, E> {
     let mut least = trial.clone();
     let mut n = 0;
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -1,5 +1,5 @@
-//! The judge: reads what processes wrote down and what clients and workers saw, and says what broke. It knows no
-//! code of what it judges, only the words of the history; what may follow what is written here once more.
+//! The judge: reads what processes wrote down and what clients and workers saw, and says what broke. It knows
+//! no code of what it judges, only the words of the history; what may follow what is written here once more.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -86,8 +86,8 @@
     pub breaks: Vec<Break>,
     /// Seconds from the last fault's end until all agreed for good; measured, and no rule.
     pub agreed_after: Option<f64>,
-    /// For each that was declared failed after its process was killed: seconds until the first and until the last of
-    /// the others had.
+    /// For each that was declared failed after its process was killed: seconds until the first and until the
+    /// last of the others had.
     pub detections: Vec<Detection>,
     pub invocations: Invocations,
     /// CPU of a gatekeeper a second, as a part of a core; the mean over those that ran through.
@@ -345,8 +345,8 @@
         }
     }
 
-    /// The changes of whom one process sees as there, in its last run: from when on. One that hears nobody says of
-    /// nobody that he is there.
+    /// The changes of whom one process sees as there, in its last run: from when on. One that hears nobody
+    /// says of nobody that he is there.
     fn sees(&self, who: usize) -> Vec<(u64, BTreeSet<String>, bool)> {
         let lines = &self.lines[who];
         let Some(run) = lines.last().map(|l| l.run) else { return Vec::new() };
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -1,8 +1,9 @@
 //! Several processes of the program with faults between them, and the judging of their histories.
 //!
-//! A trial file is read and checked whole ([`Trial::read`]), played ([`play`]), and judged ([`judge`]) by what each
-//! process wrote down and what clients and workers saw. The judge knows no code of what it judges: it reads lines.
-//! Called by the `lynxstair` command; everything it starts ends with it, also where it is killed.
+//! A trial file is read and checked whole ([`Trial::read`]), played ([`play`]), and judged ([`judge`]) by
+//! what each process wrote down and what clients and workers saw. The judge knows no code of what it judges:
+//! it reads lines. Called by the `lynxstair` command; everything it starts ends with it, also where it is
+//! killed.
 #![forbid(unsafe_code)]
 
 mod file;
--- a/crates/trial/src/relay.rs
+++ b/crates/trial/src/relay.rs
@@ -1,8 +1,8 @@
 //! The links among gatekeepers: a front for each, through which all others reach it, with the faults of each
 //! direction of each pair. Datagrams and connections alike.
 //!
-//! Who sent a datagram is told by its address, which each process has of its own; it goes on from the sender's own
-//! front, so that the receiver sees the address at which it would answer.
+//! Who sent a datagram is told by its address, which each process has of its own; it goes on from the
+//! sender's own front, so that the receiver sees the address at which it would answer.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -195,7 +195,8 @@
         }
     }
 
-    /// One connection; from an operator where it comes from no gatekeeper. While its direction is cut nothing goes.
+    /// One connection; from an operator where it comes from no gatekeeper. While its direction is cut nothing
+    /// goes.
     fn connection(self: &Arc<Self>, stream: &TcpStream, from: Option<usize>, to: usize) {
         let member: SocketAddr = self.place.member(to).into();
         let Ok(other) = TcpStream::connect_timeout(&member, Duration::from_millis(500)) else { return };
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -1,8 +1,8 @@
-//! Plays a trial: starts the processes and the links between them, does the faults, stops everything, and hands what
-//! was seen to the judge.
+//! Plays a trial: starts the processes and the links between them, does the faults, stops everything, and
+//! hands what was seen to the judge.
 //!
-//! Nothing is left running: each gatekeeper is told to end with the process that started it (its fleet file says
-//! so), which also holds where this one is killed; on every way out of here all are killed.
+//! Nothing is left running: each gatekeeper is told to end with the process that started it (its fleet file
+//! says so), which also holds where this one is killed; on every way out of here all are killed.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, OpenOptions};
@@ -403,7 +403,8 @@
         Ok(())
     }
 
-    /// The stretch since the last change, where nothing but cuts lasted in it and there was time to find them out.
+    /// The stretch since the last change, where nothing but cuts lasted in it and there was time to find them
+    /// out.
     fn only_cuts(&self, since: u64) -> Option<(u64, u64)> {
         let (from, to) = (since + FOUND_OUT, mono());
         let faults = || self.active.iter().map(|f| &self.trial.faults[*f].kind);
