One timer of a kind, also where a member begins a next life

Read again: each next life set LookAround, Seek, TellLinks and Remember once more while those of the life before went on by themselves, so that a member that had come back ten times did this upkeep ten times over. A kind that goes on by itself now replaces its own. Besides, a counter that nothing read is gone from the trial's writer.

--- a/crates/membership/src/room.rs
+++ b/crates/membership/src/room.rs
@@ -1,6 +1,7 @@
 //! The room: one member, told the time and what was heard, handing back what to do.
 
 use std::collections::{BTreeMap, HashMap};
+use std::mem::discriminant;
 use std::net::SocketAddrV4;
 
 use foca::{AccumulatingRuntime, Foca, Member, Message, OwnedNotification, Timer};
@@ -327,7 +328,7 @@
             let _ = self.foca.change_identity(next, &mut hands);
             self.carry_out(now, hands);
         }
-        self.set(now, Due::LookAround, self.times.quiet.times(0.5));
+        self.set_one(now, Due::LookAround, self.times.quiet.times(0.5));
         if self.phase == Phase::Recording {
             self.join(now, "its incarnation is on disk");
         }
@@ -423,6 +424,13 @@
         self.timers.insert((self.health.awake(now) + after, self.timers_set), due);
     }
 
+    /// For what goes on by itself: one of a kind is enough, also where a next life begins it anew.
+    fn set_one(&mut self, now: Time, due: Due, after: Span) {
+        let kind = discriminant(&due);
+        self.timers.retain(|_, held| discriminant(held) != kind);
+        self.set(now, due, after);
+    }
+
     /// Every entry begins here: whether it stood still since it last ran.
     fn observe(&mut self, now: Time) {
         let Some(stood) = self.health.ran(now, self.next_due(), &self.times) else { return };
@@ -440,7 +448,7 @@
     fn doubt(&mut self, now: Time, why: Doubt) {
         if let Some(Turn::Began(why)) = self.health.doubt(now, why, self.number + 1) {
             self.out.push(Do::Tell(Event::DoubtBegan { why }));
-            self.set(now, Due::Ask, Span::ZERO);
+            self.set_one(now, Due::Ask, Span::ZERO);
         }
     }
 
@@ -598,9 +606,9 @@
     fn enter_in(&mut self, now: Time, why: &str) {
         self.enter(Phase::In, why);
         self.health.heard(now);
-        self.set(now, Due::TellLinks, self.times.exchange);
-        self.set(now, Due::Remember, self.times.exchange);
-        self.set(now, Due::Seek, self.times.exchange);
+        self.set_one(now, Due::TellLinks, self.times.exchange);
+        self.set_one(now, Due::Remember, self.times.exchange);
+        self.set_one(now, Due::Seek, self.times.exchange);
         // What an earlier life suspected is this one's to settle.
         let overdue: Vec<_> =
             self.timers.iter().filter(|(_, d)| matches!(d, Due::Overdue(..))).map(|(at, _)| *at).collect();
@@ -619,7 +627,7 @@
         if self.phase != Phase::In {
             return;
         }
-        self.set(now, Due::Seek, self.times.exchange);
+        self.set_one(now, Due::Seek, self.times.exchange);
         let there: Vec<_> = self.there().map(|s| s.ident.addr).collect();
         let unknown =
             self.members.values().filter(|s| s.life.state() == State::Unknown).map(|s| s.ident.addr);
@@ -647,7 +655,7 @@
             let from = self.me.clone();
             self.send(to, &Ours::Hello { from, number });
         }
-        self.set(now, Due::Ask, self.times.answer);
+        self.set_one(now, Due::Ask, self.times.answer);
     }
 
     fn there(&self) -> impl Iterator<Item = &Seen> {
@@ -656,7 +664,7 @@
 
     /// Whether anybody was heard lately, and what became of names that two bear.
     fn look_around(&mut self, now: Time) {
-        self.set(now, Due::LookAround, self.times.quiet.times(0.25));
+        self.set_one(now, Due::LookAround, self.times.quiet.times(0.25));
         if self.phase == Phase::In {
             if self.there().next().is_none() {
                 let turn = self.health.alone(now);
@@ -683,7 +691,7 @@
         if self.phase != Phase::In {
             return;
         }
-        self.set(now, Due::TellLinks, self.times.exchange);
+        self.set_one(now, Due::TellLinks, self.times.exchange);
         let is_there = |name: &&Name| self.members.get(*name).is_some_and(|s| s.life.state().is_there());
         let sorted = |state| {
             let mut names: Vec<_> = self.links.with_state(state).filter(is_there).cloned().collect();
--- a/crates/trial/src/file.rs
+++ b/crates/trial/src/file.rs
@@ -486,8 +486,7 @@
         }
         for fault in &self.faults {
             // Links that no two lists of names give are written one by one.
-            for (n, (links, rest)) in fault.lines(&names).into_iter().enumerate() {
-                let _ = n;
+            for (links, rest) in fault.lines(&names) {
                 let _ = writeln!(out, "\n[[fault]]\nat = {:?}", fault.at);
                 if let Some(lasts) = fault.lasts {
                     let _ = writeln!(out, "lasts = {lasts:?}");
