Gatekeepers have owners of duties: voters in the fleet file, fleet owners, trials with owner:export

Change: crates/fleet: a voter's records in a ledger of its own on a thread of its own, datagrams beside those of membership, questions of operators by id; lynxstair fleet owners, hand-over, depose, voters show and replace; trials know voters and who = owner:export, resolved when the fault begins, and judge epoch-has-one-owner, epochs-forward and owned-again from the histories.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 
 use crate::ask::{addresses, ask};
+use crate::owners;
 
 /// Asked at once.
 const AT_ONCE: usize = 32;
@@ -65,6 +66,40 @@
         #[arg(long)]
         why: String,
     },
+    /// Who owns each duty and since when, as a majority of the voters has it.
+    ///
+    /// Exit code 0: a majority was reached; 1: unknown; 2: nobody could be asked.
+    Owners {
+        /// A fleet file, or the address of a member
+        member: String,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Has the owner of a duty give it up to another member.
+    ///
+    /// Exit code 0: done; 1: unknown, ask again by the same --id; 2: no, or nobody could be asked.
+    HandOver {
+        /// A fleet file or address of any member
+        by: String,
+        duty: String,
+        to: String,
+        /// Nothing happens twice by one id; missing: a new one
+        #[arg(long)]
+        id: Option<u64>,
+    },
+    /// Takes a duty from its owner, whether it can be reached or not. Exit codes as hand-over.
+    Depose {
+        /// A fleet file or address of any member
+        by: String,
+        duty: String,
+        #[arg(long)]
+        id: Option<u64>,
+    },
+    /// Those who keep the record of owners
+    Voters {
+        #[command(subcommand)]
+        command: VotersCommand,
+    },
     /// Lets a member in again
     LetIn {
         /// A fleet file or address of any other member
@@ -73,6 +108,26 @@
     },
 }
 
+#[derive(Subcommand)]
+enum VotersCommand {
+    /// Who they are, and what each says of itself. Exit codes as owners
+    Show {
+        /// A fleet file, or the address of a member
+        member: String,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Puts a member in the place of a voter; the fleet goes on meanwhile. Exit codes as hand-over
+    Replace {
+        /// A fleet file or address of any member
+        by: String,
+        old: String,
+        new: String,
+        #[arg(long)]
+        id: Option<u64>,
+    },
+}
+
 /// What was found out of a fleet.
 #[derive(Serialize)]
 struct Status {
@@ -132,6 +187,19 @@
             done(addr, &Ask::Leave)
         }
         Command::ShutOut { by, name, why } => one_of(&by, &Ask::ShutOut { name: Name::new(&name)?, why }),
+        Command::Owners { member, json } => owners::show(&member, json),
+        Command::HandOver { by, duty, to, id } => {
+            let to = Name::new(&to)?;
+            owners::operate(&by, id, |id| Ask::HandOver { id, duty: duty.clone(), to: to.clone() })
+        }
+        Command::Depose { by, duty, id } => {
+            owners::operate(&by, id, |id| Ask::Depose { id, duty: duty.clone() })
+        }
+        Command::Voters { command: VotersCommand::Show { member, json } } => owners::voters(&member, json),
+        Command::Voters { command: VotersCommand::Replace { by, old, new, id } } => {
+            let (old, new) = (Name::new(&old)?, Name::new(&new)?);
+            owners::operate(&by, id, |id| Ask::Replace { id, old: old.clone(), new: new.clone() })
+        }
         Command::LetIn { by, name } => one_of(&by, &Ask::LetIn { name: Name::new(&name)? }),
     }
 }
@@ -140,7 +208,7 @@
     match ask(addr, what).with_context(|| addr.to_string())? {
         Answer::Done => Ok(0),
         Answer::No { why } => bail!("{addr}: {why}"),
-        Answer::Status { .. } => bail!("{addr}: an answer to something else"),
+        _ => bail!("{addr}: an answer to something else"),
     }
 }
 
@@ -168,7 +236,7 @@
     match ask(addr, &Ask::Status)? {
         Answer::Status { fleet, version, view, disk, .. } => Ok(Asked { fleet, version, view: *view, disk }),
         Answer::No { why } => bail!(why),
-        Answer::Done => bail!("an answer to something else"),
+        _ => bail!("an answer to something else"),
     }
 }
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod ask;
 mod experiment;
 mod fleet;
+mod owners;
 mod trial;
 
 use std::process::ExitCode;
--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -17,6 +17,14 @@
     Lateness,
     Incarnation,
     Relays,
+    /// A voter that lost its records votes on under its old identity
+    Identity,
+    /// Voters answer before it is on disk
+    Disk,
+    Epochs,
+    Leases,
+    /// Effects of an earlier epoch are taken where they land
+    Refusal,
 }
 
 /// Starts several gatekeepers with links between them, plays the faults, stops everything, judges the
@@ -68,13 +76,18 @@
     if !program.exists() {
         bail!("{}: no such program; build it, or name it by --program", program.display());
     }
-    let mut broken = Broken::default();
+    let (mut broken, mut broken_ownership) = (Broken::default(), lynxstair_ownership::Broken::default());
     for part in &args.without {
         match part {
             Part::Suspicion => broken.no_suspicion = true,
             Part::Lateness => broken.no_lateness = true,
             Part::Incarnation => broken.no_incarnation = true,
             Part::Relays => broken.no_relays = true,
+            Part::Identity => broken_ownership.votes_forgotten = true,
+            Part::Disk => broken_ownership.no_waiting_for_disk = true,
+            Part::Epochs => broken_ownership.no_epochs = true,
+            Part::Leases => broken_ownership.no_leases = true,
+            Part::Refusal => broken_ownership.no_refusal = true,
         }
     }
     let stop = Arc::new(AtomicBool::new(false));
@@ -84,7 +97,8 @@
     if let Some(keep) = &args.keep {
         std::fs::create_dir_all(keep).with_context(|| keep.display().to_string())?;
     }
-    let stage = Stage { program: &program, keep: args.keep.as_deref(), broken, stop: &stop };
+    let stage =
+        Stage { program: &program, keep: args.keep.as_deref(), broken, broken_ownership, stop: &stop };
     if let (Some(many), Some(base)) = (args.hunt, &args.base) {
         return hunt(&args, many, base, &stage);
     }
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -85,6 +85,8 @@
 pub struct TrialSwitches {
     /// Parts that are taken out, to show that trials miss them.
     pub broken: Broken,
+    /// The same of ownership.
+    pub broken_ownership: lynxstair_ownership::Broken,
     /// While this file exists, writing records fails as on a full disk.
     pub disk_full_while: Option<PathBuf>,
     /// It is killed when the process of this number, which started it, ends, however that ends.
@@ -113,11 +115,33 @@
     #[serde(default)]
     seed: Option<u64>,
     #[serde(default)]
+    voters: Vec<VoterText>,
+    #[serde(default)]
+    ownership: OwnershipText,
+    #[serde(default)]
     times: TimesFile,
     #[serde(default)]
     trial: TrialSwitches,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct VoterText {
+    name: Spanned<String>,
+    addr: Spanned<String>,
+}
+
+/// Times in milliseconds.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct OwnershipText {
+    duties: Option<Vec<Spanned<String>>>,
+    tick_ms: Option<Spanned<u64>>,
+    lease_ms: Option<Spanned<u64>>,
+    renew_ms: Option<Spanned<u64>>,
+    stand_ms: Option<Spanned<u64>>,
+}
+
 /// Milliseconds.
 #[derive(Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -152,9 +176,23 @@
     /// Fixes all chance, for trials; none: drawn.
     pub seed: Option<u64>,
     pub times: Times,
+    /// Who keeps the record of owners; none: no duty has an owner in this fleet.
+    pub ownership: Option<Ownership>,
     pub trial: TrialSwitches,
 }
 
+/// The part of a fleet file that is about owners of duties.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ownership {
+    pub voters: Vec<(String, SocketAddrV4)>,
+    /// What this member stands for.
+    pub duties: Vec<String>,
+    pub times: lynxstair_ownership::Times,
+}
+
+/// The duties that there are.
+pub const DUTIES: [&str; 1] = ["export"];
+
 struct Reader<'a> {
     file: &'a Path,
     text: &'a str,
@@ -182,6 +220,53 @@
         Ok(addr)
     }
 
+    fn ownership(&self, file: &File) -> Result<Option<Ownership>, Invalid> {
+        let text = &file.ownership;
+        let mut voters: Vec<(String, SocketAddrV4)> = Vec::new();
+        for voter in &file.voters {
+            let name = self.name("voters.name", &voter.name)?.as_str().to_string();
+            if voters.iter().any(|(n, _)| *n == name) {
+                let why = format!("{name:?} is there twice");
+                return Err(self.invalid(voter.name.span().start, "voters.name", why));
+            }
+            voters.push((name, self.addr("voters.addr", &voter.addr)?));
+        }
+        if !matches!(voters.len(), 0 | 1 | 3 | 5) {
+            let why = format!("{} voters; three or five would be right (one bears no fault)", voters.len());
+            return Err(self.invalid(file.voters[0].name.span().start, "voters", why));
+        }
+        let mut times = lynxstair_ownership::Times::default();
+        let all: [(&str, &Option<Spanned<u64>>, &mut Span, u64); 4] = [
+            ("ownership.tick_ms", &text.tick_ms, &mut times.tick, 5),
+            ("ownership.lease_ms", &text.lease_ms, &mut times.lease, 100),
+            ("ownership.renew_ms", &text.renew_ms, &mut times.renew, 10),
+            ("ownership.stand_ms", &text.stand_ms, &mut times.stand, 10),
+        ];
+        for (key, value, time, least) in all {
+            if let Some(value) = value {
+                let ms = Invalid::unless_within((self.file, self.text), key, value, (least, 60_000))?;
+                *time = Span::from_millis(ms);
+            }
+        }
+        if times.lease.nanos() < 3 * times.renew.nanos() {
+            let at = text.lease_ms.as_ref().or(text.renew_ms.as_ref()).map_or(0, |v| v.span().start);
+            let why = "must be at least three times ownership.renew_ms: two answers may be lost".to_string();
+            return Err(self.invalid(at, "ownership.lease_ms", why));
+        }
+        let mut duties = Vec::new();
+        for duty in text.duties.iter().flatten() {
+            if !DUTIES.contains(&duty.get_ref().as_str()) {
+                let why = format!("{:?} is no duty; {} are", duty.get_ref(), DUTIES.join(", "));
+                return Err(self.invalid(duty.span().start, "ownership.duties", why));
+            }
+            duties.push(duty.get_ref().clone());
+        }
+        if text.duties.is_none() {
+            duties = DUTIES.map(str::to_string).to_vec();
+        }
+        Ok((!voters.is_empty()).then_some(Ownership { voters, duties, times }))
+    }
+
     fn times(&self, file: &TimesFile) -> Result<Times, Invalid> {
         let mut times = Times::default();
         let within = |key: &str, value: &Option<Spanned<u64>>, least: u64, most: u64| {
@@ -249,7 +334,9 @@
             None => Name::new("hall").map_err(|e| reader.invalid(0, "hall", e.to_string()))?,
         };
         let folder = file.parent().unwrap_or(Path::new("."));
+        let ownership = reader.ownership(&parsed)?;
         Ok(Config {
+            ownership,
             fleet: reader.name("fleet", &parsed.fleet)?,
             name: reader.name("name", &parsed.name)?,
             hall,
@@ -304,6 +391,21 @@
             ("probe_ms = 500", "probe_ms = 800", "f.toml:10: times.quiet_ms: must be at least twice"),
             ("probe_ms = 500", "prob_ms = 500", "f.toml:10: unknown field `prob_ms`, expected one of"),
             ("data = \"g1\"", "", "missing field `data`"),
+            (
+                "data = \"g1\"",
+                "data = \"g1\"\nvoters = [{ name = \"g1\", addr = \"127.0.0.1:7101\" }, { name = \"g2\", addr = \"127.0.0.1:7102\" }]",
+                "f.toml:8: voters: 2 voters; three or five",
+            ),
+            (
+                "[times]",
+                "[ownership]\nduties = [\"rule\"]\n[times]",
+                "f.toml:10: ownership.duties: \"rule\" is no duty",
+            ),
+            (
+                "[times]",
+                "[ownership]\nlease_ms = 200\n[times]",
+                "f.toml:10: ownership.lease_ms: must be at least",
+            ),
             ("name = \"g1\"", "name = 7", "f.toml:3: invalid type: integer `7`, expected a string"),
             ("hall = \"h1\"", "hall = \"h1", "f.toml:4: "),
         ];
--- a/crates/fleet/src/history.rs
+++ b/crates/fleet/src/history.rs
@@ -7,7 +7,7 @@
 use std::thread;
 
 use lynxstair::types::Time;
-use lynxstair_membership::{Event, Name};
+use lynxstair_membership::Name;
 use lynxstair_wire::clock::Clock;
 use nix::time::{ClockId, clock_gettime};
 use serde::Serialize;
@@ -16,14 +16,14 @@
 const WAITING: usize = 8_192;
 
 #[derive(Serialize)]
-struct Line<'a> {
+struct Line<'a, E: Serialize> {
     /// The machine's monotonic clock, in nanoseconds: the same for all processes on it, whatever the wall
     /// clock says.
     mono: u64,
     who: &'a str,
     run: u32,
     #[serde(flatten)]
-    event: &'a Event,
+    event: &'a E,
 }
 
 pub(crate) struct History {
@@ -47,7 +47,7 @@
         Ok(History { lines, who, run, mono, at: clock.now() })
     }
 
-    pub fn tell(&self, at: Time, event: &Event) {
+    pub fn tell<E: Serialize>(&self, at: Time, event: &E) {
         let mono = self.mono + (at - self.at).nanos();
         let line = Line { mono, who: self.who.as_str(), run: self.run, event };
         if let Ok(mut line) = serde_json::to_vec(&line) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,9 +12,10 @@
 mod history;
 mod kept;
 mod log;
+mod owners;
 pub mod protocol;
 mod side;
 
 pub use client::ask;
-pub use config::{Config, Invalid, LogForm, TrialSwitches};
+pub use config::{Config, DUTIES, Invalid, LogForm, Ownership, TrialSwitches};
 pub use side::Side;
--- a/crates/fleet/src/log.rs
+++ b/crates/fleet/src/log.rs
@@ -44,3 +44,22 @@
         Event::TurnedAway { name, addr, why } => warn!(%name, %addr, %why, "fleet: turned away"),
     }
 }
+
+/// The same of ownership.
+pub(crate) fn tell_owners(event: &lynxstair_ownership::Event) {
+    use lynxstair_ownership::{Event, Phase};
+    match event {
+        Event::VoterPhase { from, to, why } if *to == Phase::Aside => {
+            warn!(?from, ?to, %why, "fleet: voter");
+        }
+        Event::VoterPhase { from, to, why } => info!(?from, ?to, %why, "fleet: voter"),
+        Event::Leads { term, leads } => info!(term, leads, "fleet: leads the voters"),
+        Event::Granted { duty, owner, epoch, .. } => info!(%duty, %owner, epoch = epoch.0, "fleet: granted"),
+        Event::Released { duty, owner, epoch } => info!(%duty, %owner, epoch = epoch.0, "fleet: released"),
+        Event::Voters { names } => info!(names = %names.join(", "), "fleet: voters"),
+        Event::Owns { duty, epoch } => info!(%duty, epoch = epoch.0, "fleet: owns"),
+        Event::OwnsNoMore { duty, epoch, why } => {
+            info!(%duty, epoch = epoch.0, %why, "fleet: owns no more");
+        }
+    }
+}
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -1,6 +1,7 @@
 //! What is said at the control port: one line of JSON each way, then the connection ends.
 
 use lynxstair_membership::{Name, View};
+use lynxstair_ownership::{DutySeen, Epoch, VoterView};
 use serde::{Deserialize, Serialize};
 
 /// The longest question, in bytes.
@@ -23,6 +24,51 @@
     LetIn {
         name: Name,
     },
+    /// Who owns what, as a majority of the voters has it, and as this member has it. Asked again by the same id
+    /// until it is no longer `Waits`.
+    Owners {
+        id: u64,
+    },
+    /// What this member itself is with each duty and among the voters; it asks nobody.
+    Own,
+    /// The same way of asking; nothing happens twice by one id.
+    HandOver {
+        id: u64,
+        duty: String,
+        to: Name,
+    },
+    Depose {
+        id: u64,
+        duty: String,
+    },
+    /// Another member is a voter in the place of one.
+    Replace {
+        id: u64,
+        old: Name,
+        new: Name,
+    },
+}
+
+/// A duty, as a majority has it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DutyHeld {
+    pub duty: String,
+    pub owner: Option<String>,
+    pub epoch: Epoch,
+    /// Milliseconds since 1970 by the clock of the voter that granted it.
+    pub since_unix_ms: u64,
+    pub granted_by: String,
+    pub meant_for: Option<String>,
+    /// Bytes that are kept with it.
+    pub state_bytes: usize,
+}
+
+/// A voter, as a majority has it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct VoterHeld {
+    pub name: String,
+    pub id: u64,
+    pub addr: std::net::SocketAddrV4,
 }
 
 /// What is answered.
@@ -44,4 +90,21 @@
     No {
         why: String,
     },
+    Own {
+        voter: VoterView,
+        duties: Vec<DutySeen>,
+        /// Why this voter's records can't be written, while they can't.
+        disk: Option<String>,
+    },
+    Owners {
+        duties: Vec<DutyHeld>,
+        voters: Vec<VoterHeld>,
+        leader: String,
+    },
+    /// Not known yet: ask again.
+    Waits,
+    /// No majority was reached; why, as far as it is known.
+    Unknown {
+        why: String,
+    },
 }
--- a/crates/fleet/src/side.rs
+++ b/crates/fleet/src/side.rs
@@ -8,7 +8,7 @@
 
 use lynxstair::types::{Span, Time};
 use lynxstair_ledger::{Error, Failing, Ledger, Repair, Writer};
-use lynxstair_membership::{Do, Incarnation, LARGEST, Record, Room, Start};
+use lynxstair_membership::{Do, Incarnation, Name, Record, Room, Start};
 use lynxstair_wire::clock::Clock;
 use lynxstair_wire::coroutine::go;
 use lynxstair_wire::ticker::Ticker;
@@ -19,6 +19,7 @@
 use nix::unistd::getppid;
 use rand::TryRng;
 use rand::rngs::SysRng;
+use serde::Serialize;
 use tracing::{error, info, warn};
 use tracing_appender::non_blocking::WorkerGuard;
 
@@ -26,6 +27,7 @@
 use crate::control::Control;
 use crate::history::History;
 use crate::kept::{Kept, written};
+use crate::owners::Owners;
 use crate::protocol::{Answer, Ask};
 
 /// So many datagrams are read in one turn, before others on the coroutine thread have theirs.
@@ -51,6 +53,8 @@
     done: Arc<Mutex<Vec<Done>>>,
     disk: Mutex<Disk>,
     history: Option<History>,
+    /// Where the fleet has voters.
+    owners: Option<Owners>,
     /// Datagrams that were thrown away unread, and sends that did not go.
     unread: AtomicU64,
     unsent: AtomicU64,
@@ -64,7 +68,7 @@
     again: Option<(Time, Record)>,
 }
 
-fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
     of.lock().unwrap_or_else(|e| e.into_inner())
 }
 
@@ -149,7 +153,9 @@
         if config.trial.broken != Default::default() {
             warn!(broken = ?config.trial.broken, "fleet: parts are taken out for a trial; not for service");
         }
+        let owners = Owners::open(&config, clock, ticker.clone(), (run, seed))?;
         let side = Arc::new(Side {
+            owners,
             clock,
             room: Mutex::new(room),
             socket,
@@ -179,6 +185,9 @@
     pub fn leave(&self) {
         let now = self.clock.now();
         self.with_room(now, |room| room.leave(now));
+        if let Some(owners) = &self.owners {
+            owners.leave(self, now);
+        }
         self.ticker.poke();
     }
 
@@ -221,6 +230,12 @@
                 self.with_room(now, |room| room.let_in(now, &name));
                 Answer::Done
             }
+            ask => match &self.owners {
+                Some(owners) => owners.answer(self, now, ask),
+                None => {
+                    Answer::No { why: "the fleet file names no voters: no duty has an owner".to_string() }
+                }
+            },
         }
     }
 
@@ -245,15 +260,29 @@
             Do::Write(record) => self.put(now, record),
             Do::Tell(event) => {
                 crate::log::tell(&event);
-                if let Some(history) = &self.history {
-                    history.tell(now, &event);
-                }
+                self.note(now, &event);
             }
         }
     }
 
+    /// Where another member is, as seen from here.
+    pub(crate) fn address_of(&self, now: Time, name: &Name) -> Option<SocketAddrV4> {
+        if *name == self.config.name {
+            return Some(self.config.advertise);
+        }
+        let view = lock(&self.room).view(now);
+        view.members.iter().find(|m| m.name == *name && m.state.is_there()).map(|m| m.addr)
+    }
+
+    /// Tells the history, where there is one.
+    pub(crate) fn note<E: Serialize>(&self, now: Time, event: &E) {
+        if let Some(history) = &self.history {
+            history.tell(now, event);
+        }
+    }
+
     /// What does not go at once does not go: the next question will.
-    fn send(&self, to: SocketAddrV4, datagram: &[u8]) {
+    pub(crate) fn send(&self, to: SocketAddrV4, datagram: &[u8]) {
         if self.socket.inner().send_to(datagram, to).is_err() {
             self.unsent.fetch_add(1, Ordering::Relaxed);
         }
@@ -305,6 +334,9 @@
             let now = self.clock.now();
             self.take_done(now);
             self.with_room(now, |room| room.tick(now));
+            if let Some(owners) = &self.owners {
+                owners.tick(self, now);
+            }
             self.control.tick(now);
             self.ticker.by(now + self.control.wakes_after());
             self.ticker.wait();
@@ -312,7 +344,8 @@
     }
 
     fn hear(&self) {
-        let mut buffer = [0; LARGEST + 1];
+        // On the heap: a coroutine's stack is small.
+        let mut buffer = vec![0; lynxstair_ownership::LARGEST + 1];
         let mut allowed = PER_SECOND;
         let mut filled_at = self.clock.now();
         let mut in_turn = 0;
@@ -330,7 +363,12 @@
                         self.unread.fetch_add(1, Ordering::Relaxed);
                     } else {
                         allowed -= 1;
-                        self.with_room(now, |room| room.heard(now, from, &buffer[..len]));
+                        match &self.owners {
+                            Some(owners) if buffer[0] == lynxstair_ownership::FIRST && len > 0 => {
+                                owners.heard(self, now, from, &buffer[..len]);
+                            }
+                            _ => self.with_room(now, |room| room.heard(now, from, &buffer[..len])),
+                        }
                     }
                     in_turn += 1;
                     if in_turn >= IN_ONE_TURN {
@@ -363,7 +401,7 @@
 }
 
 /// A disk that fails while a file is there.
-fn failing(config: &Config) -> Option<Failing> {
+pub(crate) fn failing(config: &Config) -> Option<Failing> {
     let path = config.trial.disk_full_while.clone()?;
     Some(Arc::new(move || match path.exists() {
         true => Err(io::ErrorKind::StorageFull.into()),
--- a/crates/trial/src/file.rs
+++ b/crates/trial/src/file.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write;
 use std::path::Path;
 
-use lynxstair_fleet::Invalid;
+use lynxstair_fleet::{DUTIES, Invalid};
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64Mcg;
@@ -18,6 +18,13 @@
 /// Where the file does not say within how many seconds all agree.
 const AGREE_WITHIN: f64 = 10.0;
 
+/// Numbers from here on stand for whoever owns a duty when the fault begins.
+pub const OWNER: usize = 1 << 20;
+
+fn key_may_be_owner(key: &str) -> bool {
+    matches!(key, "who" | "from" | "to")
+}
+
 /// A trial, checked: all names are numbers of gatekeepers from 0.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Trial {
@@ -111,6 +118,45 @@
         }
     }
 
+    /// The same kind, done to these in the place of whoever owns a duty; none: nobody does.
+    pub fn of_owner(&self, owner: &impl Fn(usize) -> Option<usize>) -> Kind {
+        let one = |n: usize| if n >= OWNER { owner(n - OWNER) } else { Some(n) };
+        let mut kind = self.clone();
+        match &mut kind {
+            Kind::Pause { who }
+            | Kind::Kill { who, .. }
+            | Kind::Stop { who, .. }
+            | Kind::DiskFull { who } => {
+                *who = who.iter().filter_map(|n| one(*n)).collect::<BTreeSet<_>>().into_iter().collect();
+            }
+            Kind::Cut { links }
+            | Kind::Lose { links, .. }
+            | Kind::Double { links, .. }
+            | Kind::Reorder { links, .. }
+            | Kind::Delay { links, .. }
+            | Kind::Flap { links, .. } => {
+                let pairs = links.0.iter().filter_map(|(a, b)| Some((one(*a)?, one(*b)?)));
+                links.0 = pairs.filter(|(a, b)| a != b).collect();
+            }
+        }
+        kind
+    }
+
+    /// Whether it is done to whoever owns a duty.
+    pub fn names_owner(&self) -> bool {
+        let links = match self {
+            Kind::Cut { links }
+            | Kind::Lose { links, .. }
+            | Kind::Double { links, .. }
+            | Kind::Reorder { links, .. }
+            | Kind::Delay { links, .. }
+            | Kind::Flap { links, .. } => Some(links),
+            _ => None,
+        };
+        let in_links = links.is_some_and(|l| l.0.iter().any(|(a, b)| *a >= OWNER || *b >= OWNER));
+        in_links || self.who().iter().any(|n| *n >= OWNER)
+    }
+
     /// Whether it ends: has `lasts`.
     pub fn has_end(&self) -> bool {
         !matches!(self, Kind::Kill { .. } | Kind::Stop { .. })
@@ -245,9 +291,18 @@
             })?;
             return Ok((0..voters).collect());
         }
-        if word.starts_with("owner:") {
-            let why = format!("{word:?}: this build knows no owners of duties yet");
-            return Err(self.invalid(at, key, why));
+        if let Some(duty) = word.strip_prefix("owner:") {
+            if self.voters.is_none() || !key_may_be_owner(key) {
+                let why = match self.voters {
+                    None => format!("{word:?} needs the key voters: without them no duty has an owner"),
+                    Some(_) => format!("{word:?}: who owns it then is not known beforehand; name them"),
+                };
+                return Err(self.invalid(at, key, why));
+            }
+            let number = DUTIES.iter().position(|d| *d == duty).ok_or_else(|| {
+                self.invalid(at, key, format!("{word:?} is no duty; {} are", DUTIES.join(", ")))
+            })?;
+            return Ok(vec![OWNER + number]);
         }
         let why = format!(
             "{word:?} is nobody; g1 to g{}, \"hall:1\", \"any:2\" or \"voters\" would be",
@@ -413,6 +468,12 @@
         let halls = parsed.halls.as_ref().map(|h| reader.within("halls", h, 1, gatekeepers)).transpose()?;
         let voters =
             parsed.voters.as_ref().map(|v| reader.within("voters", v, 1, gatekeepers)).transpose()?;
+        if let (Some(many), Some(at)) = (voters, &parsed.voters)
+            && !matches!(many, 1 | 3 | 5)
+        {
+            let why = format!("{many}: three or five would be right (one bears no fault)");
+            return Err(reader.invalid(at.span().start, "voters", why));
+        }
         let file_seed = parsed.seed.as_ref().map(|s| reader.within("seed", s, 0, i64::MAX)).transpose()?;
         let seed = seed.unwrap_or(file_seed.unwrap_or(1) as u64);
         reader.gatekeepers = gatekeepers as usize;
@@ -459,7 +520,10 @@
 
     /// The name of a gatekeeper.
     pub fn name_of(number: usize) -> String {
-        format!("g{}", number + 1)
+        match number.checked_sub(OWNER) {
+            Some(duty) => format!("owner:{}", DUTIES[duty]),
+            None => format!("g{}", number + 1),
+        }
     }
 
     /// Seconds after all serve when the last fault is over.
@@ -627,11 +691,9 @@
             ("\"pause\"\nwho", "\"nap\"\nwho", "t.toml:14: fault.kind: \"nap\" is no kind this build knows"),
             ("\"pause\"\nwho", "\"change\"\nwho", "t.toml:14: fault.kind: \"change\" is no kind this build"),
             ("[\"g2\"]", "[\"g9\"]", "t.toml:15: who: \"g9\" is nobody; g1 to g6"),
-            (
-                "[\"g2\"]",
-                "[\"owner:export\"]",
-                "t.toml:15: who: \"owner:export\": this build knows no owners",
-            ),
+            ("[\"g2\"]", "[\"owner:rule\"]", "t.toml:15: who: \"owner:rule\" is no duty; export are"),
+            ("[\"g3\"]", "[\"owner:export\"]", "t.toml:38: must.never_failed: \"owner:export\": who owns it"),
+            ("voters = 3", "voters = 2", "t.toml:5: voters: 2: three or five would be right"),
             ("[\"g2\"]", "[2]", "t.toml:15: who: names in a list"),
             ("lasts = 8.0", "last = 8.0", "t.toml:13: unknown field `last`"),
             ("lasts = 8.0", "lasts = -1.0", "t.toml:13: lasts: -1 is not within 0"),
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -22,7 +22,7 @@
 }
 
 /// All rules, by name.
-pub const RULES: [Rule; 16] = [
+pub const RULES: [Rule; 19] = [
     Rule { name: "all-join", says: "all that start are in, and see each other, before the faults begin" },
     Rule { name: "states-follow", says: "no state of a member follows one that it may not follow" },
     Rule {
@@ -51,6 +51,12 @@
         name: "seen-failed",
         says: "those under must.seen_failed are declared failed by all others, at some time",
     },
+    Rule { name: "epoch-has-one-owner", says: "no epoch of a duty is given to two, and no other acts in it" },
+    Rule { name: "epochs-forward", says: "no member owns a duty in an epoch lower than one it owned it in" },
+    Rule {
+        name: "owned-again",
+        says: "each duty has one owner at the end, where most voters run and kept their records",
+    },
     Rule { name: "ends-well", says: "no process ends by itself, and each ends with 0 when it is told to" },
     Rule { name: "history-whole", says: "each process that runs has a history, and it can be read" },
     Rule {
@@ -131,6 +137,8 @@
     pub ended_badly: Option<(u64, String)>,
     /// Whom it said were there, when it was asked at the end; none: no answer.
     pub status: Option<BTreeSet<String>>,
+    /// The duties that it said it owned at the end, with the epoch; none: no answer.
+    pub owns: Option<BTreeMap<String, u64>>,
     pub history: Vec<String>,
 }
 
@@ -145,6 +153,8 @@
     pub agree_within: f64,
     pub never_failed: Vec<String>,
     pub seen_failed: Vec<String>,
+    /// The first so many gatekeepers; none: no duty has an owner.
+    pub voters: usize,
     pub processes: Vec<Process>,
     pub answered: Vec<Answered>,
     pub delivered: Vec<Delivered>,
@@ -224,6 +234,7 @@
     }
     let agreed_after = judge.agreement();
     judge.flapping();
+    judge.owners();
     judge.declared();
     judge.invocations();
     let detections = judge.detections();
@@ -486,6 +497,73 @@
         }
     }
 
+    /// Who owned what: what all wrote down about it, together.
+    fn owners(&mut self) {
+        let seen = self.seen;
+        let mut given: BTreeMap<(String, u64), (String, u64, String)> = BTreeMap::new();
+        let mut found = Vec::new();
+        let all =
+            || self.lines.iter().enumerate().flat_map(|(who, lines)| lines.iter().map(move |l| (who, l)));
+        for (_, line) in all().filter(|(_, l)| l.is("granted")) {
+            let key = (line.text("duty").to_string(), line.number("epoch"));
+            let to = (line.text("owner").to_string(), line.number("stand"), line.text.clone());
+            let before = given.entry(key.clone()).or_insert_with(|| to.clone());
+            if (&before.0, before.1) != (&to.0, to.1) {
+                let what = format!("{} in epoch {} was given to {} and to {}", key.0, key.1, before.0, to.0);
+                let who = vec![before.0.clone(), to.0.clone()];
+                found.push(("epoch-has-one-owner", line.mono, who, what, vec![before.2.clone(), to.2]));
+            }
+        }
+        let mut last: BTreeMap<(usize, String), (u64, String)> = BTreeMap::new();
+        for (who, line) in all().filter(|(_, l)| l.is("owns")) {
+            let me = &seen.processes[who].name;
+            let (duty, epoch) = (line.text("duty").to_string(), line.number("epoch"));
+            if let Some((to, _, text)) = given.get(&(duty.clone(), epoch)).filter(|(to, _, _)| to != me) {
+                let what = format!("{me} owns {duty} in epoch {epoch}, which was given to {to}");
+                let texts = vec![text.clone(), line.text.clone()];
+                found.push(("epoch-has-one-owner", line.mono, vec![me.clone(), to.clone()], what, texts));
+            }
+            let before = last.insert((who, duty.clone()), (epoch, line.text.clone()));
+            if let Some((was, text)) = before.filter(|(was, _)| *was > epoch) {
+                let what = format!("{me} owns {duty} in epoch {epoch} after {was}");
+                found.push((
+                    "epochs-forward",
+                    line.mono,
+                    vec![me.clone()],
+                    what,
+                    vec![text, line.text.clone()],
+                ));
+            }
+        }
+        for (rule, at, who, what, lines) in found {
+            let who: Vec<&str> = who.iter().map(String::as_str).collect();
+            self.breaks(rule, at, &who, what, lines);
+        }
+        self.owned_again();
+    }
+
+    fn owned_again(&mut self) {
+        let seen = self.seen;
+        let voters = &seen.processes[..seen.voters.min(seen.processes.len())];
+        let run = voters.iter().filter(|v| v.runs).count();
+        let lost = voters.iter().filter(|v| !v.disk_lost.is_empty()).count();
+        // One of three that lost its records is taken in again; two at once are more than the record bears.
+        let able = run * 2 > voters.len() && lost * 2 < voters.len();
+        if seen.voters == 0 || !able || seen.not_joined.is_some() {
+            return;
+        }
+        let owners: Vec<(&str, u64)> = seen
+            .processes
+            .iter()
+            .filter_map(|p| Some((p.name.as_str(), *p.owns.as_ref()?.get("export")?)))
+            .collect();
+        if owners.len() != 1 {
+            let who: Vec<&str> = owners.iter().map(|(n, _)| *n).collect();
+            let what = format!("{} own export at the end: {owners:?}", owners.len());
+            self.breaks("owned-again", seen.ended, &who, what, Vec::new());
+        }
+    }
+
     /// What must be seen, and must not.
     fn declared(&mut self) {
         let seen = self.seen;
@@ -638,6 +716,20 @@
         )
     }
 
+    fn granted(at: f64, owner: &str, epoch: u64) -> String {
+        format!(
+            r#"{{"mono":{},"who":"x","run":7,"event":"granted","duty":"export","owner":"{owner}","stand":1,"epoch":{epoch}}}"#,
+            (at * 1e9) as u64
+        )
+    }
+
+    fn owns(at: f64, epoch: u64) -> String {
+        format!(
+            r#"{{"mono":{},"who":"x","run":7,"event":"owns","duty":"export","epoch":{epoch}}}"#,
+            (at * 1e9) as u64
+        )
+    }
+
     /// Three that run and agree, from second 1 to second 30; the faults are over at 10.
     fn good() -> Observed {
         let names = ["g1", "g2", "g3"];
@@ -682,7 +774,28 @@
     #[test]
     fn each_rule_cries_out() {
         assert_eq!(broken(&good()), Vec::<&str>::new());
-        let cases: [(&str, Breaks); 23] = [
+        let cases: [(&str, Breaks); 29] = [
+            ("epoch-has-one-owner", |s| {
+                s.processes[0].history.push(granted(5.0, "g1", 1));
+                s.processes[1].history.push(granted(5.1, "g2", 1));
+            }),
+            ("epoch-has-one-owner", |s| {
+                s.processes[0].history.push(granted(5.0, "g1", 1));
+                s.processes[1].history.push(owns(5.1, 1));
+            }),
+            ("epochs-forward", |s| {
+                s.processes[1].history.extend([owns(5.0, 4), owns(5.1, 4), owns(6.0, 3)]);
+            }),
+            ("owned-again", |s| s.voters = 3),
+            ("owned-again", |s| {
+                s.voters = 3;
+                s.processes[0].owns = Some([("export".to_string(), 3)].into());
+                s.processes[2].owns = Some([("export".to_string(), 4)].into());
+            }),
+            ("owned-again", |s| {
+                s.voters = 3;
+                s.processes[0].disk_lost = vec![5 * SECOND];
+            }),
             ("cuts-do-not-flap", |s| {
                 s.only_cuts = vec![(5 * SECOND, 9 * SECOND)];
                 for at in [6.0, 7.0, 8.0] {
@@ -782,6 +895,9 @@
             .history
             .extend(["g1", "g3"].map(|o| member(6.2, 8, o, ("unknown", 1), ("alive", 1))));
         seen.processes[1].disk_lost = vec![5 * SECOND];
+        // Without a majority of voters nobody owns, and two of three whose records are gone are none.
+        seen.voters = 3;
+        seen.processes[0].disk_lost = vec![5 * SECOND];
         // A kill cuts a line short.
         seen.processes[1].was_ended = true;
         seen.processes[1].history.push("{\"mono\":600".to_string());
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -15,13 +15,15 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use lynxstair_fleet::DUTIES;
 use lynxstair_fleet::protocol::{Answer, Ask};
 use lynxstair_membership::{Broken, Phase, State};
+use lynxstair_ownership::Hold;
 use lynxstair_standins::{Load, Message, Plan, ask, config_named, free_port, mono};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
-use crate::file::{Disk, Kind, Trial};
+use crate::file::{Disk, Fault, Kind, Trial};
 use crate::judge::{Observed, Process, Verdict, judge};
 use crate::ports::Place;
 use crate::relay::{Link, Relay};
@@ -37,6 +39,8 @@
 const WORKERS: usize = 4;
 /// Within so long members find out what links are cut, in nanoseconds.
 const FOUND_OUT: u64 = 4_000_000_000;
+/// A fault that is done to a duty's owner waits so long for there to be one.
+const OWNER_WITHIN: Duration = Duration::from_millis(1_500);
 const TURN: Duration = Duration::from_millis(5);
 
 /// The machine failed the trial, or it was told to stop: nothing is known of the rules.
@@ -62,6 +66,7 @@
     /// Histories, logs and records are left in a folder of the trial's name in here; none: nothing is left.
     pub keep: Option<&'a Path>,
     pub broken: Broken,
+    pub broken_ownership: lynxstair_ownership::Broken,
     /// Told to stop from outside.
     pub stop: &'a AtomicBool,
 }
@@ -93,6 +98,8 @@
     load: Option<Load>,
     gatekeepers: Vec<Gatekeeper>,
     active: BTreeSet<usize>,
+    /// As the trial has them; done to a duty's owner, as it was when they began.
+    faults: Vec<Fault>,
     began: Instant,
 }
 
@@ -122,9 +129,9 @@
             cpu: 0.0,
         })
         .collect();
-    let active = BTreeSet::new();
+    let (active, faults) = (BTreeSet::new(), trial.faults.clone());
     let began = Instant::now();
-    let mut run = Run { trial, stage, folder, place, relay, load, gatekeepers, active, began };
+    let mut run = Run { trial, stage, folder, place, relay, load, gatekeepers, active, faults, began };
     let observed = run.play()?;
     if stage.keep.is_some() {
         let text = trial.to_toml();
@@ -185,6 +192,20 @@
             broken.no_incarnation,
             broken.no_relays,
         );
+        let mut fleet = fleet;
+        if let Some(voters) = self.trial.voters {
+            let voter = |v: usize| {
+                format!("{{ name = \"{}\", addr = \"{}\" }}", Trial::name_of(v), self.place.front(v))
+            };
+            let all: Vec<_> = (0..voters).map(voter).collect();
+            fleet.insert_str(0, &format!("voters = [{}]\n", all.join(", ")));
+            let b = self.stage.broken_ownership;
+            fleet += &format!(
+                "[trial.broken_ownership]\nvotes-forgotten = {}\nno-waiting-for-disk = {}\nno-epochs = {}\n\
+                 no-leases = {}\nno-refusal = {}\n",
+                b.votes_forgotten, b.no_waiting_for_disk, b.no_epochs, b.no_leases, b.no_refusal
+            );
+        }
         fs::write(self.folder.join(format!("{name}.toml")), fleet)?;
         let nobody = free_port();
         let (known, counter, discovery) = match &self.load {
@@ -259,6 +280,7 @@
             agree_within: self.trial.must.agree_within,
             never_failed: self.trial.must.never_failed.iter().map(|n| Trial::name_of(*n)).collect(),
             seen_failed: self.trial.must.seen_failed.iter().map(|n| Trial::name_of(*n)).collect(),
+            voters: self.trial.voters.unwrap_or_default(),
             began: mono(),
             ..Observed::default()
         };
@@ -289,6 +311,9 @@
                 let Some((phase, there)) = status(self.place.member(n)) else {
                     return Some(format!("{} does not answer at its control port", self.name(n)));
                 };
+                if self.trial.voters.is_some() && owner_heard(self.place.member(n)) != Some(true) {
+                    return Some(format!("{} has heard of no owner", self.name(n)));
+                }
                 let is_in = phase == Phase::In && there.len() + 1 == all;
                 (!is_in).then(|| format!("{} is {phase:?} and sees {} others", self.name(n), there.len()))
             });
@@ -318,9 +343,9 @@
         for (n, fault) in self.trial.faults.iter().enumerate() {
             steps.push((fault.at, Step::Begins(n)));
             match &fault.kind {
-                Kind::Kill { who, restart_after, .. } | Kind::Stop { who, restart_after } => {
+                Kind::Kill { restart_after, .. } | Kind::Stop { restart_after, .. } => {
                     let at = restart_after.map(|r| fault.at + r).filter(|at| *at < seconds);
-                    steps.extend(at.iter().flat_map(|at| who.iter().map(|w| (*at, Step::Restarts(*w)))));
+                    steps.extend(at.map(|at| (at, Step::Restarts(n))));
                 }
                 _ => steps.push((fault.ends(seconds), Step::Ends(n))),
             }
@@ -375,8 +400,7 @@
     fn wait_to(&mut self, at: f64) -> Result<(), Failed> {
         let until = self.began + Duration::from_secs_f64(at);
         loop {
-            let flapping =
-                self.active.iter().any(|f| matches!(self.trial.faults[*f].kind, Kind::Flap { .. }));
+            let flapping = self.active.iter().any(|f| matches!(self.faults[*f].kind, Kind::Flap { .. }));
             if !flapping {
                 return self.wait(until);
             }
@@ -393,7 +417,11 @@
         match step {
             Step::Begins(fault) => self.begins(fault),
             Step::Ends(fault) => self.ends(fault),
-            Step::Restarts(who) => return self.restarts(who),
+            Step::Restarts(fault) => {
+                for who in self.faults[fault].kind.who().to_vec() {
+                    self.restarts(who)?;
+                }
+            }
             Step::Drains => {
                 if let Some(load) = &self.load {
                     load.drain_one();
@@ -407,7 +435,7 @@
     /// out.
     fn only_cuts(&self, since: u64) -> Option<(u64, u64)> {
         let (from, to) = (since + FOUND_OUT, mono());
-        let faults = || self.active.iter().map(|f| &self.trial.faults[*f].kind);
+        let faults = || self.active.iter().map(|f| &self.faults[*f].kind);
         let cuts = faults().next().is_some() && faults().all(|k| matches!(k, Kind::Cut { .. }));
         (cuts && self.gatekeepers.iter().all(|g| g.disturbed_since.is_none()) && from < to)
             .then_some((from, to))
@@ -424,9 +452,28 @@
         }
     }
 
+    /// Whoever says that it owns the duty; waited for a little, as it may be on its way from one to another.
+    fn owner_of(&self, duty: usize) -> Option<usize> {
+        let began = Instant::now();
+        while began.elapsed() < OWNER_WITHIN {
+            for n in (0..self.gatekeepers.len()).filter(|n| !self.is_paused(*n)) {
+                let runs = self.gatekeepers[n].child.is_some();
+                if runs && owns(self.place.member(n)).is_some_and(|all| all.contains_key(DUTIES[duty])) {
+                    return Some(n);
+                }
+            }
+            thread::sleep(TURN);
+        }
+        None
+    }
+
     fn begins(&mut self, fault: usize) {
+        if self.trial.faults[fault].kind.names_owner() {
+            let kind = self.trial.faults[fault].kind.of_owner(&|duty| self.owner_of(duty));
+            self.faults[fault].kind = kind;
+        }
         self.active.insert(fault);
-        let kind = self.trial.faults[fault].kind.clone();
+        let kind = self.faults[fault].kind.clone();
         match &kind {
             Kind::Pause { who } => {
                 for &n in who {
@@ -457,10 +504,10 @@
 
     fn ends(&mut self, fault: usize) {
         self.active.remove(&fault);
-        let kind = self.trial.faults[fault].kind.clone();
+        let kind = self.faults[fault].kind.clone();
         // Another fault of the same kind may still hold some of them.
         let holds = |k: &Kind, n: usize| k.name() == kind.name() && k.who().contains(&n);
-        let still = |n: usize| self.active.iter().any(|f| holds(&self.trial.faults[*f].kind, n));
+        let still = |n: usize| self.active.iter().any(|f| holds(&self.faults[*f].kind, n));
         let free: Vec<usize> = kind.who().iter().copied().filter(|n| !still(*n)).collect();
         match &kind {
             Kind::Pause { .. } => {
@@ -491,7 +538,11 @@
         let lost = match disk {
             Disk::Kept => false,
             Disk::Emptied => fs::remove_dir_all(&data).is_ok(),
-            Disk::Torn => tear(&data.join("ledger")).is_ok(),
+            // A gatekeeper that is no voter has but the one.
+            Disk::Torn => {
+                let voter = tear(&data.join("voter/ledger")).is_ok();
+                tear(&data.join("ledger")).is_ok() || voter
+            }
         };
         if lost {
             self.gatekeepers[n].process.disk_lost.push(mono());
@@ -526,7 +577,7 @@
     }
 
     fn is_paused(&self, n: usize) -> bool {
-        let pauses = self.active.iter().map(|f| &self.trial.faults[*f].kind);
+        let pauses = self.active.iter().map(|f| &self.faults[*f].kind);
         pauses.into_iter().any(|k| matches!(k, Kind::Pause { who } if who.contains(&n)))
     }
 
@@ -552,7 +603,7 @@
         let many = self.trial.gatekeepers;
         let mut links = vec![vec![Link::default(); many]; many];
         let since = self.began.elapsed().as_secs_f64();
-        for fault in self.active.iter().map(|f| &self.trial.faults[*f]) {
+        for fault in self.active.iter().map(|f| &self.faults[*f]) {
             let mut each = |of: &crate::file::Links, change: &dyn Fn(&mut Link)| {
                 of.0.iter().for_each(|(a, b)| change(&mut links[*a][*b]));
             };
@@ -598,6 +649,9 @@
             if self.gatekeepers[n].process.runs {
                 let there = status(self.place.member(n)).map(|(_, there)| there);
                 self.gatekeepers[n].process.status = there;
+                if self.trial.voters.is_some() {
+                    self.gatekeepers[n].process.owns = owns(self.place.member(n));
+                }
             }
         }
         // Whatever was written before all were asked is there a moment later.
@@ -684,3 +738,19 @@
     let there = view.members.iter().filter(|m| matches!(m.state, State::Alive | State::Suspected));
     Some((view.phase, there.map(|m| m.name.as_str().to_string()).collect()))
 }
+
+/// What a member says that it owns, and in which epoch.
+fn owns(addr: SocketAddrV4) -> Option<BTreeMap<String, u64>> {
+    let Answer::Own { duties, .. } = lynxstair_fleet::ask(addr, &Ask::Own).ok()? else { return None };
+    let owned = duties.into_iter().filter_map(|d| match d.hold {
+        Hold::Owns { epoch } => Some((d.duty, epoch.0)),
+        Hold::Stands => None,
+    });
+    Some(owned.collect())
+}
+
+/// Whether a member has heard who owns each duty.
+fn owner_heard(addr: SocketAddrV4) -> Option<bool> {
+    let Answer::Own { duties, .. } = lynxstair_fleet::ask(addr, &Ask::Own).ok()? else { return None };
+    Some(duties.iter().all(|d| d.owner.is_some()))
+}
