The duty export: use goes to a sink once and only once, over any change of owner

Change: crates/export (batches, what a sink takes, what an owner carries; no I/O); a gatekeeper notes each succeeded answer in a file before its client can have it, seals numbered segments on a thread of its own and lets go of what the sink has; the owner carries them under its epoch; crates/standins has a durable sink. Rules effects-in-order and exported-as-answered judge the sink's log against what clients were told, by gatekeeper and customer.

--- /dev/null
+++ b/crates/export/src/lib.rs
@@ -0,0 +1,318 @@
+//! Units of use on their way from the gatekeepers to a sink, once and only once. No input, output, clock or
+//! thread: `crates/fleet` does those, `crates/standins` has a sink.
+//!
+//! Each gatekeeper writes a [`Use`] down before it hands a succeeded answer to its client, seals what it wrote
+//! into numbered [`Batch`]es, and lets go of one only once the sink has it. The owner of the duty `export`
+//! carries batches to the sink. A batch is the same whoever carries it and however often: its name is the
+//! gatekeeper's records and a number, so the sink takes each once ([`Shelf`]), in order, and refuses whoever
+//! comes with a lower epoch than it saw.
+#![forbid(unsafe_code)]
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// A use on disk, in bytes.
+pub const USE_BYTES: usize = 32;
+/// The length of a window, in seconds since 1970.
+pub const WINDOW_SECONDS: u64 = 60;
+/// No batch has more sums.
+pub const MOST_SUMS: usize = 4_096;
+
+/// The units of one succeeded invocation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Use {
+    pub customer: u64,
+    pub operation: u8,
+    /// Whole windows since 1970 when the final answer was given.
+    pub window: u32,
+    /// Thousandths of a unit.
+    pub milli: u32,
+}
+
+impl Use {
+    pub fn written(&self) -> [u8; USE_BYTES] {
+        let mut bytes = [0; USE_BYTES];
+        bytes[0] = 1;
+        bytes[1] = self.operation;
+        bytes[4..12].copy_from_slice(&self.customer.to_be_bytes());
+        bytes[12..16].copy_from_slice(&self.window.to_be_bytes());
+        bytes[16..20].copy_from_slice(&self.milli.to_be_bytes());
+        let checksum = crc32fast::hash(&bytes[..28]).to_be_bytes();
+        bytes[28..].copy_from_slice(&checksum);
+        bytes
+    }
+
+    /// None: these bytes are none of ours, or were changed.
+    pub fn read(bytes: &[u8]) -> Option<Use> {
+        let whole: &[u8; USE_BYTES] = bytes.try_into().ok()?;
+        if whole[0] != 1 || whole[28..] != crc32fast::hash(&whole[..28]).to_be_bytes() {
+            return None;
+        }
+        Some(Use {
+            operation: whole[1],
+            customer: u64::from_be_bytes(whole[4..12].try_into().ok()?),
+            window: u32::from_be_bytes(whole[12..16].try_into().ok()?),
+            milli: u32::from_be_bytes(whole[16..20].try_into().ok()?),
+        })
+    }
+}
+
+/// Whose records: a gatekeeper, and which folder of its, drawn when that began. An emptied folder begins another.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Stream {
+    pub gatekeeper: String,
+    pub folder: u64,
+}
+
+/// What one customer used in one window by one operation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Sum {
+    pub customer: u64,
+    pub operation: u8,
+    pub window: u32,
+    pub milli: u64,
+}
+
+/// Some uses put together. The number grows by one with each; the content never changes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Batch {
+    pub stream: Stream,
+    pub number: u64,
+    pub sums: Vec<Sum>,
+    /// Records that could not be read: how many uses are missing here, as far as can be told.
+    pub unread: u64,
+}
+
+impl Batch {
+    /// Of the bytes of one segment. What was cut short at its end was never answered, and is none.
+    pub fn of(stream: Stream, number: u64, segment: &[u8]) -> Batch {
+        let mut sums: BTreeMap<(u64, u8, u32), u64> = BTreeMap::new();
+        let mut unread = 0;
+        for bytes in segment.chunks_exact(USE_BYTES) {
+            match Use::read(bytes) {
+                Some(u) => {
+                    *sums.entry((u.customer, u.operation, u.window)).or_default() += u64::from(u.milli)
+                }
+                None => unread += 1,
+            }
+        }
+        let sum = |((customer, operation, window), milli)| Sum { customer, operation, window, milli };
+        Batch { stream, number, sums: sums.into_iter().map(sum).collect(), unread }
+    }
+
+    pub fn milli(&self) -> u64 {
+        self.sums.iter().map(|s| s.milli).sum()
+    }
+
+    /// Two contents under one number are an error, and are told apart by this.
+    pub fn checksum(&self) -> u32 {
+        let mut hasher = crc32fast::Hasher::new();
+        for s in &self.sums {
+            hasher.update(&s.customer.to_be_bytes());
+            hasher.update(&[s.operation]);
+            hasher.update(&s.window.to_be_bytes());
+            hasher.update(&s.milli.to_be_bytes());
+        }
+        hasher.update(&self.unread.to_be_bytes());
+        hasher.finalize()
+    }
+}
+
+/// How far a sink is with one stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shelved {
+    pub number: u64,
+    pub checksum: u32,
+    pub milli: u64,
+}
+
+/// What becomes of a batch at a sink.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "says")]
+pub enum Says {
+    /// It is there now, or was: once.
+    Taken { again: bool },
+    /// A higher epoch was seen: whoever comes is no owner any more.
+    Refused { seen: u64 },
+    /// Another one is next: what lies between was not brought, or the sink was set back.
+    Gap { wanted: u64 },
+    /// Another content under a number that is taken.
+    Differs,
+}
+
+/// What a sink decides: which epochs were seen, and which batch of each stream is next. One function for each
+/// change; the sink writes down what is asked of it before it answers.
+#[derive(Clone, Debug, Default)]
+pub struct Shelf {
+    pub seen: u64,
+    pub streams: BTreeMap<Stream, Shelved>,
+}
+
+impl Shelf {
+    /// Somebody comes with an epoch. False: a higher one was seen.
+    pub fn see(&mut self, epoch: u64) -> bool {
+        let holds = epoch >= self.seen;
+        self.seen = self.seen.max(epoch);
+        holds
+    }
+
+    /// What to say to a batch; nothing is changed yet.
+    pub fn look(&self, epoch: u64, batch: &Batch) -> Says {
+        if epoch < self.seen {
+            return Says::Refused { seen: self.seen };
+        }
+        let shelved = self.streams.get(&batch.stream).copied().unwrap_or_default();
+        match batch.number {
+            n if n == shelved.number + 1 => Says::Taken { again: false },
+            n if n == shelved.number && batch.checksum() != shelved.checksum => Says::Differs,
+            n if n <= shelved.number => Says::Taken { again: true },
+            _ => Says::Gap { wanted: shelved.number + 1 },
+        }
+    }
+
+    /// It is on disk.
+    pub fn take(&mut self, epoch: u64, batch: &Batch) {
+        self.seen = self.seen.max(epoch);
+        let shelved = self.streams.entry(batch.stream.clone()).or_default();
+        shelved.number = batch.number;
+        shelved.checksum = batch.checksum();
+        shelved.milli += batch.milli();
+    }
+}
+
+/// What the owner knows of the way from the gatekeepers to the sink, in one epoch.
+#[derive(Clone, Debug, Default)]
+pub struct Carrier {
+    epoch: u64,
+    /// As the sink has it; none: it was not asked in this epoch yet.
+    shelf: Option<BTreeMap<Stream, Shelved>>,
+    /// Streams whose next batch is not there to be had: the sink wants this one, the gatekeeper begins later.
+    pub gaps: BTreeMap<Stream, (u64, u64)>,
+}
+
+impl Carrier {
+    /// The owner acts in this epoch now. What was known from an earlier one is forgotten.
+    pub fn acts_in(&mut self, epoch: u64) {
+        if self.epoch != epoch {
+            *self = Carrier { epoch, ..Carrier::default() };
+        }
+    }
+
+    pub fn knows_shelf(&self) -> bool {
+        self.shelf.is_some()
+    }
+
+    pub fn shelf_is(&mut self, shelf: BTreeMap<Stream, Shelved>) {
+        self.shelf = Some(shelf);
+    }
+
+    /// Up to which number a gatekeeper may let go of its batches; none: not known.
+    pub fn has(&self, stream: &Stream) -> Option<u64> {
+        self.shelf.as_ref().map(|s| s.get(stream).map_or(0, |s| s.number))
+    }
+
+    /// Whether this batch is the one to be written now.
+    pub fn is_next(&mut self, batch: &Batch) -> bool {
+        let Some(has) = self.has(&batch.stream) else { return false };
+        if batch.number > has + 1 {
+            // Never papered over: what lies between was let go of because the sink once had it.
+            self.gaps.insert(batch.stream.clone(), (has + 1, batch.number));
+            return false;
+        }
+        self.gaps.remove(&batch.stream);
+        batch.number == has + 1
+    }
+
+    /// What the sink said. True: this owner goes on; false: it must ask the sink anew, or is no owner.
+    pub fn heard(&mut self, batch: &Batch, says: &Says) -> bool {
+        match says {
+            Says::Taken { .. } => {
+                if let Some(shelf) = self.shelf.as_mut() {
+                    let shelved = shelf.entry(batch.stream.clone()).or_default();
+                    shelved.number = shelved.number.max(batch.number);
+                }
+                true
+            }
+            Says::Refused { .. } | Says::Gap { .. } | Says::Differs => {
+                self.shelf = None;
+                false
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn stream() -> Stream {
+        Stream { gatekeeper: "g1".to_string(), folder: 7 }
+    }
+
+    fn segment(milli: &[u32]) -> Vec<u8> {
+        let one = |m: &u32| Use { customer: 5, operation: 1, window: 9, milli: *m }.written();
+        milli.iter().flat_map(one).collect()
+    }
+
+    #[test]
+    fn uses_and_batches() {
+        let mut bytes = segment(&[1_000, 2_000]);
+        bytes.extend(Use { customer: 6, operation: 0, window: 9, milli: 500 }.written());
+        let whole = Batch::of(stream(), 1, &bytes);
+        assert_eq!((whole.sums.len(), whole.milli(), whole.unread), (2, 3_500, 0));
+        // A kill cuts the last one short; a changed byte is told of.
+        assert_eq!(Batch::of(stream(), 1, &bytes[..bytes.len() - 1]).milli(), 3_000);
+        bytes[20] ^= 1;
+        let spoilt = Batch::of(stream(), 1, &bytes);
+        assert_eq!((spoilt.milli(), spoilt.unread), (2_500, 1));
+        assert_ne!(spoilt.checksum(), whole.checksum());
+    }
+
+    /// What a sink says to one batch after another.
+    #[test]
+    fn once_and_in_order() {
+        let batch = |number, milli: u32| Batch::of(stream(), number, &segment(&[milli]));
+        let taken = |again| Says::Taken { again };
+        let steps = [
+            (4, batch(1, 10), taken(false)),
+            (4, batch(1, 10), taken(true)),
+            (4, batch(1, 11), Says::Differs),
+            (4, batch(3, 10), Says::Gap { wanted: 2 }),
+            (3, batch(2, 10), Says::Refused { seen: 4 }),
+            (5, batch(2, 10), taken(false)),
+            (4, batch(3, 10), Says::Refused { seen: 5 }),
+            (5, batch(1, 10), taken(true)),
+        ];
+        let mut shelf = Shelf::default();
+        for (n, (epoch, batch, wanted)) in steps.iter().enumerate() {
+            let says = shelf.look(*epoch, batch);
+            assert_eq!(says, *wanted, "step {n}");
+            if says == taken(false) {
+                shelf.take(*epoch, batch);
+            }
+        }
+        assert_eq!(shelf.streams[&stream()].milli, 20);
+        assert!(!shelf.see(4) && shelf.see(6) && !shelf.see(5));
+    }
+
+    #[test]
+    fn a_carrier_knows_nothing_before_it_asked() {
+        let batch = |number| Batch::of(stream(), number, &segment(&[10]));
+        let mut carrier = Carrier::default();
+        carrier.acts_in(3);
+        assert!(!carrier.is_next(&batch(1)) && carrier.has(&stream()).is_none());
+        carrier.shelf_is(BTreeMap::new());
+        assert!(carrier.is_next(&batch(1)));
+        assert!(carrier.heard(&batch(1), &Says::Taken { again: false }));
+        assert!(!carrier.is_next(&batch(1)) && carrier.is_next(&batch(2)));
+        // A gap is kept in sight until what is missing comes.
+        assert!(!carrier.is_next(&batch(4)) && carrier.gaps[&stream()] == (2, 4));
+        assert!(carrier.is_next(&batch(2)) && carrier.gaps.is_empty());
+        // Its epoch is over, or the sink was set back: it asks anew.
+        assert!(!carrier.heard(&batch(2), &Says::Refused { seen: 9 }) && !carrier.knows_shelf());
+        carrier.shelf_is(BTreeMap::new());
+        carrier.acts_in(4);
+        assert!(!carrier.knows_shelf());
+    }
+}
--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -14,14 +14,19 @@
 /// # Errors
 /// Where the member can't be reached or does not answer in time, or not in a way this program understands.
 pub fn ask(addr: SocketAddrV4, ask: &Ask) -> io::Result<Answer> {
-    let stream = TcpStream::connect_timeout(&addr.into(), CONNECTS_WITHIN)?;
-    stream.set_read_timeout(Some(ANSWERS_WITHIN))?;
-    stream.set_write_timeout(Some(ANSWERS_WITHIN))?;
+    say(&TcpStream::connect_timeout(&addr.into(), CONNECTS_WITHIN)?, ask, ANSWERS_WITHIN)
+}
+
+/// The same on a connection that is open.
+pub(crate) fn say(stream: &TcpStream, ask: &Ask, within: Duration) -> io::Result<Answer> {
+    stream.set_read_timeout(Some(within))?;
+    stream.set_write_timeout(Some(within))?;
     let mut said = serde_json::to_vec(ask)?;
     said.push(b'\n');
-    (&stream).write_all(&said)?;
+    let mut out = stream;
+    out.write_all(&said)?;
     let mut line = String::new();
-    BufReader::new((&stream).take(LONGEST_ANSWER as u64)).read_line(&mut line)?;
+    BufReader::new(stream.take(LONGEST_ANSWER as u64)).read_line(&mut line)?;
     if line.is_empty() {
         return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "no answer"));
     }
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -89,6 +89,8 @@
     pub broken_ownership: lynxstair_ownership::Broken,
     /// While this file exists, writing records fails as on a full disk.
     pub disk_full_while: Option<PathBuf>,
+    /// The owner of the duty export waits so many milliseconds between its check and its write.
+    pub stall_ms: u64,
     /// It is killed when the process of this number, which started it, ends, however that ends.
     pub ends_with_parent: Option<i32>,
 }
@@ -119,6 +121,8 @@
     #[serde(default)]
     ownership: OwnershipText,
     #[serde(default)]
+    export: Option<ExportText>,
+    #[serde(default)]
     times: TimesFile,
     #[serde(default)]
     trial: TrialSwitches,
@@ -131,6 +135,12 @@
     addr: Spanned<String>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ExportText {
+    sink: Spanned<String>,
+}
+
 /// Times in milliseconds.
 #[derive(Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -178,6 +188,8 @@
     pub times: Times,
     /// Who keeps the record of owners; none: no duty has an owner in this fleet.
     pub ownership: Option<Ownership>,
+    /// Where use is exported to; none: it is not, and no use is kept.
+    pub sink: Option<SocketAddrV4>,
     pub trial: TrialSwitches,
 }
 
@@ -335,7 +347,13 @@
         };
         let folder = file.parent().unwrap_or(Path::new("."));
         let ownership = reader.ownership(&parsed)?;
+        let sink = parsed.export.as_ref().map(|e| reader.addr("export.sink", &e.sink)).transpose()?;
+        if let (Some(export), None) = (&parsed.export, &ownership) {
+            let why = "needs voters: without them nobody owns the duty export".to_string();
+            return Err(reader.invalid(export.sink.span().start, "export.sink", why));
+        }
         Ok(Config {
+            sink,
             ownership,
             fleet: reader.name("fleet", &parsed.fleet)?,
             name: reader.name("name", &parsed.name)?,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,13 +9,16 @@
 mod client;
 mod config;
 mod control;
+mod exporter;
 mod history;
 mod kept;
 mod log;
 mod owners;
 pub mod protocol;
 mod side;
+mod uses;
 
 pub use client::ask;
 pub use config::{Config, DUTIES, Invalid, LogForm, Ownership, TrialSwitches};
 pub use side::Side;
+pub use uses::Uses;
--- a/crates/fleet/src/owners.rs
+++ b/crates/fleet/src/owners.rs
@@ -7,7 +7,7 @@
 use lynxstair::types::Time;
 use lynxstair_ledger::{Ledger, Repair, Writer};
 use lynxstair_ownership::{
-    Broken, Came, Do, ForHolder, Holder, HolderStart, Image, Record, Start, Voter, Wants,
+    Broken, Came, Do, Epoch, ForHolder, Holder, HolderStart, Image, Record, Start, Voter, Wants,
 };
 use lynxstair_wire::clock::Clock;
 use lynxstair_wire::ticker::Ticker;
@@ -149,7 +149,7 @@
     pub fn tick(&self, side: &Side, now: Time) {
         for (ticket, what) in std::mem::take(&mut *lock(&self.done)) {
             *lock(&self.trouble) = what.as_ref().err().cloned();
-            let what = what.as_ref().map(|()| ()).map_err(String::as_str);
+            let what = what.as_ref().copied().map_err(String::as_str);
             self.with(side, now, |i| i.voter.written(now, ticket, what));
         }
         self.with(side, now, |i| {
@@ -167,6 +167,14 @@
         });
     }
 
+    pub fn may_begin(&self, now: Time, duty: &str) -> Option<Epoch> {
+        lock(&self.inside).holder.may_begin(now, duty)
+    }
+
+    pub fn refused(&self, side: &Side, now: Time, duty: &str, seen: Epoch) {
+        self.with(side, now, |i| i.holder.refused(now, duty, seen));
+    }
+
     pub fn leave(&self, side: &Side, now: Time) {
         self.with(side, now, |i| i.holder.leave(now));
     }
@@ -180,6 +188,7 @@
                     voter: i.voter.view(now),
                     duties: i.holder.view(now),
                     disk,
+                    uses: side.uses_kept().map_or((0, 0), |u| u.counts()),
                 });
             }
             Ask::Owners { id } => (id, None),
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -1,5 +1,8 @@
 //! What is said at the control port: one line of JSON each way, then the connection ends.
 
+use std::sync::Arc;
+
+use lynxstair_export::{Batch, Stream};
 use lynxstair_membership::{Name, View};
 use lynxstair_ownership::{DutySeen, Epoch, VoterView};
 use serde::{Deserialize, Serialize};
@@ -31,6 +34,12 @@
     },
     /// What this member itself is with each duty and among the voters; it asks nobody.
     Own,
+    /// The first batch of uses after those that the sink had; what it had is let go of. None and nought: only
+    /// whose records they are.
+    Uses {
+        stream: Option<Stream>,
+        had: u64,
+    },
     /// The same way of asking; nothing happens twice by one id.
     HandOver {
         id: u64,
@@ -95,12 +104,20 @@
         duties: Vec<DutySeen>,
         /// Why this voter's records can't be written, while they can't.
         disk: Option<String>,
+        /// Succeeded invocations since the start whose use is to be exported, and how many of them are recorded
+        /// nowhere, for want of room.
+        #[serde(default)]
+        uses: (u64, u64),
     },
     Owners {
         duties: Vec<DutyHeld>,
         voters: Vec<VoterHeld>,
         leader: String,
     },
+    Uses {
+        stream: Stream,
+        batch: Option<Arc<Batch>>,
+    },
     /// Not known yet: ask again.
     Waits,
     /// No majority was reached; why, as far as it is known.
--- a/crates/fleet/src/side.rs
+++ b/crates/fleet/src/side.rs
@@ -9,6 +9,7 @@
 use lynxstair::types::{Span, Time};
 use lynxstair_ledger::{Error, Failing, Ledger, Repair, Writer};
 use lynxstair_membership::{Do, Incarnation, Name, Record, Room, Start};
+use lynxstair_ownership::Epoch;
 use lynxstair_wire::clock::Clock;
 use lynxstair_wire::coroutine::go;
 use lynxstair_wire::ticker::Ticker;
@@ -25,10 +26,12 @@
 
 use crate::config::Config;
 use crate::control::Control;
+use crate::exporter::Exporter;
 use crate::history::History;
 use crate::kept::{Kept, written};
 use crate::owners::Owners;
 use crate::protocol::{Answer, Ask};
+use crate::uses::Uses;
 
 /// So many datagrams are read in one turn, before others on the coroutine thread have theirs.
 const IN_ONE_TURN: usize = 16;
@@ -55,6 +58,8 @@
     history: Option<History>,
     /// Where the fleet has voters.
     owners: Option<Owners>,
+    /// Where use is exported.
+    uses: Option<Arc<Uses>>,
     /// Datagrams that were thrown away unread, and sends that did not go.
     unread: AtomicU64,
     unsent: AtomicU64,
@@ -154,7 +159,15 @@
             warn!(broken = ?config.trial.broken, "fleet: parts are taken out for a trial; not for service");
         }
         let owners = Owners::open(&config, clock, ticker.clone(), (run, seed))?;
+        let uses = match &config.sink {
+            Some(_) => {
+                let folder = config.data.join("uses");
+                Some(Uses::start(&folder, config.name.as_str(), chance()?, failing(&config))?)
+            }
+            None => None,
+        };
         let side = Arc::new(Side {
+            uses,
             owners,
             clock,
             room: Mutex::new(room),
@@ -171,6 +184,10 @@
             _log: log,
             config,
         });
+        if let Some(sink) = side.config.sink {
+            let stall = std::time::Duration::from_millis(side.config.trial.stall_ms);
+            Exporter::start(side.clone(), sink, seed, stall)?;
+        }
         let hearing = side.clone();
         go("the fleet's datagrams", move || hearing.hear());
         let timing = side.clone();
@@ -230,6 +247,7 @@
                 self.with_room(now, |room| room.let_in(now, &name));
                 Answer::Done
             }
+            Ask::Uses { .. } => self.uses(&ask),
             ask => match &self.owners {
                 Some(owners) => owners.answer(self, now, ask),
                 None => {
@@ -265,6 +283,50 @@
         }
     }
 
+    /// Where succeeded invocations are noted; none: use is not exported.
+    pub fn uses_kept(&self) -> Option<Arc<Uses>> {
+        self.uses.clone()
+    }
+
+    /// Whether an effect of a duty may begin now.
+    pub(crate) fn may_begin(&self, duty: &str) -> Option<Epoch> {
+        let now = self.clock.now();
+        self.owners.as_ref().and_then(|o| o.may_begin(now, duty))
+    }
+
+    /// An effect was refused where it landed.
+    pub(crate) fn refused(&self, duty: &str, seen: Epoch) {
+        if let Some(owners) = &self.owners {
+            owners.refused(self, self.clock.now(), duty, seen);
+        }
+    }
+
+    /// All members that are there, as seen from here, and this one, which has no address.
+    pub(crate) fn members(&self) -> Vec<(String, Option<SocketAddrV4>)> {
+        let view = lock(&self.room).view(self.clock.now());
+        let others = view.members.iter().filter(|m| m.state.is_there());
+        let others = others.map(|m| (m.name.as_str().to_string(), Some(m.addr)));
+        others.chain([(self.config.name.as_str().to_string(), None)]).collect()
+    }
+
+    pub(crate) fn source(&self) -> std::net::Ipv4Addr {
+        *self.config.bind.ip()
+    }
+
+    /// The uses that are kept here.
+    pub(crate) fn uses(&self, ask: &Ask) -> Answer {
+        let (Some(uses), Ask::Uses { stream, had }) = (&self.uses, ask) else {
+            return Answer::No { why: "no use is kept here".to_string() };
+        };
+        let ours = stream.as_ref() == Some(uses.stream());
+        let batch = if ours { uses.after(*had) } else { None };
+        Answer::Uses { stream: uses.stream().clone(), batch }
+    }
+
+    pub(crate) fn note_now<E: Serialize>(&self, event: &E) {
+        self.note(self.clock.now(), event);
+    }
+
     /// Where another member is, as seen from here.
     pub(crate) fn address_of(&self, now: Time, name: &Name) -> Option<SocketAddrV4> {
         if *name == self.config.name {
--- a/crates/gatekeeper/src/desk.rs
+++ b/crates/gatekeeper/src/desk.rs
@@ -12,8 +12,8 @@
 use lynxstair::policy::Gatekeeper;
 use lynxstair::port::Port;
 use lynxstair::types::{
-    Arrival, CountName, DeliveryNo, Ended, InvId, Listed, Outcome, Scope, Settings, Span, Time, TimerTag,
-    Wake, WorkerId,
+    Arrival, CountName, CustomerId, DeliveryNo, Ended, InvId, Listed, OperationId, Outcome, Scope, Settings,
+    Span, Time, TimerTag, Wake, WorkerId,
 };
 
 use lynxstair_wire::log;
@@ -30,6 +30,15 @@
     pub worker: WorkerId,
     /// It is given up then.
     pub stop_at: Time,
+    pub used: Used,
+}
+
+/// Whose use a succeeded answer is, and how much.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Used {
+    pub customer: CustomerId,
+    pub operation: OperationId,
+    pub units: f32,
 }
 
 /// A final answer of our own.
@@ -107,6 +116,7 @@
 /// An invocation that has no final answer yet.
 struct Open<T> {
     ticket: T,
+    used: Used,
     /// How many deliveries were made, and which of them are out.
     made: u8,
     out: u32,
@@ -143,8 +153,8 @@
         let no = DeliveryNo(open.made);
         open.made = open.made.saturating_add(1);
         open.out += 1;
-        let ticket = open.ticket.clone();
-        self.due.deliveries.push(Order { ticket, inv, no, worker, stop_at });
+        let (ticket, used) = (open.ticket.clone(), open.used);
+        self.due.deliveries.push(Order { ticket, inv, no, worker, stop_at, used });
         self.alarm(stop_at, Alarm::Stop(inv, no));
     }
 
@@ -268,7 +278,9 @@
         inside.last_inv = inside.last_inv.wrapping_add(1);
         let inv = InvId(inside.last_inv);
         arrival.inv = inv;
-        inside.slip.open.insert(inv, Open { ticket, made: 0, out: 0 });
+        let used =
+            Used { customer: arrival.customer, operation: arrival.operation, units: arrival.units() as f32 };
+        inside.slip.open.insert(inv, Open { ticket, used, made: 0, out: 0 });
         self.ask(now, &mut inside, |now, gatekeeper, slip| gatekeeper.invoke(now, &arrival, slip));
         let slip = &mut inside.slip;
         let pick = match (slip.due.deliveries.pop(), slip.due.answers.pop()) {
--- a/crates/gatekeeper/src/program.rs
+++ b/crates/gatekeeper/src/program.rs
@@ -2,12 +2,12 @@
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::Path;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, OnceLock};
 
 use lynxstair::types::{Outcome, Span, Time};
-use lynxstair_fleet::Side;
+use lynxstair_fleet::{Side, Uses};
 use lynxstair_settings::{Bounds, Names};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -62,6 +62,8 @@
     pub workers: Workers,
     pub discovery: Discovery,
     pub counter: Counter,
+    /// Where succeeded invocations are noted, in a fleet that exports their use.
+    pub uses: OnceLock<Arc<Uses>>,
     /// How long after SIGTERM what is unanswered is errored.
     last_answers: Span,
     phase: AtomicU8,
@@ -200,6 +202,9 @@
         let gate = Arc::new(gate(&config)?);
         gate.discovery.take(&gate, &config.known, true);
         let side = fleet.map(Side::start).transpose()?;
+        if let Some(uses) = side.as_ref().and_then(|s| s.uses_kept()) {
+            let _ = gate.uses.set(uses);
+        }
         let (end, ended) = channel();
         let accepting = gate.clone();
         go("accepting", move || accepting.clients.accept(&accepting));
@@ -243,6 +248,7 @@
         workers: Workers::new(handed.limits, sockets - clients),
         discovery: Discovery::new(config.discovery),
         counter: Counter::new(config.counter, handed.limits.counter),
+        uses: OnceLock::new(),
         last_answers: longest.min(COUNTED_AS) + LAST_ANSWERS,
         phase: AtomicU8::new(Phase::Starting as u8),
     })
--- a/crates/gatekeeper/src/workers.rs
+++ b/crates/gatekeeper/src/workers.rs
@@ -441,6 +441,11 @@
         let Ok(Some((answer, _))) = http::answer(&bytes[..extent.head]) else { return };
         let body = &bytes[extent.body.clone()];
         client.finish(gate, order.inv, |out, keep| {
+            // Before the client can have it: what it is told is on record, however this process ends.
+            if let Some(uses) = gate.uses.get() {
+                let used = &order.used;
+                uses.note(gate.clock.now(), used.customer.0, used.operation.0, used.units);
+            }
             write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n", body.len())?;
             if !keep {
                 out.write_all(b"Connection: close\r\n")?;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,5 +1,5 @@
 //! Peers of a gatekeeper on loopback, written from the protocol's page, with faults by script: workers,
-//! counters, the list of workers, and a load of clients. Used by the gatekeeper's own tests and by trials.
+//! counters, the list of workers, a sink for exported use, and a load of clients. Used by the gatekeeper's own tests and by trials.
 //!
 //! Plain threads and blocking reads: they run in tests and command-line tools, never in a gatekeeper. They
 //! decide nothing and know nothing of the gatekeeper's code.
@@ -10,6 +10,7 @@
 mod list;
 mod load;
 mod message;
+mod sink;
 mod worker;
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -21,6 +22,7 @@
 pub use list::{Discovery, discovery, member};
 pub use load::{Answered, Delivered, Load, Plan, Traffic, mono};
 pub use message::{Message, ask, text};
+pub use sink::{Landed, Sink};
 pub use worker::{Does, Seen, worker};
 
 /// Serves each connection on a thread of its own.
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -13,7 +13,7 @@
 
 use crate::counter::counting;
 use crate::list::{Discovery, discovery, member};
-use crate::message::{Message, text};
+use crate::message::{Message, text_of};
 use crate::{Counter, listener, serve};
 
 /// The client waits so long, in milliseconds.
@@ -21,6 +21,8 @@
 /// And looks so much longer for an answer that comes too late.
 const LATE_MS: u64 = 1_200;
 const CLIENTS: usize = 4;
+const CUSTOMERS: u64 = 7;
+const FIRST_CUSTOMER: u64 = 0xb4d6_5521;
 
 /// The machine's monotonic clock, in nanoseconds: the same for all processes on it.
 pub fn mono() -> u64 {
@@ -33,6 +35,7 @@
 pub struct Answered {
     pub id: u64,
     pub gatekeeper: String,
+    pub customer: u64,
     pub operation: &'static str,
     /// By `mono`.
     pub sent: u64,
@@ -211,11 +214,13 @@
         let operation = if id.is_multiple_of(3) { "put" } else { "get" };
         let was_kept = kept.is_some();
         let Some(mut reader) = kept.take().or_else(|| self.connect()) else { return };
-        let said = text(operation, "wide", &format!("{id:016x}"), PATIENCE_MS);
+        let customer = FIRST_CUSTOMER + id % CUSTOMERS;
+        let said = text_of(customer, operation, "wide", &format!("{id:016x}"), PATIENCE_MS);
         let sent = mono();
         let mut note = Answered {
             id,
             gatekeeper: self.gatekeeper.clone(),
+            customer,
             operation,
             sent,
             ended: sent,
--- a/crates/standins/src/message.rs
+++ b/crates/standins/src/message.rs
@@ -50,12 +50,17 @@
 
 /// An invocation: `get` is idempotent, `put` is not.
 pub fn text(operation: &str, plan: &str, id: &str, patience_ms: u32) -> String {
+    text_of(0xb4d6_5521, operation, plan, id, patience_ms)
+}
+
+/// The same, of any customer.
+pub fn text_of(customer: u64, operation: &str, plan: &str, id: &str, patience_ms: u32) -> String {
     let method = if operation == "get" { "GET" } else { "POST" };
     let body = if operation == "get" { "" } else { "Content-Length: 4\r\n" };
     let content = if operation == "get" { "" } else { "body" };
     format!(
         "{method} /{operation}/a?q=1 HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: {id}\r\nX-Tariff: {plan}\r\n\
-         Cookie: other=1; key=00000000b4d65521\r\nRequest-Timeout-Ms: {patience_ms}\r\n\
+         Cookie: other=1; key={customer:016x}\r\nRequest-Timeout-Ms: {patience_ms}\r\n\
          X-Weight: units=1,spread=2,first=0\r\nX-More: kept\r\n{body}\r\n{content}"
     )
 }
--- /dev/null
+++ b/crates/standins/src/sink.rs
@@ -0,0 +1,161 @@
+//! A sink for exported use, over HTTP, with a durable file. docs/operators/sink.md has the protocol, so that
+//! others can write one.
+
+use std::io::{BufReader, Write};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use lynxstair_export::{Batch, Says, Shelf};
+use lynxstair_ledger::Ledger;
+use serde::{Deserialize, Serialize};
+
+use crate::load::mono;
+use crate::message::Message;
+use crate::{listener, serve};
+
+/// What a sink writes down.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "record")]
+enum Record {
+    Seen { epoch: u64 },
+    Batch { epoch: u64, batch: Batch },
+}
+
+/// Something that came to a sink, in the order in which it came.
+#[derive(Clone, Debug, Serialize)]
+pub struct Landed {
+    /// By `mono`.
+    pub at: u64,
+    pub epoch: u64,
+    pub batch: Batch,
+    pub says: Says,
+}
+
+struct Inside {
+    shelf: Shelf,
+    ledger: Ledger,
+    landed: Vec<Landed>,
+}
+
+/// A sink on loopback, and the faults it is to have.
+pub struct Sink {
+    pub addr: SocketAddr,
+    inside: Arc<Mutex<Inside>>,
+    /// It accepts no connection, or closes each at once.
+    pub down: Arc<AtomicBool>,
+    /// So many answers more are lost: what was asked is done.
+    pub lose_answers: Arc<AtomicU32>,
+    /// Taken out: a lower epoch is taken, too.
+    pub no_refusal: Arc<AtomicBool>,
+}
+
+fn locked(of: &Mutex<Inside>) -> MutexGuard<'_, Inside> {
+    of.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl Sink {
+    /// With what lies in its folder.
+    ///
+    /// # Errors
+    /// Where that can't be read.
+    pub fn open(folder: &Path) -> Result<Sink, String> {
+        let opened = Ledger::open(folder, "sink", None).map_err(|e| e.to_string())?;
+        let mut shelf = Shelf::default();
+        for bytes in &opened.records {
+            match serde_json::from_slice(bytes).map_err(|e| e.to_string())? {
+                Record::Seen { epoch } => shelf.seen = shelf.seen.max(epoch),
+                Record::Batch { epoch, batch } => shelf.take(epoch, &batch),
+            }
+        }
+        let inside = Arc::new(Mutex::new(Inside { shelf, ledger: opened.ledger, landed: Vec::new() }));
+        let (on, addr) = listener();
+        let sink = Sink {
+            addr,
+            inside: inside.clone(),
+            down: Arc::default(),
+            lose_answers: Arc::default(),
+            no_refusal: Arc::default(),
+        };
+        let (down, lose, no_refusal) =
+            (sink.down.clone(), sink.lose_answers.clone(), sink.no_refusal.clone());
+        serve(on, move |stream| {
+            let Ok(reading) = stream.try_clone() else { return };
+            let mut reader = BufReader::new(reading);
+            while let Some(message) = Message::read(&mut reader) {
+                if down.load(Ordering::SeqCst) {
+                    return;
+                }
+                let said = answer(&inside, &message, no_refusal.load(Ordering::SeqCst));
+                let less = |n: u32| n.checked_sub(1);
+                if lose.fetch_update(Ordering::SeqCst, Ordering::SeqCst, less).is_ok() {
+                    return;
+                }
+                if (&stream).write_all(said.as_bytes()).is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(sink)
+    }
+
+    /// All that came so far, since it was opened.
+    pub fn landed(&self) -> Vec<Landed> {
+        locked(&self.inside).landed.clone()
+    }
+}
+
+fn answer(inside: &Mutex<Inside>, message: &Message, no_refusal: bool) -> String {
+    let say = |status: u16, body: String| {
+        format!("HTTP/1.1 {status} Said\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    };
+    let mut words = message.first.split(' ');
+    let (method, target) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
+    let epoch = target.split_once("?epoch=").and_then(|(_, e)| e.parse::<u64>().ok());
+    let path = target.split('?').next().unwrap_or("");
+    let Some(epoch) = epoch else { return say(400, "no epoch".to_string()) };
+    let mut inside = locked(inside);
+    match (method, path) {
+        ("GET", "/duties/export") => {
+            if epoch > inside.shelf.seen {
+                let record = serde_json::to_vec(&Record::Seen { epoch }).unwrap_or_default();
+                if let Err(e) = inside.ledger.append(&record) {
+                    return say(500, e.to_string());
+                }
+            }
+            if !inside.shelf.see(epoch) && !no_refusal {
+                let says = Says::Refused { seen: inside.shelf.seen };
+                return say(409, serde_json::to_string(&says).unwrap_or_default());
+            }
+            let streams: Vec<_> = inside.shelf.streams.iter().collect();
+            say(200, serde_json::to_string(&streams).unwrap_or_default())
+        }
+        ("POST", "/duties/export/batches") => {
+            let Ok(batch) = serde_json::from_slice::<Batch>(&message.body) else {
+                return say(400, "no batch".to_string());
+            };
+            // Whoever comes with a lower epoch is let in where refusal is taken out.
+            let by = if no_refusal { inside.shelf.seen.max(epoch) } else { epoch };
+            let says = inside.shelf.look(by, &batch);
+            if says == (Says::Taken { again: false }) {
+                let record = Record::Batch { epoch, batch: batch.clone() };
+                let record = serde_json::to_vec(&record).unwrap_or_default();
+                if let Err(e) = inside.ledger.append(&record) {
+                    return say(500, e.to_string());
+                }
+                inside.shelf.take(epoch, &batch);
+            }
+            let status = match says {
+                Says::Taken { .. } => 200,
+                Says::Refused { .. } => 409,
+                Says::Gap { .. } => 412,
+                Says::Differs => 422,
+            };
+            let body = serde_json::to_string(&says).unwrap_or_default();
+            inside.landed.push(Landed { at: mono(), epoch, batch, says });
+            say(status, body)
+        }
+        _ => say(404, "nothing here".to_string()),
+    }
+}
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -3,7 +3,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use lynxstair_standins::{Answered, Delivered};
+use lynxstair_export::Says;
+use lynxstair_standins::{Answered, Delivered, Landed};
 use serde::Serialize;
 use serde_json::Value;
 
@@ -22,7 +23,7 @@
 }
 
 /// All rules, by name.
-pub const RULES: [Rule; 19] = [
+pub const RULES: [Rule; 21] = [
     Rule { name: "all-join", says: "all that start are in, and see each other, before the faults begin" },
     Rule { name: "states-follow", says: "no state of a member follows one that it may not follow" },
     Rule {
@@ -57,6 +58,14 @@
         name: "owned-again",
         says: "each duty has one owner at the end, where most voters run and kept their records",
     },
+    Rule {
+        name: "effects-in-order",
+        says: "no effect of a duty is taken where it lands after one of a later epoch",
+    },
+    Rule {
+        name: "exported-as-answered",
+        says: "at the end the sink has what clients were answered as succeeded, by gatekeeper and customer",
+    },
     Rule { name: "ends-well", says: "no process ends by itself, and each ends with 0 when it is told to" },
     Rule { name: "history-whole", says: "each process that runs has a history, and it can be read" },
     Rule {
@@ -155,6 +164,8 @@
     pub seen_failed: Vec<String>,
     /// The first so many gatekeepers; none: no duty has an owner.
     pub voters: usize,
+    /// What came to the sink, in its order; none: there was none.
+    pub landed: Option<Vec<Landed>>,
     pub processes: Vec<Process>,
     pub answered: Vec<Answered>,
     pub delivered: Vec<Delivered>,
@@ -540,6 +551,56 @@
             self.breaks(rule, at, &who, what, lines);
         }
         self.owned_again();
+        if let Some(landed) = &seen.landed {
+            self.effects(landed);
+            self.exported(landed);
+        }
+    }
+
+    fn effects(&mut self, landed: &[Landed]) {
+        let mut last: Option<&Landed> = None;
+        for one in landed.iter().filter(|l| matches!(l.says, Says::Taken { .. })) {
+            if let Some(before) = last.filter(|b| b.epoch > one.epoch) {
+                let what =
+                    format!("an effect of epoch {} was taken after one of {}", one.epoch, before.epoch);
+                let lines = [before, one].map(|l| serde_json::to_string(l).unwrap_or_default());
+                self.breaks("effects-in-order", one.at, &[], what, lines.to_vec());
+            }
+            last = last.filter(|b| b.epoch > one.epoch).or(Some(one));
+        }
+    }
+
+    /// What clients were told is there; what they were not told may be there where a worker ran it.
+    fn exported(&mut self, landed: &[Landed]) {
+        let seen = self.seen;
+        let mut sums: BTreeMap<(&str, u64), (u64, u64, u64)> = BTreeMap::new();
+        for one in landed.iter().filter(|l| l.says == Says::Taken { again: false }) {
+            for sum in &one.batch.sums {
+                let key = (one.batch.stream.gatekeeper.as_str(), sum.customer);
+                sums.entry(key).or_default().0 += sum.milli;
+            }
+        }
+        for one in &seen.answered {
+            let sum = sums.entry((one.gatekeeper.as_str(), one.customer)).or_default();
+            match one.status {
+                Some(200) => sum.1 += 1_000,
+                None => sum.2 += 1_000,
+                _ => {}
+            }
+        }
+        for ((who, customer), (exported, told, untold)) in sums {
+            let judged = seen.processes.iter().any(|p| p.name == who && p.runs && p.disk_lost.is_empty());
+            if judged && !(told..=told + untold).contains(&exported) {
+                let what = format!(
+                    "customer {customer:x} at {who}: {:.3} units at the sink, {:.3} answered as succeeded, {:.3} \
+                     without an answer",
+                    exported as f64 / 1e3,
+                    told as f64 / 1e3,
+                    untold as f64 / 1e3
+                );
+                self.breaks("exported-as-answered", seen.ended, &[who], what, Vec::new());
+            }
+        }
     }
 
     fn owned_again(&mut self) {
@@ -694,6 +755,8 @@
 
 #[cfg(test)]
 mod tests {
+    use lynxstair_export::{Batch, Stream, Sum};
+
     use super::*;
 
     const SECOND: u64 = 1_000_000_000;
@@ -723,6 +786,14 @@
         )
     }
 
+    /// One unit of customer 5 at g1.
+    fn landed(epoch: u64, number: u64, at: u64) -> Landed {
+        let stream = Stream { gatekeeper: "g1".to_string(), folder: 1 };
+        let sums = vec![Sum { customer: 5, operation: 0, window: 1, milli: 1_000 }];
+        let batch = Batch { stream, number, sums, unread: 0 };
+        Landed { at: at * SECOND, epoch, batch, says: Says::Taken { again: number > 1 } }
+    }
+
     fn owns(at: f64, epoch: u64) -> String {
         format!(
             r#"{{"mono":{},"who":"x","run":7,"event":"owns","duty":"export","epoch":{epoch}}}"#,
@@ -759,7 +830,17 @@
     fn answered(id: u64, operation: &'static str, status: Option<u16>) -> Answered {
         let (sent, ended) = (5 * SECOND, 5 * SECOND + 1_000_000);
         let why = if status.is_none() { "none" } else { "" };
-        Answered { id, gatekeeper: "g1".to_string(), operation, sent, ended, status, why, extra: 0 }
+        Answered {
+            id,
+            gatekeeper: "g1".to_string(),
+            customer: 5,
+            operation,
+            sent,
+            ended,
+            status,
+            why,
+            extra: 0,
+        }
     }
 
     fn broken(seen: &Observed) -> Vec<&'static str> {
@@ -774,7 +855,20 @@
     #[test]
     fn each_rule_cries_out() {
         assert_eq!(broken(&good()), Vec::<&str>::new());
-        let cases: [(&str, Breaks); 29] = [
+        let cases: [(&str, Breaks); 33] = [
+            ("effects-in-order", |s| {
+                s.answered = vec![answered(1, "get", Some(200))];
+                s.landed = Some(vec![landed(3, 1, 1), landed(2, 2, 2)]);
+            }),
+            ("exported-as-answered", |s| {
+                s.answered = vec![answered(1, "get", Some(200)), answered(2, "get", Some(200))];
+                s.landed = Some(vec![landed(3, 1, 1)]);
+            }),
+            ("exported-as-answered", |s| s.landed = Some(vec![landed(3, 1, 1)])),
+            ("exported-as-answered", |s| {
+                s.answered = vec![answered(1, "get", Some(200))];
+                s.landed = Some(Vec::new());
+            }),
             ("epoch-has-one-owner", |s| {
                 s.processes[0].history.push(granted(5.0, "g1", 1));
                 s.processes[1].history.push(granted(5.1, "g2", 1));
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -15,11 +15,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use lynxstair_export::Says;
 use lynxstair_fleet::DUTIES;
 use lynxstair_fleet::protocol::{Answer, Ask};
 use lynxstair_membership::{Broken, Phase, State};
 use lynxstair_ownership::Hold;
-use lynxstair_standins::{Load, Message, Plan, ask, config_named, free_port, mono};
+use lynxstair_standins::{Load, Message, Plan, Sink, ask, config_named, free_port, mono};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
@@ -41,6 +42,8 @@
 const FOUND_OUT: u64 = 4_000_000_000;
 /// A fault that is done to a duty's owner waits so long for there to be one.
 const OWNER_WITHIN: Duration = Duration::from_millis(1_500);
+/// What clients were told is to be at the sink by then.
+const EXPORTED_WITHIN: Duration = Duration::from_secs(10);
 const TURN: Duration = Duration::from_millis(5);
 
 /// The machine failed the trial, or it was told to stop: nothing is known of the rules.
@@ -96,6 +99,8 @@
     place: Place,
     relay: Relay,
     load: Option<Load>,
+    /// Where there are owners and a load.
+    sink: Option<Sink>,
     gatekeepers: Vec<Gatekeeper>,
     active: BTreeSet<usize>,
     /// As the trial has them; done to a duty's owner, as it was when they began.
@@ -120,6 +125,16 @@
     let place = Place::find(trial.gatekeepers).map_err(failed("addresses of its own"))?;
     let relay = Relay::start(place, trial.gatekeepers, trial.seed).map_err(failed("the links"))?;
     let load = trial.load.map(|l| Load::new(Plan { per_second: l.invocations_per_second, workers: WORKERS }));
+    let sink = match (&load, trial.voters) {
+        (Some(_), Some(_)) => {
+            let sink = Sink::open(&folder.join("sink"));
+            Some(sink.map_err(|e| failed("the sink")(io::Error::other(e)))?)
+        }
+        _ => None,
+    };
+    if let Some(sink) = &sink {
+        sink.no_refusal.store(stage.broken_ownership.no_refusal, Ordering::SeqCst);
+    }
     let gatekeepers = (0..trial.gatekeepers)
         .map(|n| Gatekeeper {
             child: None,
@@ -131,7 +146,7 @@
         .collect();
     let (active, faults) = (BTreeSet::new(), trial.faults.clone());
     let began = Instant::now();
-    let mut run = Run { trial, stage, folder, place, relay, load, gatekeepers, active, faults, began };
+    let mut run = Run { trial, stage, folder, place, relay, load, sink, gatekeepers, active, faults, began };
     let observed = run.play()?;
     if stage.keep.is_some() {
         let text = trial.to_toml();
@@ -199,6 +214,13 @@
             };
             let all: Vec<_> = (0..voters).map(voter).collect();
             fleet.insert_str(0, &format!("voters = [{}]\n", all.join(", ")));
+            if let Some(sink) = &self.sink {
+                // A moment between check and write, so that pauses fall into it.
+                fleet = fleet.replace(
+                    "[trial]\n",
+                    &format!("[export]\nsink = \"{}\"\n\n[trial]\nstall_ms = 25\n", sink.addr),
+                );
+            }
             let b = self.stage.broken_ownership;
             fleet += &format!(
                 "[trial.broken_ownership]\nvotes-forgotten = {}\nno-waiting-for-disk = {}\nno-epochs = {}\n\
@@ -393,7 +415,26 @@
         if let Some(load) = &mut self.load {
             load.end();
         }
-        Ok(())
+        self.wait_for_export()
+    }
+
+    /// Until the sink has what clients were told, for a time; whether it does is the judge's.
+    fn wait_for_export(&mut self) -> Result<(), Failed> {
+        let (Some(load), Some(sink)) = (&self.load, &self.sink) else { return Ok(()) };
+        let answered = load.traffic.answered.lock().map(|a| a.clone()).unwrap_or_default();
+        let runs = |name: &str| self.gatekeepers.iter().any(|g| g.process.name == name && g.child.is_some());
+        let told = answered.iter().filter(|a| a.status == Some(200) && runs(&a.gatekeeper)).count() as u64;
+        let began = Instant::now();
+        loop {
+            let taken = sink.landed().into_iter().filter(|l| l.says == Says::Taken { again: false });
+            let taken: u64 =
+                taken.filter(|l| runs(&l.batch.stream.gatekeeper)).map(|l| l.batch.milli()).sum();
+            if taken >= told * 1_000 || began.elapsed() > EXPORTED_WITHIN {
+                break;
+            }
+            thread::sleep(10 * TURN);
+        }
+        self.wait(Instant::now() + LASTS)
     }
 
     /// To so many seconds after all served; flaps go on meanwhile.
@@ -683,6 +724,7 @@
             let traffic = &load.traffic;
             observed.answered = traffic.answered.lock().map(|a| a.clone()).unwrap_or_default();
             observed.delivered = traffic.delivered.lock().map(|d| d.clone()).unwrap_or_default();
+            observed.landed = self.sink.as_ref().map(Sink::landed);
             observed.drained = traffic.drained.lock().ok().and_then(|d| *d);
         }
         if self.stage.keep.is_some() {
