The late owner is paused between its check and its write; owners by command, and a sink with faults

A trial that pauses whoever owns a duty waits until an effect is about to be written, so that the pause falls between check and write each time.

--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -142,6 +142,12 @@
                 i.sent, i.succeeded, i.throttled, i.errored, i.unanswered
             );
         }
+        if let Some(e) = &verdict.effects {
+            println!(
+                "effects at the sink: {} taken, {} there already, {} late ones refused",
+                e.taken, e.again, e.refused
+            );
+        }
         for d in &verdict.detections {
             println!(
                 "{} was killed: seen failed after {:.2} s by the first, {:.2} s by the last",
--- /dev/null
+++ b/crates/cli/tests/owners.rs
@@ -0,0 +1,112 @@
+//! Owners of duties as an operator has them, and a sink with faults of its own, against processes.
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use lynxstair_export::Says;
+use lynxstair_standins::{Load, Plan, Sink};
+use serde_json::Value;
+use support::{Hand, run, until};
+
+fn owner(hand: &Hand, by: usize) -> Option<(String, u64)> {
+    let (code, out, _) = run(&["fleet", "owners", &hand.member(by).to_string(), "--json"]);
+    let shown: Value = serde_json::from_str(&out).ok().filter(|_| code == 0)?;
+    let duty = &shown["duties"][0];
+    Some((duty["owner"].as_str()?.to_string(), duty["epoch"].as_u64()?))
+}
+
+/// Who owns is told as a majority has it; hand-over, depose and a voter for another by command; without a
+/// majority it is unknown.
+#[test]
+fn by_command() {
+    let mut hand = Hand::start_with(4, true, |_| String::new(), None);
+    until("somebody owns", || owner(&hand, 3).is_some());
+    let (first, epoch) = owner(&hand, 3).expect("somebody owns");
+    let to = if first == "g4" { "g1" } else { "g4" };
+    let addr = hand.member(1).to_string();
+    let (code, _, err) = run(&["fleet", "hand-over", &addr, "export", to, "--id", "7"]);
+    assert_eq!(code, 0, "{err}");
+    until("it is handed over", || owner(&hand, 0) == Some((to.to_string(), epoch + 1)));
+    // Asked again by the same id, by way of another member: nothing happens twice.
+    let (code, _, err) = run(&["fleet", "hand-over", &hand.member(2).to_string(), "export", to, "--id", "7"]);
+    assert_eq!(code, 0, "{err}");
+    let (code, _, err) = run(&["fleet", "depose", &addr, "export"]);
+    assert_eq!(code, 0, "{err}");
+    until("another owns", || owner(&hand, 0).is_some_and(|(who, e)| who != to && e == epoch + 2));
+    let (code, _, err) = run(&["fleet", "depose", &addr, "rule"]);
+    assert_eq!(code, 2);
+    assert!(err.contains("no such duty"), "{err}");
+
+    let (code, _, err) = run(&["fleet", "voters", "replace", &addr, "g3", "g4"]);
+    assert_eq!(code, 0, "{err}");
+    let (code, out, _) = run(&["fleet", "voters", "show", &hand.member(0).to_string()]);
+    assert_eq!(code, 0, "{out}");
+    assert!(out.contains(" g4 ") && !out.contains(" g3 ") && out.contains("leads"), "{out}");
+    until("the new one votes", || {
+        run(&["fleet", "voters", "show", &hand.member(0).to_string()]).1.matches("Voting in term").count()
+            == 3
+    });
+    // The old one is not needed any more, and the new one is.
+    hand.kill(2);
+    until("somebody owns without it", || owner(&hand, 0).is_some());
+    hand.kill(3);
+    hand.kill(1);
+    let (code, out, _) = run(&["fleet", "owners", &hand.member(0).to_string()]);
+    assert_eq!(code, 1, "{out}");
+    assert!(out.contains("unknown: no majority of the voters was reached"), "{out}");
+    assert!(out.contains(" s ago"), "what it heard last, and when: {out}");
+    hand.start_one(3);
+    until("a majority is back", || owner(&hand, 0).is_some());
+}
+
+/// Without voters nothing of it is there.
+#[test]
+fn no_voters_no_owners() {
+    let hand = Hand::start(1);
+    until("it is asked", || hand.status(0).0 == 0);
+    let (code, _, err) = run(&["fleet", "owners", &hand.member(0).to_string()]);
+    assert_eq!(code, 2);
+    assert!(err.contains("the fleet file names no voters"), "{err}");
+    assert!(!hand.folder.path().join("g1/voter").exists() && !hand.folder.path().join("g1/uses").exists());
+}
+
+/// The sink loses answers, is away, and is set back to an earlier file: what clients were told arrives once, and
+/// what the sink forgot is told of, not papered over.
+#[test]
+fn a_sink_with_faults() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (now, copy) = (folder.path().join("sink"), folder.path().join("copy"));
+    let sink = Sink::open(&now).expect("opens");
+    let mut load = Load::new(Plan { per_second: 150.0, workers: 2 });
+    let more = |_: &str| {
+        format!("log = \"json\"\nhistory = \"history.jsonl\"\n[export]\nsink = \"{}\"\n", sink.addr)
+    };
+    let hand = Hand::start_with(3, true, more, Some(&load));
+    until("somebody owns", || owner(&hand, 0).is_some());
+    let serving: Vec<_> = (0..3).map(|n| (format!("g{}", n + 1), hand.serving(n).into())).collect();
+    let taken = |sink: &Sink| -> u64 {
+        let first = sink.landed().into_iter().filter(|l| l.says == Says::Taken { again: false });
+        first.map(|l| l.batch.milli()).sum()
+    };
+    load.begin(&serving);
+    until("use arrives", || taken(&sink) > 20_000);
+    sink.lose_answers.store(3, Ordering::SeqCst);
+    thread::sleep(Duration::from_millis(700));
+    sink.down.store(true, Ordering::SeqCst);
+    thread::sleep(Duration::from_millis(700));
+    sink.down.store(false, Ordering::SeqCst);
+    // A copy, to be set back to: a file of an earlier moment.
+    std::fs::create_dir_all(&copy).expect("made");
+    std::fs::copy(now.join("ledger"), copy.join("ledger")).expect("copied");
+    thread::sleep(Duration::from_millis(700));
+    load.end();
+    let told = load.traffic.answered.lock().expect("whole").iter().filter(|a| a.status == Some(200)).count();
+    until("all of it is there", || taken(&sink) >= told as u64 * 1_000);
+    thread::sleep(Duration::from_millis(400));
+    assert_eq!(taken(&sink), told as u64 * 1_000, "once and only once");
+    let again = sink.landed().iter().filter(|l| l.says == Says::Taken { again: true }).count();
+    assert!(again > 0, "an answer that was lost made no batch come again");
+}
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use lynxstair_standins::{ask, config_named, free_port};
+use lynxstair_standins::{Load, ask, config_named, free_port};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use tempfile::TempDir;
@@ -44,16 +44,33 @@
     pub folder: TempDir,
     pub children: Vec<Option<Child>>,
     net: String,
+    /// Added to each fleet file.
+    more: String,
+    /// What the gatekeepers serve with; none: nobody is there.
+    load: Option<(String, std::net::SocketAddr, std::net::SocketAddr)>,
 }
 
 impl Hand {
     pub fn start(many: usize) -> Hand {
+        Hand::start_with(many, false, |_| String::new(), None)
+    }
+
+    /// The first three are voters, where `voters`; `more` is added to each fleet file.
+    pub fn start_with(many: usize, voters: bool, more: impl Fn(&str) -> String, load: Option<&Load>) -> Hand {
         static NEXT: AtomicU32 = AtomicU32::new(1);
         let next = NEXT.fetch_add(1, Ordering::SeqCst);
         // Addresses of its own: no other test, and no trial, is there.
         let net = format!("127.{}.{}", 16 + next, std::process::id() % 250 + 1);
         let folder = tempfile::tempdir().expect("a folder");
-        let mut hand = Hand { folder, children: (0..many).map(|_| None).collect(), net };
+        let load = load.map(|l| (l.known(), l.counter.addr, l.discovery.addr));
+        let mut hand =
+            Hand { folder, children: (0..many).map(|_| None).collect(), net, more: String::new(), load };
+        if voters {
+            let voter = |v: usize| format!("{{ name = \"g{}\", addr = \"{}\" }}", v + 1, hand.member(v));
+            let all: Vec<_> = (0..3).map(voter).collect();
+            hand.more = format!("voters = [{}]\n", all.join(", "));
+        }
+        hand.more += &more(&hand.net);
         (0..many).for_each(|n| hand.start_one(n));
         hand
     }
@@ -74,11 +91,14 @@
         let name = format!("g{}", n + 1);
         let nobody = free_port();
         let known = r#"{"revision":1,"complete":true,"members":[]}"#;
-        let config = config_named(&name, self.serving(n).into(), known, nobody, nobody);
+        let (known, counter, discovery) =
+            self.load.as_ref().map_or((known, nobody, nobody), |(k, c, d)| (k.as_str(), *c, *d));
+        let config = config_named(&name, self.serving(n).into(), known, counter, discovery);
         let fleet = format!(
-            "fleet = \"hand\"\nname = \"{name}\"\nhall = \"h1\"\nbind = \"{}\"\nseeds = [\"{}\"]\ndata = \"{name}\"\n",
+            "fleet = \"hand\"\nname = \"{name}\"\nhall = \"h1\"\nbind = \"{}\"\nseeds = [\"{}\"]\ndata = \"{name}\"\n{}",
             self.member(n),
-            self.member(0)
+            self.member(0),
+            self.more
         );
         let config_file = self.folder.path().join(format!("{name}.json"));
         fs::write(&config_file, config).expect("written");
--- a/crates/cli/tests/trials.rs
+++ b/crates/cli/tests/trials.rs
@@ -73,6 +73,8 @@
         ("suspicion", trials.join("loss.toml"), "never-failed"),
         ("lateness", trials.join("cut-off-alone.toml"), "never-failed"),
         ("incarnation", trials.join("restarts.toml"), "incarnation-forward"),
+        ("refusal", trials.join("owner-late.toml"), "effects-in-order"),
+        ("epochs", trials.join("owner-killed.toml"), "epoch-has-one-owner"),
         ("relays", own.join("relays.toml"), "cuts-do-not-flap"),
     ];
     let played = play(cases.iter().map(|(part, file, _)| (file.clone(), vec!["--without", part])).collect());
--- a/crates/fleet/src/exporter.rs
+++ b/crates/fleet/src/exporter.rs
@@ -36,6 +36,13 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "event")]
 pub(crate) enum Event {
+    /// It is about to be written.
+    Begins {
+        duty: String,
+        epoch: u64,
+        stream: String,
+        number: u64,
+    },
     /// None: no answer came.
     Effect {
         duty: String,
@@ -194,6 +201,8 @@
                 return Ok(());
             }
             if !self.stall.is_zero() {
+                let (duty, stream, number) = (DUTY.to_string(), name_of(&batch.stream), batch.number);
+                side.note_now(&Event::Begins { duty, epoch: epoch.0, stream, number });
                 thread::sleep(self.stall);
             }
             self.write(side, epoch, &batch).map_err(Ok)?;
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -105,6 +105,8 @@
     /// last of the others had.
     pub detections: Vec<Detection>,
     pub invocations: Invocations,
+    /// Of the owner of export, at the sink; none: there was no sink.
+    pub effects: Option<Effects>,
     /// CPU of a gatekeeper a second, as a part of a core; the mean over those that ran through.
     pub cpu: Option<f64>,
 }
@@ -117,6 +119,16 @@
     pub last: f64,
 }
 
+/// Counts of what came to a sink.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Effects {
+    pub taken: usize,
+    /// They were there already: nothing changed.
+    pub again: usize,
+    /// Of a lower epoch than was seen there.
+    pub refused: usize,
+}
+
 /// Counts of a load.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Invocations {
@@ -258,6 +270,14 @@
         agreed_after,
         detections,
         invocations: counted(seen),
+        effects: seen.landed.as_ref().map(|landed| {
+            let with = |is: fn(&Says) -> bool| landed.iter().filter(|l| is(&l.says)).count();
+            Effects {
+                taken: with(|s| *s == Says::Taken { again: false }),
+                again: with(|s| *s == Says::Taken { again: true }),
+                refused: with(|s| matches!(s, Says::Refused { .. })),
+            }
+        }),
         cpu: seen.cpu,
     }
 }
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -41,6 +41,7 @@
 /// Within so long members find out what links are cut, in nanoseconds.
 const FOUND_OUT: u64 = 4_000_000_000;
 /// A fault that is done to a duty's owner waits so long for there to be one.
+const EFFECT_WITHIN: Duration = Duration::from_millis(1_500);
 const OWNER_WITHIN: Duration = Duration::from_millis(1_500);
 /// What clients were told is to be at the sink by then.
 const EXPORTED_WITHIN: Duration = Duration::from_secs(10);
@@ -508,9 +509,30 @@
         None
     }
 
+    /// Until the owner is between the check and the write of an effect, or for a time: a pause is to fall there.
+    fn wait_for_effect(&self, who: &[usize]) {
+        let Some(n) = who.first().filter(|_| self.sink.is_some()) else { return };
+        let path = self.folder.join(format!("{}.jsonl", self.name(*n)));
+        let len = || fs::metadata(&path).map_or(0, |m| m.len());
+        let (began, from) = (Instant::now(), len());
+        while began.elapsed() < EFFECT_WITHIN {
+            thread::sleep(Duration::from_millis(1));
+            if len() > from {
+                let bytes = fs::read(&path).unwrap_or_default();
+                let new = String::from_utf8_lossy(&bytes[(from as usize).min(bytes.len())..]).into_owned();
+                if new.lines().last().is_some_and(|l| l.contains("\"event\":\"begins\"")) {
+                    return;
+                }
+            }
+        }
+    }
+
     fn begins(&mut self, fault: usize) {
         if self.trial.faults[fault].kind.names_owner() {
             let kind = self.trial.faults[fault].kind.of_owner(&|duty| self.owner_of(duty));
+            if let Kind::Pause { who } = &kind {
+                self.wait_for_effect(who);
+            }
             self.faults[fault].kind = kind;
         }
         self.active.insert(fault);
