--- a/crates/fleet/src/uses.rs
+++ b/crates/fleet/src/uses.rs
@@ -22,7 +22,7 @@
 use crate::side::lock;
 
 /// A segment is sealed after so long, and before it holds so many uses.
-const SEAL_EVERY: Duration = Duration::from_millis(200);
+const SEAL_EVERY: Duration = Duration::from_millis(500);
 const SEGMENT: u64 = MOST_SUMS as u64;
 /// So many sealed batches are held in memory; the rest lies on disk until there is room.
 const IN_MEMORY: usize = 64;
