Uses that wait survive any failure of the disk; one telling of who owns it instead

Found: in Uses::seal an error of set_len or metadata came after what waits had been taken out and before it was put back, so it was lost (crates/fleet/src/uses.rs); all that may fail is in one place now, and the waiting are put back on every path. An owner asked each member twice a turn, though it knew whose records it keeps; once now. Who owns a duty instead was spelled four times in office.rs, and whether it is this one's three times; the question for duties twice in the trial.

--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -203,7 +203,7 @@
 }
 
 /// The duties that there are.
-pub const DUTIES: [&str; 1] = ["export"];
+pub const DUTIES: [&str; 1] = [crate::exporter::DUTY];
 
 struct Reader<'a> {
     file: &'a Path,
--- a/crates/fleet/src/exporter.rs
+++ b/crates/fleet/src/exporter.rs
@@ -3,7 +3,7 @@
 //! way of an invocation. It may begin a write only while its lease lasts; that the write is harmless where it
 //! comes too late is the sink's doing, by the epoch.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddrV4, TcpStream};
 use std::sync::Arc;
@@ -14,7 +14,8 @@
 use lynxstair_ownership::Epoch;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use socket2::{Domain, Socket, Type};
 use tracing::{info, warn};
 
@@ -33,7 +34,7 @@
 const LONGEST_ALONE: Duration = Duration::from_secs(5);
 
 /// What became of one effect, for the history.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "snake_case", tag = "event")]
 pub(crate) enum Event {
     /// It is about to be written.
@@ -80,7 +81,9 @@
     alone: Duration,
     not_before: Instant,
     /// Members that could not be asked, since this owner began.
-    unknown: BTreeMap<String, ()>,
+    unknown: BTreeSet<String>,
+    /// By member: whose records it said it keeps, so that it is asked once where nothing is there.
+    streams: BTreeMap<String, Stream>,
     /// For trials: a pause between a check and the write it is for.
     stall: Duration,
     /// It did in this turn: once is enough, and none of many members waits for the others.
@@ -102,7 +105,8 @@
             chance: Pcg64Mcg::seed_from_u64(seed),
             alone: LEFT_ALONE,
             not_before: Instant::now(),
-            unknown: BTreeMap::new(),
+            unknown: BTreeSet::new(),
+            streams: BTreeMap::new(),
             stall,
             stalled: false,
         };
@@ -153,16 +157,16 @@
             if side.may_begin(DUTY) != Some(epoch) {
                 return Ok(());
             }
-            match self.carry_of(side, epoch, addr) {
+            match self.carry_of(side, epoch, &name, addr) {
                 Ok(()) => {
-                    if self.unknown.remove(&name).is_some() {
+                    if self.unknown.remove(&name) {
                         info!(member = %name, "fleet: export: known again");
                         side.note_now(&Event::Known { member: name });
                     }
                 }
                 Err(Ok(failed)) => return Err(failed),
                 Err(Err(why)) => {
-                    if self.unknown.insert(name.clone(), ()).is_none() {
+                    if self.unknown.insert(name.clone()) {
                         warn!(member = %name, %why, "fleet: export: what it holds is unknown");
                         side.note_now(&Event::Unknown { member: name, why });
                     }
@@ -204,9 +208,10 @@
         &mut self,
         side: &Side,
         epoch: Epoch,
+        name: &str,
         addr: Option<SocketAddrV4>,
     ) -> Result<(), Result<Failed, String>> {
-        let mut stream = None;
+        let mut stream = self.streams.get(name).cloned();
         for _ in 0..IN_ONE_TURN {
             let had = stream.as_ref().and_then(|s| self.carrier.has(s));
             let ask = Ask::Uses { stream: stream.clone(), had: had.unwrap_or(0) };
@@ -218,10 +223,14 @@
                 return Err(Err("keeps no uses".to_string()));
             };
             self.carrier.heard_of(&of, held_milli);
-            let first = stream.replace(of).is_none();
+            let other = stream.as_ref() != Some(&of);
+            if other {
+                self.streams.insert(name.to_string(), of.clone());
+                stream = Some(of);
+            }
             let Some(batch) = batch else {
-                // Asked first by its name only; now by how far the sink is.
-                if first {
+                // It was asked for no records, or for others than it keeps; now by how far the sink is with these.
+                if other {
                     continue;
                 }
                 return Ok(());
@@ -305,7 +314,7 @@
     Some((status, body))
 }
 
-fn read<T: for<'a> Deserialize<'a>>(body: &[u8]) -> Result<T, Failed> {
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, Failed> {
     serde_json::from_slice(body).map_err(|e| Failed::Sink(format!("not understood: {e}")))
 }
 
--- a/crates/fleet/src/uses.rs
+++ b/crates/fleet/src/uses.rs
@@ -235,21 +235,27 @@
             let milli = std::mem::take(&mut open.milli);
             (std::mem::replace(&mut open.file, next), waiting, milli)
         };
-        // What waits goes to the segment that ends: a half-written record there is cut off first.
-        let len = file.metadata()?.len();
-        file.set_len(len - len % USE_BYTES as u64)?;
-        let put = (&file).write_all(&waiting.concat()).and_then(|()| file.sync_all());
-        if let Err(e) = put {
+        // What waits goes to the segment that ends: a half-written record there is cut off first. Nothing may
+        // fail between here and its being put back.
+        let mut whole = None;
+        let mut put = || {
+            let len = file.metadata()?.len();
+            let end = *whole.insert(len - len % USE_BYTES as u64);
+            file.set_len(end)?;
+            (&file).write_all(&waiting.concat())?;
+            file.sync_all()
+        };
+        if let Err(e) = put() {
+            if let Some(end) = whole {
+                let _ = file.set_len(end);
+            }
+            lock(&self.sealed).on_disk.insert(number, (whole.unwrap_or_default(), 0));
             let mut open = lock(&self.open);
-            let later = std::mem::take(&mut open.waiting);
-            open.waiting = waiting;
-            open.waiting.extend(later);
-            let _ = file.set_len(len - len % USE_BYTES as u64);
+            open.waiting.splice(0..0, waiting);
             open.milli += milli;
-            lock(&self.sealed).on_disk.insert(number, (len, 0));
             return Err(e);
         }
-        let len = file.metadata()?.len();
+        let len = whole.unwrap_or_default() + (waiting.len() * USE_BYTES) as u64;
         lock(&self.sealed).on_disk.insert(number, (len, milli));
         Ok(())
     }
--- a/crates/ownership/src/book.rs
+++ b/crates/ownership/src/book.rs
@@ -35,6 +35,13 @@
     pub not_for: Option<String>,
 }
 
+impl Held {
+    /// Whether this start of that member's process owns it.
+    pub(crate) fn is_of(&self, name: &str, stand: u64) -> bool {
+        self.owner.as_ref().is_some_and(|o| o.name == name && o.stand == stand)
+    }
+}
+
 /// What is changed. Each says what it takes for granted, and changes nothing where that is not so any more.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
--- a/crates/ownership/src/office.rs
+++ b/crates/ownership/src/office.rs
@@ -134,6 +134,12 @@
     }
 }
 
+/// Who owns it instead, if anybody.
+fn not_yours(held: Option<&Held>) -> Answer {
+    let owner = held.and_then(|h| h.owner.as_ref()).map(|o| o.name.clone());
+    Answer::NotYours { epoch: held.map_or(Epoch(0), |h| h.epoch), owner }
+}
+
 impl Voter {
     /// A question to the leader.
     pub(crate) fn answer_ask(&mut self, now: Time, addr: SocketAddrV4, who: &str, number: u64, ask: &Ask) {
@@ -154,8 +160,7 @@
         match ask {
             Ask::Claim { duty, stand, seen } => {
                 let held = node.book.duties.get(duty);
-                let yours = |o: &Owner| o.name == who && o.stand == *stand;
-                if held.is_some_and(|h| h.owner.as_ref().is_some_and(yours)) {
+                if held.is_some_and(|h| h.is_of(who, *stand)) {
                     let unheard = office.unheard.entry(duty.clone()).or_default();
                     *unheard += 1;
                     if *unheard <= UNHEARD {
@@ -170,8 +175,8 @@
                 }
                 let epoch = held.map_or(Epoch(0), |h| h.epoch);
                 if office.granting.contains(duty) || !office.may_grant(now, lease, held, duty, who) {
-                    let owner = held.and_then(|h| h.owner.as_ref()).map(|o| o.name.clone());
-                    return self.answer(addr, number, Answer::NotYours { epoch, owner });
+                    let answer = not_yours(held);
+                    return self.answer(addr, number, answer);
                 }
                 let to = Owner { name: who.to_string(), stand: *stand };
                 let (duty, at, by) = (duty.clone(), now.nanos(), self.me.name.clone());
@@ -180,22 +185,16 @@
             }
             Ask::Renew { duty, stand, epoch } => {
                 let held = node.book.duties.get(duty);
-                let yours = |o: &Owner| o.name == who && o.stand == *stand;
                 match held {
                     // One that is to hand it over hears no, and gives it back at once.
-                    Some(h)
-                        if h.epoch == *epoch
-                            && h.owner.as_ref().is_some_and(yours)
-                            && h.meant_for.is_none() =>
-                    {
+                    Some(h) if h.epoch == *epoch && h.is_of(who, *stand) && h.meant_for.is_none() => {
                         office.unheard.remove(duty);
                         office.deaf.remove(who);
                         self.confirm(now, caller, ask);
                     }
                     held => {
-                        let epoch = held.map_or(Epoch(0), |h| h.epoch);
-                        let owner = held.and_then(|h| h.owner.as_ref()).map(|o| o.name.clone());
-                        self.answer(addr, number, Answer::NotYours { epoch, owner });
+                        let answer = not_yours(held);
+                        self.answer(addr, number, answer);
                     }
                 }
             }
@@ -286,23 +285,19 @@
         let answer = match ask {
             Ask::Claim { duty, stand, .. } | Ask::Renew { duty, stand, .. } => {
                 let held = node.book.duties.get(duty);
-                let yours = |o: &Owner| o.name == caller.name && o.stand == *stand;
                 // It is on its way to somebody else: no word that it is still this one's.
                 if self.office.as_ref()?.granting.contains(duty) {
                     return None;
                 }
                 match held {
-                    Some(h) if h.owner.as_ref().is_some_and(yours) => {
+                    Some(h) if h.is_of(&caller.name, *stand) => {
                         // From now on, which is later than from when the owner counts.
                         if let Some(office) = self.office.as_mut() {
                             office.leases.insert(duty.clone(), now + self.times.lease);
                         }
                         Answer::Yours { epoch: h.epoch, state: h.state.clone() }
                     }
-                    held => Answer::NotYours {
-                        epoch: held.map_or(Epoch(0), |h| h.epoch),
-                        owner: held.and_then(|h| h.owner.as_ref()).map(|o| o.name.clone()),
-                    },
+                    held => not_yours(held),
                 }
             }
             _ => Answer::Book {
@@ -353,13 +348,7 @@
                 let state = node.book.duties.get(duty).map(|h| h.state.clone()).unwrap_or_default();
                 Answer::Yours { epoch: *epoch, state }
             }
-            (Command::Grant { duty, .. }, _) => {
-                let held = node.book.duties.get(duty);
-                Answer::NotYours {
-                    epoch: held.map_or(Epoch(0), |h| h.epoch),
-                    owner: held.and_then(|h| h.owner.as_ref()).map(|o| o.name.clone()),
-                }
-            }
+            (Command::Grant { duty, .. }, _) => not_yours(node.book.duties.get(duty)),
             // Given back before, by the same question.
             (Command::GiveBack { .. }, _) => Answer::Done,
             // By the same id before: what came of it then is in the book.
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -19,7 +19,7 @@
 use lynxstair_fleet::DUTIES;
 use lynxstair_fleet::protocol::{Answer, Ask};
 use lynxstair_membership::{Broken, Phase, State};
-use lynxstair_ownership::Hold;
+use lynxstair_ownership::{DutySeen, Hold};
 use lynxstair_standins::{Load, Message, Plan, Sink, ask, config_named, free_port, mono};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -40,8 +40,9 @@
 const WORKERS: usize = 4;
 /// Within so long members find out what links are cut, in nanoseconds.
 const FOUND_OUT: u64 = 4_000_000_000;
-/// A fault that is done to a duty's owner waits so long for there to be one.
+/// A pause of an owner waits so long for an effect to fall into.
 const EFFECT_WITHIN: Duration = Duration::from_millis(1_500);
+/// A fault that is done to a duty's owner waits so long for there to be one.
 const OWNER_WITHIN: Duration = Duration::from_millis(1_500);
 /// What clients were told is to be at the sink by then.
 const EXPORTED_WITHIN: Duration = Duration::from_secs(10);
@@ -813,10 +814,17 @@
     Some((view.phase, there.map(|m| m.name.as_str().to_string()).collect()))
 }
 
+/// What a member is with each duty.
+fn duties(addr: SocketAddrV4) -> Option<Vec<DutySeen>> {
+    match lynxstair_fleet::ask(addr, &Ask::Own).ok()? {
+        Answer::Own { duties, .. } => Some(duties),
+        _ => None,
+    }
+}
+
 /// What a member says that it owns, and in which epoch.
 fn owns(addr: SocketAddrV4) -> Option<BTreeMap<String, u64>> {
-    let Answer::Own { duties, .. } = lynxstair_fleet::ask(addr, &Ask::Own).ok()? else { return None };
-    let owned = duties.into_iter().filter_map(|d| match d.hold {
+    let owned = duties(addr)?.into_iter().filter_map(|d| match d.hold {
         Hold::Owns { epoch } => Some((d.duty, epoch.0)),
         Hold::Stands => None,
     });
@@ -825,6 +833,5 @@
 
 /// Whether a member has heard who owns each duty.
 fn owner_heard(addr: SocketAddrV4) -> Option<bool> {
-    let Answer::Own { duties, .. } = lynxstair_fleet::ask(addr, &Ask::Own).ok()? else { return None };
-    Some(duties.iter().all(|d| d.owner.is_some()))
+    Some(duties(addr)?.iter().all(|d| d.owner.is_some()))
 }
