--- a/crates/gatekeeper/src/clients.rs
+++ b/crates/gatekeeper/src/clients.rs
@@ -11,12 +11,12 @@
 use lynxstair_settings::Bounds;
 use may::io::{CoIo, WaitIo};
 
-use crate::conn::{Conn, Got, Ring};
-use crate::desk::{Final, Pick};
-use crate::http::{self, Bad, Call, Extent, MOST_MESSAGE};
 use crate::program::Gate;
 use crate::workers::Link;
+use lynxstair_desk::{Final, Pick};
+use lynxstair_wire::conn::{Conn, Got, Ring};
 use lynxstair_wire::coroutine::go_then;
+use lynxstair_wire::http::{self, Bad, Call, Extent, MOST_BODY, MOST_MESSAGE};
 use lynxstair_wire::log;
 
 /// A connection brings its first invocation within so long, and a message is whole so long after its first byte:
@@ -259,7 +259,7 @@
     fn serve(self: &Arc<Self>, gate: &Arc<Gate>) {
         loop {
             while self.take_message(gate) {}
-            if self.conn.read() == Got::End {
+            if self.conn.read() != Got::Bytes {
                 return;
             }
         }
@@ -317,7 +317,7 @@
         }
         let now = gate.clock.now();
         let bytes = inbound.bytes();
-        let extent = match http::call_extent(bytes) {
+        let extent = match http::call_extent(bytes, MOST_BODY) {
             Ok(Some(extent)) => extent,
             Ok(None) => {
                 state.part_since.get_or_insert(now);
@@ -583,7 +583,7 @@
     use lynxstair_settings::Bounds;
 
     use super::{IDLE_TIME, Stage, State, is_over, weight};
-    use crate::http::{Bad, Extent};
+    use lynxstair_wire::http::{Bad, Extent};
 
     fn at(s: u64) -> Time {
         Time::from_nanos(s * 1_000_000_000)
--- a/crates/gatekeeper/src/counter.rs
+++ b/crates/gatekeeper/src/counter.rs
@@ -8,11 +8,11 @@
 
 use lynxstair::types::{CountName, Outcome, Span, Time};
 
-use crate::conn::{Conn, Got};
-use crate::desk::Count;
-use crate::http::{self, MOST_MESSAGE};
 use crate::program::Gate;
+use lynxstair_desk::Count;
+use lynxstair_wire::conn::{Conn, Got};
 use lynxstair_wire::coroutine::go_then;
+use lynxstair_wire::http::{self, MOST_MESSAGE, Stop};
 use lynxstair_wire::log;
 
 /// A call that took so many times the counter's time limit gets no answer any more. A late total is no failure.
@@ -153,7 +153,7 @@
             return;
         }
         loop {
-            if self.conn.read() == Got::End || !self.take_answers(gate) {
+            if self.conn.read() != Got::Bytes || !self.take_answers(gate) {
                 return;
             }
         }
@@ -167,7 +167,7 @@
                 return true;
             }
             let bytes = inbound.bytes();
-            let extent = match http::answer_extent(bytes, false, MOST_TOTAL) {
+            let extent = match http::answer_extent(bytes, Stop::Open, MOST_TOTAL) {
                 Ok(Some(extent)) => extent,
                 Ok(None) => return true,
                 Err(_) => {
--- a/crates/gatekeeper/src/discovery.rs
+++ b/crates/gatekeeper/src/discovery.rs
@@ -9,10 +9,10 @@
 use lynxstair::types::{CellId, KindId, Listed, Phase, Scope, Span, Time, WorkerId, ZoneId};
 use serde::Deserialize;
 
-use crate::conn::{Conn, Got};
-use crate::http;
 use crate::program::Gate;
+use lynxstair_wire::conn::{Conn, Got};
 use lynxstair_wire::coroutine::go;
+use lynxstair_wire::http;
 use lynxstair_wire::log;
 
 /// A line comes every two seconds, empty where nothing changed: silence for longer is a broken watch.
@@ -159,7 +159,7 @@
         let mut is_open = false;
         let mut line = Vec::new();
         loop {
-            if watch.read() == Got::End {
+            if watch.read() != Got::Bytes {
                 return "closed".to_string();
             }
             let mut inbound = watch.inbound();
--- a/crates/gatekeeper/src/main.rs
+++ b/crates/gatekeeper/src/main.rs
@@ -3,11 +3,8 @@
 
 mod clients;
 mod config;
-mod conn;
 mod counter;
-mod desk;
 mod discovery;
-mod http;
 mod program;
 mod workers;
 
--- a/crates/gatekeeper/src/program.rs
+++ b/crates/gatekeeper/src/program.rs
@@ -14,12 +14,12 @@
 
 use crate::clients::{Client, Clients};
 use crate::config::{self, Config};
-use crate::conn::bound_buffers;
 use crate::counter::Counter;
-use crate::desk::Desk;
 use crate::discovery::Discovery;
 use crate::workers::Workers;
+use lynxstair_desk::Desk;
 use lynxstair_wire::clock::Clock;
+use lynxstair_wire::conn::bound_buffers;
 use lynxstair_wire::coroutine::{go, prepare};
 use lynxstair_wire::log;
 use lynxstair_wire::ticker::Ticker;
--- a/crates/gatekeeper/src/workers.rs
+++ b/crates/gatekeeper/src/workers.rs
@@ -9,11 +9,11 @@
 use lynxstair_settings::Limits;
 
 use crate::clients::Client;
-use crate::conn::{Conn, Got, Ring};
-use crate::desk::{self, GiveUp, Next};
-use crate::http::{self, Extent, MOST_BODY, MOST_MESSAGE};
 use crate::program::Gate;
+use lynxstair_desk::{self as desk, GiveUp, Next};
+use lynxstair_wire::conn::{Conn, Got, Ring};
 use lynxstair_wire::coroutine::go_then;
+use lynxstair_wire::http::{self, Extent, MOST_BODY, MOST_MESSAGE, Stop};
 use lynxstair_wire::log;
 
 pub type Order = desk::Order<Arc<Client>>;
@@ -306,8 +306,12 @@
             return;
         }
         loop {
-            let ended = self.conn.read() == Got::End;
-            if !self.take_answer(gate, ended) || ended {
+            let stop = match self.conn.read() {
+                Got::Bytes => Stop::Open,
+                Got::End => Stop::Orderly,
+                Got::Broken => Stop::Broken,
+            };
+            if !self.take_answer(gate, stop) || stop != Stop::Open {
                 return;
             }
         }
@@ -349,14 +353,14 @@
     }
 
     /// Acts on the answer, if it is whole; whether the connection is still good.
-    fn take_answer(self: &Arc<Self>, gate: &Arc<Gate>, ended: bool) -> bool {
+    fn take_answer(self: &Arc<Self>, gate: &Arc<Gate>, stop: Stop) -> bool {
         loop {
             let mut inbound = self.conn.inbound();
             if inbound.is_empty() {
                 return true;
             }
             let bytes = inbound.bytes();
-            let extent = match http::answer_extent(bytes, ended, MOST_BODY) {
+            let extent = match http::answer_extent(bytes, stop, MOST_BODY) {
                 Ok(Some(extent)) => extent,
                 Ok(None) => return true,
                 Err(_) => {
@@ -397,7 +401,7 @@
                 inbound.consume(extent.all);
                 inbound.is_empty()
             };
-            let keep = extent.keep_alive && clean && !ended;
+            let keep = extent.keep_alive && clean && stop == Stop::Open;
             if keep {
                 self.rest(gate);
             }
@@ -453,7 +457,7 @@
             let hidden = ["x-allowance-used", "server-load", "not-started"];
             for (name, value) in answer.headers.passed_on() {
                 if !hidden.iter().any(|h| name.eq_ignore_ascii_case(h)) {
-                    put_header(out, name, value)?;
+                    http::put_header(out, name, value)?;
                 }
             }
             out.write_all(b"\r\n")?;
@@ -469,13 +473,6 @@
     }
 }
 
-fn put_header(out: &mut Ring, name: &str, value: &[u8]) -> io::Result<()> {
-    out.write_all(name.as_bytes())?;
-    out.write_all(b": ")?;
-    out.write_all(value)?;
-    out.write_all(b"\r\n")
-}
-
 /// The client's message as the worker gets it: unchanged but for the time left and what is of a connection.
 fn put_delivery(out: &mut Ring, call: &http::Call, body: &[u8], left_ms: u64) -> io::Result<()> {
     write!(out, "{} {} HTTP/1.1\r\nRequest-Timeout-Ms: {left_ms}\r\n", call.method, call.target)?;
@@ -484,7 +481,7 @@
     }
     for (name, value) in call.headers.passed_on() {
         if !name.eq_ignore_ascii_case("request-timeout-ms") {
-            put_header(out, name, value)?;
+            http::put_header(out, name, value)?;
         }
     }
     out.write_all(b"\r\n")?;
--- /dev/null
+++ b/crates/hut/src/main.rs
@@ -0,0 +1,33 @@
+//! The hut: one core of the system.
+#![deny(unsafe_code)]
+
+mod hut;
+mod store;
+
+use std::process::ExitCode;
+
+use lynxstair_trailbook::program::{Asked, ask, log_json};
+use lynxstair_trailbook::settings::Settings;
+
+const ABOUT: &str = "lynxstair-hut: a core of the system. It keeps the book, the register, the purse and the board.
+
+  lynxstair-hut               serves, as the settings file says that LYNXSTAIR_BOOT names
+  lynxstair-hut check FILE    reads a settings file and says what is wrong with it
+  lynxstair-hut --help | --version
+
+Exit codes: 0 ended when told to, or the file is good; 1 it can't serve; 2 the command line or the file is bad.";
+
+fn main() -> ExitCode {
+    let settings: Settings = match ask("lynxstair-hut", ABOUT, env!("CARGO_PKG_VERSION")) {
+        Asked::Serve(settings) => *settings,
+        Asked::End(code) => return code,
+    };
+    log_json();
+    match hut::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("lynxstair-hut: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/pass/src/clients.rs
@@ -0,0 +1,488 @@
+//! Clients on sockets: their connections, the requests on them, the answers in the order of the requests.
+
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use lynxstair::types::{Span, Time};
+use lynxstair_trailbook::verdict::Verdict;
+use lynxstair_wire::calls;
+use lynxstair_wire::conn::{Conn, Got, Ring};
+use lynxstair_wire::coroutine::go_then;
+use lynxstair_wire::http::{self, Bad, Extent, MOST_HEAD};
+use may::io::CoIo;
+use may::sync::Blocker;
+
+use crate::road::Road;
+use crate::rooms::{Admitted, Asked, Own};
+use crate::workers::{Answer, Carrier, Outgoing};
+
+/// So many requests of one connection are at work at once; the rest waits unread.
+const AT_ONCE: usize = 16;
+/// Before a configuration is known: how long a head may take, and how long a connection may stand idle.
+const HEADER_TIME: Span = Span::from_millis(3_000);
+const IDLE_TIME: Span = Span::from_millis(15_000);
+/// A body that comes is given this much longer than a head.
+const BODY_TIME: Span = Span::from_millis(10_000);
+/// A request's own answer comes this much before its client gives up.
+const MARGIN: Span = Span::from_millis(4);
+/// What a client does not read, of a long answer, waits in this many bytes at most.
+const MOST_UNREAD: usize = 256 << 10;
+const MOST: usize = (2 << 20) + MOST_HEAD;
+
+pub struct Clients {
+    most: usize,
+    open: AtomicUsize,
+    /// No more requests are read; connections end with their last answer.
+    pub closing: AtomicBool,
+    all: Mutex<HashMap<usize, Arc<Client>>>,
+    last: AtomicUsize,
+}
+
+impl Clients {
+    pub fn new(most: usize) -> Clients {
+        Clients {
+            most,
+            open: AtomicUsize::new(0),
+            closing: AtomicBool::new(false),
+            all: Mutex::default(),
+            last: AtomicUsize::new(0),
+        }
+    }
+
+    fn all(&self) -> MutexGuard<'_, HashMap<usize, Arc<Client>>> {
+        self.all.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    pub fn count(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    pub fn serve(road: &Arc<Road>, listener: &CoIo<TcpListener>) {
+        calls::accept(listener, |stream| {
+            let clients = &road.clients;
+            if clients.count() >= clients.most {
+                return;
+            }
+            let Ok(conn) = Conn::new(stream, MOST) else { return };
+            let number = clients.last.fetch_add(1, Ordering::Relaxed);
+            let client = Arc::new(Client { conn: Arc::new(conn), order: Mutex::default() });
+            clients.open.fetch_add(1, Ordering::Relaxed);
+            clients.all().insert(number, client.clone());
+            let (r, ending) = (road.clone(), road.clone());
+            let leaving = client.clone();
+            let serve = move || client.serve(&r);
+            go_then("a client", serve, move |_| {
+                leaving.leave();
+                ending.clients.all().remove(&number);
+                ending.clients.open.fetch_sub(1, Ordering::Relaxed);
+            });
+        });
+    }
+
+    /// Those that rest are ended, the others end with their last answer.
+    pub fn finish(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+        for client in self.all().values() {
+            client.conn.nudge();
+        }
+    }
+}
+
+/// The order of answers on one connection.
+#[derive(Default)]
+struct Order {
+    asked: u64,
+    answered: u64,
+    /// Those that are ready before their turn.
+    waiting: HashMap<u64, Arc<Blocker>>,
+    at_work: HashMap<u64, Arc<Carrier>>,
+    /// The answer by this number is the last one.
+    last: Option<u64>,
+}
+
+struct Client {
+    conn: Arc<Conn>,
+    order: Mutex<Order>,
+}
+
+/// A request as it was read.
+struct Request {
+    number: u64,
+    bytes: Vec<u8>,
+    extent: Extent,
+    read_at: Time,
+}
+
+impl Client {
+    fn order(&self) -> MutexGuard<'_, Order> {
+        self.order.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// The connection has ended: nobody waits for what is at work.
+    fn leave(&self) {
+        self.conn.close();
+        let mut order = self.order();
+        order.last = Some(0);
+        order.at_work.values().for_each(|c| c.leave());
+        order.waiting.values().for_each(|b| b.unpark());
+    }
+
+    /// Reads one request after another and starts each.
+    fn serve(self: &Arc<Self>, road: &Arc<Road>) {
+        let mut since = road.alarms.now();
+        let mut part_since: Option<Time> = None;
+        let mut told_to_go_on = false;
+        loop {
+            let (header_time, idle_time, most_body) = road.client_limits();
+            let now = road.alarms.now();
+            match part_since {
+                Some(part) => road.alarms.nudge(part + header_time, &self.conn),
+                None => road.alarms.nudge(since + idle_time, &self.conn),
+            }
+            // What is at work goes on; only what is read next waits for room.
+            if self.conn.read() != Got::Bytes {
+                return self.settle(road);
+            }
+            let _ = now;
+            loop {
+                let now = road.alarms.now();
+                let busy = {
+                    let order = self.order();
+                    if order.last.is_some() {
+                        return self.settle_open(road, order);
+                    }
+                    (order.asked - order.answered) as usize
+                };
+                let mut inbound = self.conn.inbound();
+                if inbound.is_empty() {
+                    part_since = None;
+                    if busy > 0 {
+                        since = now;
+                    } else if road.is_closing() || now - since >= idle_time {
+                        drop(inbound);
+                        self.conn.finish();
+                        return self.read_over(road);
+                    }
+                    break;
+                }
+                if busy >= AT_ONCE {
+                    break;
+                }
+                let bytes = inbound.bytes();
+                let extent = match http::call_extent(bytes, most_body) {
+                    Ok(Some(extent)) => extent,
+                    Ok(None) => {
+                        let part = *part_since.get_or_insert(now);
+                        let head = http::call(bytes);
+                        let expects = matches!(&head, Ok(Some((c, _))) if c.headers.get("expect").is_some());
+                        let time =
+                            if matches!(head, Ok(None)) { header_time } else { header_time + BODY_TIME };
+                        if expects && !told_to_go_on && busy == 0 {
+                            told_to_go_on = true;
+                            let _ = self.conn.write(|out| out.write_all(b"HTTP/1.1 100 Continue\r\n\r\n"));
+                        }
+                        if now - part >= time {
+                            drop(inbound);
+                            return self.refuse(road, Bad(408, "not whole in time"));
+                        }
+                        if now - part >= header_time {
+                            road.alarms.nudge(part + time, &self.conn);
+                        }
+                        break;
+                    }
+                    Err(bad) => {
+                        drop(inbound);
+                        return self.refuse(road, bad);
+                    }
+                };
+                let bytes = bytes[..extent.all].to_vec();
+                inbound.consume(extent.all);
+                drop(inbound);
+                part_since = None;
+                told_to_go_on = false;
+                let keep = extent.keep_alive;
+                let carrier = Arc::new(Carrier::default());
+                let number = {
+                    let mut order = self.order();
+                    order.asked += 1;
+                    let number = order.asked;
+                    order.at_work.insert(number, carrier.clone());
+                    if !keep {
+                        order.last = Some(number);
+                    }
+                    number
+                };
+                let request = Request { number, bytes, extent, read_at: now };
+                let (client, ending, r) = (self.clone(), self.clone(), road.clone());
+                go_then(
+                    "a request",
+                    move || client.handle(&r, request, &carrier),
+                    move |panicked| ending.over(number, panicked),
+                );
+                if !keep {
+                    let order = self.order();
+                    return self.settle_open(road, order);
+                }
+            }
+        }
+    }
+
+    /// The client sends no more, or may: what is at work is answered, then the connection ends.
+    fn settle(&self, _road: &Arc<Road>) {
+        // Who closes its connection has gone.
+        self.leave();
+    }
+
+    /// The last request is read: its answer ends the connection.
+    fn settle_open(&self, road: &Arc<Road>, order: MutexGuard<'_, Order>) {
+        drop(order);
+        self.read_over(road);
+    }
+
+    /// Reads over what still comes, until the client is gone or the last answer is long written.
+    fn read_over(&self, road: &Arc<Road>) {
+        let mut done_at = None;
+        loop {
+            let idle = {
+                let order = self.order();
+                order.answered >= order.last.unwrap_or(order.asked) && self.conn.unsent() == 0
+            };
+            let now = road.alarms.now();
+            if idle {
+                let done = *done_at.get_or_insert(now);
+                if now - done >= Span::from_millis(1_000) {
+                    return;
+                }
+                road.alarms.nudge(done + Span::from_millis(1_000), &self.conn);
+            }
+            if self.conn.read() != Got::Bytes {
+                return;
+            }
+            let mut inbound = self.conn.inbound();
+            let n = inbound.len();
+            inbound.consume(n);
+        }
+    }
+
+    /// What could not be read: said in its turn, and the connection ends.
+    fn refuse(self: &Arc<Self>, road: &Arc<Road>, bad: Bad) {
+        let number = {
+            let mut order = self.order();
+            order.asked += 1;
+            order.last = Some(order.asked);
+            order.asked
+        };
+        let (client, ending) = (self.clone(), self.clone());
+        let own = Own::new(bad.0, bad.1);
+        go_then(
+            "a refusal",
+            move || {
+                if client.wait_turn(number) {
+                    let _ = client.conn.write(|out| put_own(out, &own, None, false));
+                }
+            },
+            move |panicked| ending.over(number, panicked),
+        );
+        self.read_over(road);
+    }
+
+    /// Waits until all requests before this one are answered; false where the connection has ended.
+    fn wait_turn(&self, number: u64) -> bool {
+        loop {
+            let blocker = {
+                let mut order = self.order();
+                if self.conn.is_closed() {
+                    return false;
+                }
+                if order.answered + 1 == number {
+                    return true;
+                }
+                let blocker = Blocker::current();
+                order.waiting.insert(number, blocker.clone());
+                blocker
+            };
+            let _ = blocker.park(None);
+        }
+    }
+
+    /// An answer is written: the next one's turn.
+    fn over(&self, number: u64, panicked: bool) {
+        if panicked {
+            self.conn.close();
+        }
+        let mut order = self.order();
+        order.at_work.remove(&number);
+        order.waiting.remove(&number);
+        order.answered = order.answered.max(number);
+        let is_last = order.last.is_some_and(|l| l <= number);
+        if let Some(next) = order.waiting.remove(&(number + 1)) {
+            next.unpark();
+        }
+        drop(order);
+        if is_last && self.conn.unsent() == 0 && !self.conn.is_closed() {
+            self.conn.finish();
+        }
+        // The reader looks again: at what waits unread, or at its end.
+        self.conn.nudge();
+    }
+
+    /// From a request to its answer.
+    fn handle(self: &Arc<Self>, road: &Arc<Road>, request: Request, carrier: &Arc<Carrier>) {
+        let number = request.number;
+        let head = &request.bytes[..request.extent.head];
+        let Ok(Some((call, _))) = http::call(head) else { return self.conn.close() };
+        let attempt = call.headers.get("attempt-id").unwrap_or("");
+        let answered =
+            road.carry(&call, &request.bytes[request.extent.body.clone()], attempt, request.read_at, carrier);
+        if carrier.is_gone() || !self.wait_turn(number) {
+            if let Ok((_, answer)) = answered {
+                road.workers.done(answer);
+            }
+            return;
+        }
+        let keep = self.order().last != Some(number) && !road.is_closing();
+        if !keep {
+            let mut order = self.order();
+            // Requests that were read behind this one are answered too; only then does the connection end.
+            order.last = Some(order.asked.max(number));
+        }
+        let keep = keep || self.order().last != Some(number);
+        match answered {
+            Err(own) => {
+                if self.conn.write(|out| put_own(out, &own, Some(attempt), keep)).is_err() {
+                    self.conn.close();
+                }
+            }
+            Ok((admitted, answer)) => self.pass_on(road, &admitted, answer, carrier, keep),
+        }
+    }
+
+    fn pass_on(
+        &self,
+        road: &Arc<Road>,
+        admitted: &Admitted,
+        mut answer: Answer,
+        carrier: &Carrier,
+        keep: bool,
+    ) {
+        if self.conn.write(|out| answer.put(out, keep)).is_err() {
+            self.conn.close();
+            return road.workers.done(answer);
+        }
+        if answer.rest > 0 {
+            let whole =
+                answer.more(&road.alarms, admitted.until + Span::from_millis(500), carrier, |piece| {
+                    while self.conn.unsent() > MOST_UNREAD {
+                        if self.conn.is_closed() || carrier.is_gone() || road.alarms.now() >= admitted.until {
+                            return false;
+                        }
+                        road.alarms.sleep_until(road.alarms.now() + Span::from_millis(5));
+                    }
+                    self.conn.write(|out| out.write_all(piece)).is_ok()
+                });
+            if !whole {
+                // Cut short of its length: the client can tell.
+                self.conn.close();
+            }
+        }
+        road.workers.done(answer);
+    }
+}
+
+/// Writes an answer of our own.
+fn put_own(out: &mut Ring, own: &Own, attempt: Option<&str>, keep: bool) -> std::io::Result<()> {
+    let mut headers = String::new();
+    if let Some(wait) = own.retry_after {
+        headers.push_str(&format!("Retry-After: {:.3}\r\n", wait.secs().max(0.001)));
+    }
+    if let Some(attempt) = attempt.filter(|a| !a.is_empty()) {
+        headers.push_str(&format!("Attempt-Id: {attempt}\r\n"));
+    }
+    http::put_answer(out, own.status, &headers, own.why, keep)
+}
+
+impl Road {
+    /// How long a head may take, how long a connection may stand idle, how long a body may be.
+    fn client_limits(&self) -> (Span, Span, usize) {
+        match self.rooms().mirror.version() {
+            Some(version) => {
+                let b = &version.configuration.bounds;
+                (b.header_time, b.idle_time, b.body_bytes.min(MOST - MOST_HEAD))
+            }
+            None => (HEADER_TIME, IDLE_TIME, MOST - MOST_HEAD),
+        }
+    }
+
+    /// Takes a request to a worker, and to another where that may be; the answer, or one of our own at once.
+    fn carry(
+        &self,
+        call: &http::Call,
+        body: &[u8],
+        attempt: &str,
+        read_at: Time,
+        carrier: &Carrier,
+    ) -> Result<(Admitted, Answer), Own> {
+        let headers = &call.headers;
+        let bad = |_| Own::new(400, "a header twice");
+        let path = call.target.split(['?', '#']).next().unwrap_or("");
+        let host = headers.only("host").map_err(bad)?.unwrap_or("");
+        let key = headers.only("authorization").map_err(bad)?;
+        let key = key.and_then(|k| k.split_once(' ')).filter(|(s, _)| s.eq_ignore_ascii_case("bearer"));
+        let left = headers.only("time-left-ms").map_err(bad)?;
+        let patience = left.and_then(|l| l.parse::<f64>().ok()).map(|ms| Span::from_secs(ms / 1000.0));
+        if attempt.is_empty() || attempt.len() > 128 {
+            return Err(Own::new(400, "no Attempt-Id"));
+        }
+        let asked = Asked { host, path, key: key.map(|(_, k)| k.trim()), patience };
+        let mut request = self.rooms().admit(read_at, &asked)?;
+        let until = request.until.saturating_sub(MARGIN);
+        loop {
+            let now = self.alarms.now();
+            let sent = self.rooms().pick(now, &mut request)?;
+            let tenant = request.tenant.clone();
+            let out = Outgoing { call, body, tenant: tenant.as_deref(), attempt };
+            let silence = until;
+            let tried = self.workers.send(&self.alarms, &sent.worker, &out, until, silence, carrier);
+            let now = self.alarms.now();
+            self.rooms().ended(now, &mut request, &sent, tried.outcome, tried.verdict);
+            match tried.answer {
+                // A worker's own failure of what may be repeated is tried elsewhere, where that may be.
+                Some(answer)
+                    if tried.outcome == lynxstair::types::Outcome::Errored
+                        && request.kind.is_repeatable() =>
+                {
+                    request.verdict = Verdict::MayHaveRun;
+                    let again = self.rooms().pick(now, &mut request);
+                    match again {
+                        Err(_) => return Ok((request, answer)),
+                        Ok(sent) => {
+                            self.workers.done(answer);
+                            let tried =
+                                self.workers.send(&self.alarms, &sent.worker, &out, until, silence, carrier);
+                            self.rooms().ended(
+                                self.alarms.now(),
+                                &mut request,
+                                &sent,
+                                tried.outcome,
+                                tried.verdict,
+                            );
+                            match tried.answer {
+                                Some(answer) => return Ok((request, answer)),
+                                None => return Err(Own::new(502, "no worker's answer came")),
+                            }
+                        }
+                    }
+                }
+                Some(answer) => return Ok((request, answer)),
+                None if carrier.is_gone() => return Err(Own::new(502, "the client has left")),
+                None if now >= until && tried.verdict != Verdict::NeverRan => {
+                    return Err(Own::new(504, "the time is up"));
+                }
+                None => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ridge/src/buckets.rs
@@ -0,0 +1,122 @@
+//! The ordinary path of every request: one token bucket for each tenant at this gatekeeper. A token, and the request
+//! goes on; none, and it is refused with the time to the next. The buckets of all gatekeepers hold together what the
+//! tenant's quota is, by the parts that the purse gives them.
+
+use std::collections::HashMap;
+
+use lynxstair::state::Store;
+use lynxstair::types::{Span, Time};
+use lynxstair_trailbook::configuration::Tenant;
+use lynxstair_trailbook::words::{Count, Share};
+
+use crate::purse::FLOOR;
+
+/// A part that was given stands for so long without another; then only the floor is this gatekeeper's to spend.
+const STANDS: Span = Span::from_millis(6000);
+/// The answer while a window is closed: come back in a second (design page).
+const CLOSED: Span = Span::from_millis(1000);
+/// Where the parts are so small that a bucket would never hold one token, it holds this many.
+const LEAST: f64 = 1.0;
+
+#[derive(Default)]
+struct Bucket {
+    tokens: Store,
+    /// The part of the quota that was given, and when.
+    part: Option<(f64, Time)>,
+    closed_until: Time,
+    passed: u32,
+    refused: u32,
+}
+
+pub struct Buckets {
+    all: HashMap<String, Bucket>,
+    gatekeepers: f64,
+}
+
+impl Default for Buckets {
+    fn default() -> Self {
+        Buckets { all: HashMap::new(), gatekeepers: 1.0 }
+    }
+}
+
+impl Bucket {
+    fn part(&self, now: Time, gatekeepers: f64) -> f64 {
+        match self.part {
+            Some((part, at)) if now - at < STANDS => part,
+            Some((part, _)) => part.min(FLOOR / gatekeepers),
+            None => FLOOR / gatekeepers,
+        }
+    }
+}
+
+impl Buckets {
+    /// How many gatekeepers there are in all.
+    pub fn shared_by(&mut self, gatekeepers: u32) {
+        self.gatekeepers = f64::from(gatekeepers.max(1));
+    }
+
+    /// Whether a tenant's request goes on; else after how long it may come back. Decided at once, always.
+    pub fn admit(&mut self, now: Time, tenant: &Tenant) -> Result<(), Span> {
+        if tenant.rate <= 0.0 {
+            return Ok(());
+        }
+        let gatekeepers = self.gatekeepers;
+        let bucket = self.all.entry(tenant.name.clone()).or_insert_with(|| Bucket {
+            // Its burst is split over the gatekeepers.
+            tokens: Store { level: tenant.burst / gatekeepers, at: now },
+            ..Bucket::default()
+        });
+        let part = bucket.part(now, gatekeepers);
+        let rate = tenant.rate * part;
+        let level = bucket.tokens.fill(now, rate, (tenant.burst * part).max(LEAST));
+        if now < bucket.closed_until {
+            bucket.refused += 1;
+            return Err(CLOSED);
+        }
+        if level < 1.0 {
+            bucket.refused += 1;
+            return Err(Span::from_secs((1.0 - level) / rate));
+        }
+        bucket.tokens.level -= 1.0;
+        bucket.passed += 1;
+        Ok(())
+    }
+
+    /// A token that was not spent after all: the request went to no worker.
+    pub fn give_back(&mut self, tenant: &str) {
+        if let Some(bucket) = self.all.get_mut(tenant).filter(|b| b.passed > 0) {
+            bucket.passed -= 1;
+            bucket.tokens.level += 1.0;
+        }
+    }
+
+    /// What was counted since the last time.
+    pub fn counts(&mut self) -> Vec<Count> {
+        let counted = self.all.iter_mut().filter(|(_, b)| b.passed + b.refused > 0);
+        counted
+            .map(|(tenant, b)| Count {
+                tenant: tenant.clone(),
+                passed: std::mem::take(&mut b.passed),
+                refused: std::mem::take(&mut b.refused),
+            })
+            .collect()
+    }
+
+    /// The purse's answer to a ping that was sent then.
+    pub fn hear(&mut self, now: Time, sent_at: Time, shares: &[Share]) {
+        for share in shares {
+            let bucket = self.all.entry(share.tenant.clone()).or_default();
+            if bucket.part.is_none_or(|(_, at)| at <= sent_at) {
+                bucket.part = Some((f64::from(share.part).clamp(0.0, 1.0), sent_at));
+            }
+            if share.closed_ms > 0 {
+                bucket.closed_until = now + Span::from_millis(u64::from(share.closed_ms));
+            }
+        }
+    }
+
+    /// Lets go of tenants that no configuration holds any more.
+    pub fn keep(&mut self, is_held: impl Fn(&str) -> bool) {
+        self.all.retain(|tenant, _| is_held(tenant));
+    }
+}
--- /dev/null
+++ b/crates/ridge/src/register.rs
@@ -0,0 +1,204 @@
+//! The register: which workers there are, life by life, as they say of themselves. Soft state, said again with each
+//! beat. Cores and gatekeepers keep one each.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use lynxstair::types::{Span, Time};
+use lynxstair_trailbook::words::{Life, Standing};
+
+/// A life that is over is remembered for so long, so that a late beat does not bring it back.
+const REMEMBERED: Span = Span::from_millis(60_000);
+/// So many beats missing make a life silent.
+const MISSED: f64 = 4.5;
+/// A change of the time that a worker is cold is news from here on.
+const COLD_NEWS: Span = Span::from_millis(400);
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Known {
+    pub service: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub capacity: u32,
+    pub standing: Standing,
+    pub cold_until: Time,
+    pub seq: u64,
+    pub heard_at: Time,
+}
+
+#[derive(Debug, Default)]
+pub struct Register {
+    lives: HashMap<String, Known>,
+}
+
+impl Register {
+    pub fn lives(&self) -> &HashMap<String, Known> {
+        &self.lives
+    }
+
+    /// Whether what a worker says is news. An earlier word than the last is none, and nothing after the end is.
+    pub fn hear(&mut self, now: Time, life: &Life) -> bool {
+        let heard_at = now.saturating_sub(Span::from_millis(life.heard_ms));
+        let cold_until =
+            if life.cold_ms == 0 { Time::default() } else { now + Span::from_millis(life.cold_ms) };
+        let Some(known) = self.lives.get_mut(&life.id) else {
+            let known = Known {
+                service: life.service.clone(),
+                address: life.address,
+                zone: life.zone.clone(),
+                capacity: life.capacity,
+                standing: life.standing,
+                cold_until,
+                seq: life.seq,
+                heard_at,
+            };
+            self.lives.insert(life.id.clone(), known);
+            return true;
+        };
+        if known.standing == Standing::Gone {
+            return false;
+        }
+        if life.standing == Standing::Gone {
+            known.standing = Standing::Gone;
+            known.heard_at = now;
+            return true;
+        }
+        if life.seq < known.seq {
+            return false;
+        }
+        // The same word again, with an older or a newer silence.
+        if life.seq == known.seq && (life.standing == known.standing || life.standing != Standing::Silent) {
+            known.heard_at = known.heard_at.max(heard_at);
+            return false;
+        }
+        // Who once drains does so to the end.
+        let standing = match (known.standing, life.standing) {
+            (Standing::Draining, _) => Standing::Draining,
+            (_, standing) => standing,
+        };
+        let cold_is_news = now + COLD_NEWS < cold_until && known.cold_until + COLD_NEWS < cold_until
+            || now + COLD_NEWS < known.cold_until && cold_until + COLD_NEWS < known.cold_until;
+        let is_news = standing != known.standing
+            || life.address != known.address
+            || life.capacity != known.capacity
+            || cold_is_news;
+        known.seq = life.seq;
+        known.heard_at = known.heard_at.max(heard_at);
+        known.standing = standing;
+        known.cold_until = cold_until;
+        known.address = life.address;
+        known.capacity = life.capacity;
+        is_news
+    }
+
+    /// A worker says that its life ends, and nothing else.
+    pub fn leave(&mut self, now: Time, id: &str) -> Option<Life> {
+        let known = self.lives.get_mut(id)?;
+        if known.standing != Standing::Gone {
+            known.standing = Standing::Gone;
+            known.heard_at = now;
+        }
+        self.life(now, id)
+    }
+
+    /// Who has fallen silent since; lets go of what is long over.
+    pub fn sweep(&mut self, now: Time, beat: Span) -> Vec<String> {
+        let silent = beat.times(MISSED);
+        self.lives.retain(|_, k| now - k.heard_at < REMEMBERED + silent);
+        let mut news = Vec::new();
+        for (id, known) in &mut self.lives {
+            if known.standing == Standing::Ready && now - known.heard_at > silent {
+                known.standing = Standing::Silent;
+                news.push(id.clone());
+            }
+        }
+        news
+    }
+
+    /// One life, as it is told to others now.
+    pub fn life(&self, now: Time, id: &str) -> Option<Life> {
+        let known = self.lives.get(id)?;
+        Some(Life {
+            id: id.to_string(),
+            service: known.service.clone(),
+            address: known.address,
+            zone: known.zone.clone(),
+            capacity: known.capacity,
+            standing: known.standing,
+            cold_ms: (known.cold_until - now).nanos() / 1_000_000,
+            seq: known.seq,
+            heard_ms: (now - known.heard_at).nanos() / 1_000_000,
+        })
+    }
+
+    pub fn all(&self, now: Time) -> Vec<Life> {
+        self.lives.keys().filter_map(|id| self.life(now, id)).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use lynxstair::types::{Span, Time};
+    use lynxstair_trailbook::words::{Life, Standing};
+
+    use super::Register;
+
+    fn at(ms: u64) -> Time {
+        Time::from_nanos((100_000 + ms) * 1_000_000)
+    }
+
+    fn life(seq: u64, standing: Standing, cold_ms: u64) -> Life {
+        Life {
+            id: "i-1".into(),
+            service: "s".into(),
+            address: "10.0.0.1:80".parse().expect("one"),
+            zone: "z".into(),
+            capacity: 3,
+            standing,
+            cold_ms,
+            seq,
+            heard_ms: 0,
+        }
+    }
+
+    /// Late words, ends and cold spells: what is news, and what stands after it.
+    #[test]
+    fn words_of_a_life() {
+        use Standing::{Draining, Gone, Ready, Silent};
+        let mut register = Register::default();
+        // When, what is said; whether it is news, and how the life stands then.
+        let cases = [
+            (0, life(4, Ready, 3000), true, Ready),
+            (1500, life(5, Ready, 1500), false, Ready),
+            (3000, life(6, Ready, 0), false, Ready),
+            (4500, life(7, Ready, 3000), true, Ready),
+            (4600, life(6, Draining, 0), false, Ready),
+            (4700, life(7, Silent, 0), true, Silent),
+            (4800, life(7, Ready, 0), false, Silent),
+            (5000, life(8, Ready, 0), true, Ready),
+            (6000, life(9, Draining, 0), true, Draining),
+            (6100, life(10, Ready, 0), false, Draining),
+            (7000, life(9, Gone, 0), true, Gone),
+            (7100, life(12, Ready, 0), false, Gone),
+        ];
+        for (ms, life, news, standing) in cases {
+            let case = format!("{ms} {life:?}");
+            assert_eq!(register.hear(at(ms), &life), news, "{case}");
+            assert_eq!(register.lives()["i-1"].standing, standing, "{case}");
+        }
+    }
+
+    #[test]
+    fn the_silent_are_told_once_and_the_gone_forgotten() {
+        let mut register = Register::default();
+        let beat = Span::from_millis(1500);
+        register.hear(at(0), &life(1, Standing::Ready, 0));
+        assert!(register.sweep(at(6000), beat).is_empty());
+        assert_eq!(register.sweep(at(7000), beat), ["i-1"]);
+        assert!(register.sweep(at(7100), beat).is_empty());
+        assert!(register.hear(at(8000), &life(2, Standing::Ready, 0)));
+        register.leave(at(9000), "i-1");
+        register.sweep(at(100_000), beat);
+        assert!(register.lives().is_empty());
+    }
+}
--- /dev/null
+++ b/crates/trailbook/src/program.rs
@@ -0,0 +1,68 @@
+//! What the system's programs do alike when they begin: command line, settings file, logs.
+
+use std::process::ExitCode;
+
+use crate::settings::{Settings, VARIABLE};
+
+/// What the command line asks for.
+pub enum Asked {
+    Serve(Box<Settings>),
+    /// Nothing more: it was told what it asked, or what is wrong with it.
+    End(ExitCode),
+}
+
+/// Reads the command line and the settings file.
+pub fn ask(name: &str, about: &str, version: &str) -> Asked {
+    let bad = |what: String| {
+        eprintln!("{name}: {what}");
+        Asked::End(ExitCode::from(2))
+    };
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        println!("{about}");
+        return Asked::End(ExitCode::SUCCESS);
+    }
+    if arguments.contains(["-V", "--version"]) {
+        println!("{name} {version}");
+        return Asked::End(ExitCode::SUCCESS);
+    }
+    let (file, is_check) = match arguments.subcommand() {
+        Ok(None) => match std::env::var(VARIABLE) {
+            Ok(file) => (file, false),
+            Err(_) => return bad(format!("{VARIABLE} names no settings file")),
+        },
+        Ok(Some(word)) if word == "check" => match arguments.free_from_str::<String>() {
+            Ok(file) => (file, true),
+            Err(_) => return bad("check: a file is wanted".to_string()),
+        },
+        Ok(Some(word)) => return bad(format!("{word}: no such command; --help tells which there are")),
+        Err(e) => return bad(e.to_string()),
+    };
+    if let Some(more) = arguments.finish().first() {
+        return bad(format!("{}: not understood", more.to_string_lossy()));
+    }
+    let text = match std::fs::read_to_string(&file) {
+        Ok(text) => text,
+        Err(e) => return bad(format!("{file}: {e}")),
+    };
+    match Settings::read(&text) {
+        Err(fault) => bad(format!("{file}: {fault}")),
+        Ok(_) if is_check => {
+            println!("{file}: good");
+            Asked::End(ExitCode::SUCCESS)
+        }
+        Ok(settings) => Asked::Serve(Box::new(settings)),
+    }
+}
+
+/// From here on log lines go to standard error, each a JSON object.
+pub fn log_json() {
+    use logforth::append::Stderr;
+    use logforth::filter::rustlog::RustLogFilterBuilder;
+    use logforth::layout::JsonLayout;
+    // Libraries say only what is wrong.
+    let filter = RustLogFilterBuilder::from_spec("warn,lynxstair=info").build();
+    let to = Stderr::default().with_layout(JsonLayout::default());
+    // A second call in one process (tests) changes nothing.
+    let _ = logforth::starter_log::builder().dispatch(|d| d.filter(filter).append(to)).try_apply();
+}
--- /dev/null
+++ b/crates/trailbook/src/verdict.rs
@@ -0,0 +1,30 @@
+//! Whether a request may have run: what an answer to its client may promise, and whether it may be sent again.
+
+/// What is known of one try at a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Verdict {
+    /// It has not run and never will: no byte of it left, or the worker itself said so.
+    NeverRan,
+    /// It was handed over, and nothing certain came back.
+    MayHaveRun,
+    /// The worker answered it.
+    Ran,
+}
+
+impl Verdict {
+    /// Whether the request may go to a worker once more.
+    pub fn may_go_again(self, is_repeatable: bool) -> bool {
+        self == Verdict::NeverRan || is_repeatable && self == Verdict::MayHaveRun
+    }
+
+    /// Whether the client may be told that it has not run (429, 503, 408, 421). What is repeatable may be told so
+    /// only where it is true as well: the words mean the same for all kinds.
+    pub fn may_promise(self) -> bool {
+        self == Verdict::NeverRan
+    }
+
+    /// What is known after a further try.
+    pub fn and(self, later: Verdict) -> Verdict {
+        self.max(later)
+    }
+}
--- /dev/null
+++ b/crates/trailbook/src/words.rs
@@ -0,0 +1,174 @@
+//! The words that the system's processes say to each other, in CBOR frames. Times are spans, never times of day:
+//! what one process knows of another's clock it has from an echo of its own.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A place in the order of all states of the book: the term it was written in, then its number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Stamp {
+    pub term: u64,
+    pub index: u64,
+}
+
+/// Bytes that are handed on without being looked at.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Bytes(pub Arc<Vec<u8>>);
+
+impl Serialize for Bytes {
+    fn serialize<S: serde::Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_bytes(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Bytes {
+    fn deserialize<D: serde::Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        struct Take;
+        impl serde::de::Visitor<'_> for Take {
+            type Value = Bytes;
+            fn expecting(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+                f.write_str("bytes")
+            }
+            fn visit_bytes<E>(self, bytes: &[u8]) -> Result<Bytes, E> {
+                Ok(Bytes(Arc::new(bytes.to_vec())))
+            }
+            fn visit_byte_buf<E>(self, bytes: Vec<u8>) -> Result<Bytes, E> {
+                Ok(Bytes(Arc::new(bytes)))
+            }
+        }
+        from.deserialize_byte_buf(Take)
+    }
+}
+
+/// Between cores, about the book.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Vote {
+    /// Would you have me lead this term? `real` is false where it only asks whether asking is of use.
+    Ask {
+        term: u64,
+        last: Stamp,
+        real: bool,
+    },
+    Answer {
+        term: u64,
+        granted: bool,
+        real: bool,
+    },
+    /// From the leader: what stands last, the state itself where the other lacks it, what is agreed on. `echo` is
+    /// the other's own clock as last heard, `fresh` how long before that answer's arrival the leader is known to
+    /// have been the only one.
+    Put {
+        term: u64,
+        round: u64,
+        last: Stamp,
+        state: Option<Bytes>,
+        agreed: Stamp,
+        echo: u64,
+        fresh: Option<u64>,
+    },
+    /// To the leader: what is stored here, and synced. `lost` names a disk that was emptied, by a number drawn then.
+    Got {
+        term: u64,
+        round: u64,
+        stored: Stamp,
+        lost: Option<u64>,
+        clock: u64,
+    },
+    /// An emptied disk counts again.
+    LetIn {
+        term: u64,
+        lost: u64,
+    },
+}
+
+/// How a worker's life stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    Ready,
+    Draining,
+    /// No beat came for long.
+    Silent,
+    /// It has said so.
+    Gone,
+}
+
+/// One life of a worker, as it last said of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Life {
+    pub id: String,
+    pub service: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub capacity: u32,
+    pub standing: Standing,
+    /// How much longer it is cold, in milliseconds, as of when this word is sent.
+    pub cold_ms: u64,
+    pub seq: u64,
+    /// How long ago it was heard, in milliseconds.
+    pub heard_ms: u64,
+}
+
+/// What one gatekeeper let through for a tenant, and refused for want of a token, since it last said so.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Count {
+    pub tenant: String,
+    pub passed: u32,
+    pub refused: u32,
+}
+
+/// A gatekeeper of the road, as the board needs it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Edge {
+    pub node: String,
+    pub zone: String,
+    pub region: String,
+    pub front: SocketAddr,
+    /// Drawn at its start: another life, another number.
+    pub life: u64,
+}
+
+/// What one tenant's bucket at one gatekeeper may hold: parts of the whole quota.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    pub tenant: String,
+    pub part: f32,
+    /// The window's total has passed what it allows: refused for so long, in milliseconds.
+    pub closed_ms: u32,
+}
+
+/// From one who follows the feed: a gatekeeper, or a core another core.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Up {
+    /// Begins the feed.
+    Hello {
+        edge: Edge,
+    },
+    /// Every second and when something changed: its own clock, what it has, whether clients may come.
+    Ping {
+        clock: u64,
+        have: u64,
+        ready: bool,
+        counts: Vec<Count>,
+    },
+    /// Begins a line between cores, by the control address of the one who speaks.
+    Core {
+        from: SocketAddr,
+    },
+    Vote(Vote),
+    /// A worker said something to the core that speaks.
+    Heard(Vec<Life>),
+}
+
+/// From one who feeds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Down {
+    /// The book, as agreed, by its number.
+    Book { index: u64, state: Bytes },
+    /// Lives of workers: all that are known where `whole`, else what changed.
+    Lives { lives: Vec<Life>, whole: bool },
+    /// `clock` as it came. No newer book than `index` was agreed on `fresh` milliseconds before that ping came here.
+    /// `edges`: how many gatekeepers there are in each zone. Shares come from the core that leads.
+    Pong { clock: u64, index: u64, fresh: Option<u64>, edges: Vec<(String, u32)>, shares: Vec<Share> },
+}
--- a/crates/gatekeeper/src/conn.rs
+++ b/crates/wire/src/conn.rs
@@ -6,11 +6,12 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
+use lynxstair::types::Span;
 use may::io::{CoIo, WaitIo};
 use nix::sys::epoll::EpollFlags;
 use socket2::{Domain, Socket, Type};
 
-use lynxstair_wire::log;
+use crate::log;
 
 /// What a buffer starts with, and what it goes back to when it is empty.
 const SMALL: usize = 2048;
@@ -161,6 +162,9 @@
     dry: AtomicBool,
     /// The end of the other side was signalled: what is left is to be read up to it.
     ending: AtomicBool,
+    /// An error was met. The kernel tells it once, to a read or to a write, and after that it looks like an
+    /// orderly end: so it is kept.
+    broken: AtomicBool,
 }
 
 /// What a waiter is told when it is woken by another coroutine; no event of epoll has this bit.
@@ -171,8 +175,10 @@
 pub enum Got {
     /// There may be something new in the buffer.
     Bytes,
-    /// The other side has ended, or the connection broke or was closed here.
+    /// The other side has ended its sending in order: all that it sent is in the buffer.
     End,
+    /// The connection broke, or was closed here: what is in the buffer may lack its end.
+    Broken,
 }
 
 fn lock(ring: &Mutex<Ring>) -> MutexGuard<'_, Ring> {
@@ -189,6 +195,7 @@
             closed: AtomicBool::new(false),
             dry: AtomicBool::new(false),
             ending: AtomicBool::new(false),
+            broken: AtomicBool::new(false),
         })
     }
 
@@ -204,12 +211,27 @@
         Conn::new(socket.into(), most)
     }
 
+    /// Bytes that the other side does not acknowledge for so long end the connection: across a cut it would
+    /// otherwise hang.
+    pub fn limit_silence(&self, most: Span) {
+        let most = std::time::Duration::from_nanos(most.nanos());
+        if let Err(e) = socket2::SockRef::from(self.io.inner()).set_tcp_user_timeout(Some(most)) {
+            log!("no limit to silence: {e}");
+        }
+    }
+
     pub fn connected(&self) -> io::Result<()> {
+        self.connected_by(|| false)
+    }
+
+    /// The same, until its time is up; whoever asks has it nudged then.
+    pub fn connected_by(&self, is_over: impl Fn() -> bool) -> io::Result<()> {
         loop {
-            if self.is_closed() {
+            if self.is_closed() || is_over() {
                 return Err(io::ErrorKind::TimedOut.into());
             }
             if let Some(e) = self.io.inner().take_error()? {
+                self.broken.store(true, Ordering::Relaxed);
                 return Err(e);
             }
             if self.io.inner().peer_addr().is_ok() {
@@ -231,11 +253,11 @@
                 match self.read_now() {
                     Ok(0) => {}
                     Ok(_) => return Got::Bytes,
-                    Err(_) => return Got::End,
+                    Err(_) => return self.end(),
                 }
             }
             if self.is_closed() || self.flush().is_err() {
-                return Got::End;
+                return self.end();
             }
             let events = self.io.wait_io();
             let nudged = events & NUDGED != 0;
@@ -248,11 +270,20 @@
                 self.dry.store(false, Ordering::Relaxed);
             }
             if nudged {
-                return if self.is_closed() { Got::End } else { Got::Bytes };
+                return if self.is_closed() { self.end() } else { Got::Bytes };
             }
         }
     }
 
+    /// How it ended: in order only where nothing broke and nobody closed it here. A reset is no end.
+    fn end(&self) -> Got {
+        let broke = self.broken.load(Ordering::Relaxed) || self.is_closed();
+        // A reset that came behind the last bytes is still with the kernel.
+        let broke = broke || !matches!(self.io.inner().take_error(), Ok(None));
+        self.broken.store(broke, Ordering::Relaxed);
+        if broke { Got::Broken } else { Got::End }
+    }
+
     /// Reads what is there; an error is the end. A piece not filled up tells that no more is there, which
     /// saves a call: the next bytes are signalled anew.
     fn read_now(&self) -> io::Result<usize> {
@@ -275,7 +306,10 @@
                     break;
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return if total > 0 { Ok(total) } else { Err(e) },
+                Err(e) => {
+                    self.broken.store(true, Ordering::Relaxed);
+                    return if total > 0 { Ok(total) } else { Err(e) };
+                }
             }
         }
         Ok(total)
@@ -292,7 +326,11 @@
         let mut ring = lock(&self.outbound);
         match ring.write_to(&mut self.io.inner()) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
-            other => other,
+            Err(e) => {
+                self.broken.store(true, Ordering::Relaxed);
+                Err(e)
+            }
+            Ok(()) => Ok(()),
         }
     }
 
--- a/crates/gatekeeper/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -25,6 +25,17 @@
     UntilEnd,
 }
 
+/// How far the connection that an answer comes on has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stop {
+    /// More may come.
+    Open,
+    /// The other side closed it in order.
+    Orderly,
+    /// It broke, by a reset, by silence or closed here: what came may lack its end.
+    Broken,
+}
+
 /// A whole message at the front of a buffer: the head up to the body, the body, and all that it took up.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Extent {
@@ -145,24 +156,25 @@
 }
 
 /// Where a client's message ends, once it is whole. A chunked body is put together in place.
-pub fn call_extent(bytes: &mut [u8]) -> Result<Option<Extent>, Bad> {
+pub fn call_extent(bytes: &mut [u8], most: usize) -> Result<Option<Extent>, Bad> {
     let Some((call, head)) = call(bytes)? else { return Ok(None) };
     let framing = call.headers.framing()?.unwrap_or(Framing::Length(0));
     let says = |token| call.headers.has_token("connection", token);
     let keep_alive = !says("close") && (!call.is_old || says("keep-alive"));
-    extent(bytes, head, framing, keep_alive, MOST_BODY)
+    extent(bytes, head, framing, keep_alive, most)
 }
 
-/// Where an answer ends, once it is whole; `ended` says that no more comes, `most` how long its body may be. One
-/// that says to be longer is no answer, and is not waited for.
-pub fn answer_extent(bytes: &mut [u8], ended: bool, most: usize) -> Result<Option<Extent>, Bad> {
+/// Where an answer ends, once it is whole: the one place that says so. By its length, by its last chunk, or, where
+/// it has neither, by an orderly close only; an answer that a reset or silence cut short is never whole. `most` is
+/// how long its body may be: one that says to be longer is no answer, and is not waited for.
+pub fn answer_extent(bytes: &mut [u8], stop: Stop, most: usize) -> Result<Option<Extent>, Bad> {
     let Some((answer, head)) = answer(bytes)? else { return Ok(None) };
     let bare = answer.status < 200 || matches!(answer.status, 204 | 304);
     let framing =
         if bare { Framing::Length(0) } else { answer.headers.framing()?.unwrap_or(Framing::UntilEnd) };
     let keep_alive = !answer.is_old && !answer.headers.has_token("connection", "close");
     match framing {
-        Framing::UntilEnd if !ended => {
+        Framing::UntilEnd if stop != Stop::Orderly => {
             if bytes.len() - head > most {
                 Err(Bad(502, "answer too large"))
             } else {
@@ -269,6 +281,14 @@
     NAMES.iter().any(|n| name.eq_ignore_ascii_case(n))
 }
 
+/// Writes one header line.
+pub fn put_header(out: &mut Ring, name: &str, value: &[u8]) -> io::Result<()> {
+    out.write_all(name.as_bytes())?;
+    out.write_all(b": ")?;
+    out.write_all(value)?;
+    out.write_all(b"\r\n")
+}
+
 /// Writes an answer of our own.
 pub fn put_answer(
     out: &mut Ring,
@@ -282,25 +302,31 @@
     write!(out, "HTTP/1.1 {status} {reason}\r\n{headers}{connection}Content-Length: {n}\r\n\r\n{body}")
 }
 
-fn reason(status: u16) -> &'static str {
+pub fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
         400 => "Bad Request",
+        307 => "Temporary Redirect",
+        401 => "Unauthorized",
+        403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
         409 => "Conflict",
+        412 => "Precondition Failed",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
+        504 => "Gateway Timeout",
         _ => "Error",
     }
 }
 
 #[cfg(test)]
 mod tests {
+    use super::Stop::{self, Broken, Open, Orderly};
     use super::{Bad, MOST_BODY, answer_extent, call_extent};
 
     /// What is not whole waits, at whatever byte it was cut; what is whole is found with what follows it.
@@ -320,39 +346,41 @@
         ];
         for (text, body, keep_alive) in cases {
             for cut in 1..text.len() {
-                let got = call_extent(&mut text.as_bytes()[..cut].to_vec());
+                let got = call_extent(&mut text.as_bytes()[..cut].to_vec(), MOST_BODY);
                 assert_eq!(got, Ok(None), "{text:?} cut at {cut}");
             }
             let mut bytes = format!("{text}GET /next").into_bytes();
-            let extent = call_extent(&mut bytes).expect("good").expect("whole");
+            let extent = call_extent(&mut bytes, MOST_BODY).expect("good").expect("whole");
             assert_eq!((&bytes[extent.body.clone()], extent.all), (body.as_bytes(), text.len()), "{text:?}");
             assert_eq!(extent.keep_alive, keep_alive, "{text:?}");
         }
     }
 
-    /// An answer ends by its length, by its last chunk, or with the connection.
+    /// An answer ends by its length, by its last chunk, or with an orderly close; a reset is no end.
     #[test]
     fn answers() {
         let too_large = format!("HTTP/1.1 200 OK\r\n\r\n{}", "x".repeat(70_000));
         let long_head = format!("HTTP/1.1 200 OK\r\nA: {}", "x".repeat(17_000));
-        // The text, whether the connection ended; then the body and whether another may follow.
+        // The text, how the connection stands; then the body and whether another may follow.
         type Wanted = Result<Option<(&'static str, bool)>, u16>;
-        let cases: [(&str, bool, Wanted); 11] = [
-            ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, Ok(Some(("ok", true)))),
-            ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", true, Ok(None)),
-            ("HTTP/1.1 200 OK\r\n\r\nok", false, Ok(None)),
-            ("HTTP/1.1 200 OK\r\n\r\nok", true, Ok(Some(("ok", false)))),
-            ("HTTP/1.1 204 No\r\n\r\n", false, Ok(Some(("", true)))),
-            ("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", false, Ok(Some(("", false)))),
-            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", true, Ok(None)),
-            ("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", false, Err(413)),
-            ("nonsense", false, Err(502)),
-            (&too_large, false, Err(502)),
-            (&long_head, false, Err(502)),
+        let cases: [(&str, Stop, Wanted); 13] = [
+            ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Open, Ok(Some(("ok", true)))),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", Orderly, Ok(None)),
+            ("HTTP/1.1 200 OK\r\n\r\nok", Open, Ok(None)),
+            ("HTTP/1.1 200 OK\r\n\r\nok", Orderly, Ok(Some(("ok", false)))),
+            ("HTTP/1.1 200 OK\r\n\r\nok", Broken, Ok(None)),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Broken, Ok(Some(("ok", true)))),
+            ("HTTP/1.1 204 No\r\n\r\n", Open, Ok(Some(("", true)))),
+            ("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", Open, Ok(Some(("", false)))),
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", Orderly, Ok(None)),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", Open, Err(413)),
+            ("nonsense", Open, Err(502)),
+            (&too_large, Open, Err(502)),
+            (&long_head, Open, Err(502)),
         ];
-        for (text, ended, wanted) in cases {
+        for (text, stop, wanted) in cases {
             let mut bytes = text.as_bytes().to_vec();
-            let got = answer_extent(&mut bytes, ended, MOST_BODY);
+            let got = answer_extent(&mut bytes, stop, MOST_BODY);
             let got = got.map(|e| e.map(|e| (String::from_utf8_lossy(&bytes[e.body]), e.keep_alive)));
             let got =
                 got.as_ref().map(|e| e.as_ref().map(|(b, k)| (&**b, *k))).map_err(|Bad(status, _)| *status);
