--- a/crates/cairn/src/lib.rs
+++ b/crates/cairn/src/lib.rs
@@ -20,6 +20,8 @@
 /// How often a leader speaks, and how long nobody must have heard one before another is asked for.
 const ROUND: Span = Span::from_millis(100);
 const SILENT: Span = Span::from_millis(450);
+/// At a start nobody has been heard yet, and all may have started at once: a shorter time will do.
+const SILENT_AT_START: Span = Span::from_millis(150);
 /// Drawn on top of that, so that two seldom ask at once.
 const DRAWN: Span = Span::from_millis(400);
 /// A leader that no majority answered for so long steps down; one whose disk owes a write for so long, too.
@@ -170,7 +172,7 @@
         if is_new {
             cairn.save(now, Vec::new());
         }
-        cairn.rest();
+        cairn.patience = SILENT_AT_START + DRAWN.times(0.6 * cairn.rng.unit());
         cairn
     }
 
--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -314,20 +314,21 @@
                     let new = Follower { conn: conn.clone(), edge, ready: false, heard_at: now };
                     rooms.followers.insert(number, new);
                 }
-                Up::Ping { clock, have, ready, counts } => {
+                Up::Ping { clock, have, ready, counts, holds } => {
                     let Some(f) = follower.and_then(|n| rooms.followers.get_mut(&n)) else { return false };
                     f.ready = ready;
                     f.heard_at = now;
                     let (node, zone) = (f.edge.node.clone(), f.edge.zone.clone());
                     let window = self.settings.bounds.quota_window;
-                    rooms.purse.hear(now, &node, &zone, &counts, window);
+                    rooms.purse.hear(now, &node, &zone, (&counts, &holds), window);
                     if have < rooms.book.number {
                         let state = Bytes(Arc::new(rooms.book.for_the_road()));
                         say(conn, &Down::Book { index: rooms.book.number, state });
                     }
                     let leads = rooms.cairn.leads();
-                    let shares = match &rooms.configuration {
-                        Some(c) if leads => rooms.purse.shares(now, &node, &c.tenants, window),
+                    let Rooms { configuration, purse, .. } = &mut *rooms;
+                    let shares = match configuration {
+                        Some(c) if leads => purse.shares(now, &node, &c.tenants, window),
                         _ => Vec::new(),
                     };
                     let fresh = rooms.cairn.sure_at().map(|at| (now - at).nanos().div_ceil(1_000_000));
--- a/crates/pass/src/feed.rs
+++ b/crates/pass/src/feed.rs
@@ -94,10 +94,10 @@
 
 fn say(road: &Arc<Road>, to: &[Arc<Conn>], counts: Vec<lynxstair_trailbook::words::Count>) {
     let now = road.alarms.now();
-    let (have, ready) = {
+    let (have, ready, holds) = {
         let rooms = road.rooms();
-        (rooms.mirror.number(), rooms.is_ready(now))
+        (rooms.mirror.number(), rooms.is_ready(now), rooms.buckets.holds(now))
     };
-    let frame = lines::frame(&Up::Ping { clock: now.nanos(), have, ready, counts });
+    let frame = lines::frame(&Up::Ping { clock: now.nanos(), have, ready, counts, holds });
     to.iter().for_each(|conn| lines::write(conn, &frame, MOST_UNSENT));
 }
--- a/crates/pass/src/rooms.rs
+++ b/crates/pass/src/rooms.rs
@@ -86,7 +86,7 @@
             mirror: Mirror::default(),
             trust: Trust::default(),
             register: Register::default(),
-            buckets: Buckets::default(),
+            buckets: Buckets::new((bounds.quota_slack, bounds.quota_overshoot)),
             budget: Budget::new(bounds.retry_ratio, bounds.retry_slack),
             ladder: Ladder::new(seed, &settings.zone, &settings.region, &settings.zones),
             has_lives: false,
--- a/crates/ridge/src/buckets.rs
+++ b/crates/ridge/src/buckets.rs
@@ -15,6 +15,10 @@
 const STANDS: Span = Span::from_millis(6000);
 /// The answer while a window is closed: come back in a second (design page).
 const CLOSED: Span = Span::from_millis(1000);
+/// The parts of what the operators grant beyond the quota that are made use of: more room in the buckets, as what
+/// comes in by chance at many small ones would be refused with room left elsewhere; and a little faster filling.
+const SLACK_PART: f64 = 0.6;
+const OVER_PART: f64 = 0.4;
 /// Where the parts are so small that a bucket would never hold one token, it holds this many.
 const LEAST: f64 = 1.0;
 
@@ -31,12 +35,8 @@
 pub struct Buckets {
     all: HashMap<String, Bucket>,
     gatekeepers: f64,
-}
-
-impl Default for Buckets {
-    fn default() -> Self {
-        Buckets { all: HashMap::new(), gatekeepers: 1.0 }
-    }
+    /// Requests, and a part of the quota, that the operators grant beyond it in a window.
+    slack: (f64, f64),
 }
 
 impl Bucket {
@@ -50,6 +50,10 @@
 }
 
 impl Buckets {
+    pub fn new(slack: (f64, f64)) -> Self {
+        Buckets { all: HashMap::new(), gatekeepers: 1.0, slack }
+    }
+
     /// How many gatekeepers there are in all.
     pub fn shared_by(&mut self, gatekeepers: u32) {
         self.gatekeepers = f64::from(gatekeepers.max(1));
@@ -63,12 +67,14 @@
         let gatekeepers = self.gatekeepers;
         let bucket = self.all.entry(tenant.name.clone()).or_insert_with(|| Bucket {
             // Its burst is split over the gatekeepers.
-            tokens: Store { level: tenant.burst / gatekeepers, at: now },
+            tokens: Store { level: (tenant.burst / gatekeepers).max(LEAST), at: now },
             ..Bucket::default()
         });
         let part = bucket.part(now, gatekeepers);
-        let rate = tenant.rate * part;
-        let level = bucket.tokens.fill(now, rate, (tenant.burst * part).max(LEAST));
+        let (requests, over) = self.slack;
+        let rate = tenant.rate * part * (1.0 + over * OVER_PART);
+        let most = tenant.burst * part + requests * SLACK_PART / gatekeepers;
+        let level = bucket.tokens.fill(now, rate, most.max(LEAST));
         if now < bucket.closed_until {
             bucket.refused += 1;
             return Err(CLOSED);
@@ -90,6 +96,12 @@
         }
     }
 
+    /// The parts that are held.
+    pub fn holds(&self, now: Time) -> Vec<(String, f32)> {
+        let n = self.gatekeepers;
+        self.all.iter().map(|(tenant, b)| (tenant.clone(), b.part(now, n) as f32)).collect()
+    }
+
     /// What was counted since the last time.
     pub fn counts(&mut self) -> Vec<Count> {
         let counted = self.all.iter_mut().filter(|(_, b)| b.passed + b.refused > 0);
--- a/crates/ridge/src/ladder.rs
+++ b/crates/ridge/src/ladder.rs
@@ -162,10 +162,8 @@
         if zone == self.own_zone {
             return of(zone).max(1);
         }
-        if self.near.iter().any(|z| z == zone) {
-            return self.near.iter().map(|z| of(z)).sum::<u32>().max(1);
-        }
-        self.gatekeepers.values().sum::<u32>().max(1)
+        // Elsewhere those come by whose own rungs are full: seldom more than a region's at a time.
+        self.near.iter().map(|z| of(z)).sum::<u32>().max(1)
     }
 
     fn desk(&self, now: Time, (service, zone): &(String, String)) -> Desk<()> {
--- a/crates/ridge/src/purse.rs
+++ b/crates/ridge/src/purse.rs
@@ -9,15 +9,17 @@
 use lynxstair_trailbook::words::{Count, Share};
 
 /// The part of the quota that is split evenly, and that a gatekeeper may spend whatever it hears.
-pub const FLOOR: f64 = 0.35;
-/// The weight of a new count in what a gatekeeper needs; a rise counts at once.
-const FRESH: f64 = 0.3;
+pub const FLOOR: f64 = 0.4;
+/// The weight of a new count in what a gatekeeper needs. One that chance does not explain, so many deviations above,
+/// counts at once.
+const FRESH: f64 = 0.12;
+const DEVIATIONS: f64 = 3.0;
 /// A gatekeeper that says nothing keeps what it was given for so long, longer than it spends it; and it is counted
 /// as one of them for as long as this.
 const RESERVED: Span = Span::from_millis(7000);
 const COUNTED: Span = Span::from_millis(12_000);
 /// A need below this, in requests a second, is taken for this: whoever has none may get some at any time.
-const LEAST_NEED: f64 = 0.5;
+const LEAST_NEED: f64 = 0.3;
 
 #[derive(Debug, Default)]
 struct Spender {
@@ -25,6 +27,8 @@
     heard_at: Time,
     /// What it needs for each tenant, in requests a second.
     needs: HashMap<String, f64>,
+    /// The part of each tenant's quota that it holds, or was given since it last said what it holds.
+    holds: HashMap<String, f64>,
 }
 
 #[derive(Debug, Default)]
@@ -36,8 +40,15 @@
 }
 
 impl Purse {
-    /// A gatekeeper says what it counted.
-    pub fn hear(&mut self, now: Time, node: &str, zone: &str, counts: &[Count], window: Span) {
+    /// A gatekeeper says what it counted, and which parts it holds.
+    pub fn hear(
+        &mut self,
+        now: Time,
+        node: &str,
+        zone: &str,
+        (counts, holds): (&[Count], &[(String, f32)]),
+        window: Span,
+    ) {
         let number = now.periods(window);
         if number != self.window {
             self.window = number;
@@ -47,16 +58,21 @@
         let gap = (now - spender.heard_at).secs().clamp(0.2, 2.0);
         spender.zone = zone.to_string();
         spender.heard_at = now;
+        spender.holds = holds.iter().map(|(t, p)| (t.clone(), f64::from(*p))).collect();
+        let weight = FRESH * gap.min(1.0);
         for need in spender.needs.values_mut() {
-            *need *= 1.0 - FRESH * gap.min(1.0);
+            *need *= 1.0 - weight;
         }
         for count in counts {
             *self.totals.entry(count.tenant.clone()).or_default() += f64::from(count.passed);
             let need = spender.needs.entry(count.tenant.clone()).or_default();
             let seen = f64::from(count.passed + count.refused) / gap;
-            *need = (*need + FRESH * seen * gap.min(1.0)).max(seen.min(*need * 2.0 + 2.0));
+            *need += weight * seen;
+            if seen > *need + DEVIATIONS * (*need + 1.0).sqrt() {
+                *need = seen;
+            }
         }
-        spender.needs.retain(|_, n| *n > 0.01);
+        spender.needs.retain(|_, n| *n > 0.001);
         self.spenders.retain(|_, s| now - s.heard_at < COUNTED);
     }
 
@@ -73,24 +89,35 @@
         zones
     }
 
-    /// What one gatekeeper's buckets may hold.
-    pub fn shares(&self, now: Time, node: &str, tenants: &[Tenant], window: Span) -> Vec<Share> {
+    /// What one gatekeeper's buckets may hold. All that is held anywhere never comes to more than the quota: who needs
+    /// more gets it once another has said that it holds less.
+    pub fn shares(&mut self, now: Time, node: &str, tenants: &[Tenant], window: Span) -> Vec<Share> {
         let n = self.spenders.len().max(1) as f64;
+        let floor = FLOOR / n;
         let left = Span::from_nanos(window.nanos() - now.nanos() % window.nanos().max(1));
         let need = |s: &Spender, tenant: &str| s.needs.get(tenant).copied().unwrap_or(0.0).max(LEAST_NEED);
-        let limited = tenants.iter().filter(|t| t.rate > 0.0);
-        limited
-            .map(|tenant| {
-                let heard = self.spenders.values().filter(|s| now - s.heard_at < RESERVED);
-                let all: f64 = heard.map(|s| need(s, &tenant.name)).sum();
-                let own = self.spenders.get(node).map_or(LEAST_NEED, |s| need(s, &tenant.name));
-                let part = FLOOR / n + (1.0 - FLOOR) * (own / all.max(own));
-                let total = self.totals.get(&tenant.name).copied().unwrap_or(0.0);
-                let allowed = tenant.burst + tenant.rate * window.secs();
-                let closed = if total > allowed { (left.nanos() / 1_000_000) as u32 } else { 0 };
-                Share { tenant: tenant.name.clone(), part: part as f32, closed_ms: closed }
-            })
-            .collect()
+        let mut shares = Vec::new();
+        for tenant in tenants.iter().filter(|t| t.rate > 0.0) {
+            let is_reserved = |s: &Spender| now - s.heard_at < RESERVED;
+            let heard = self.spenders.values().filter(|s| is_reserved(s));
+            let all: f64 = heard.map(|s| need(s, &tenant.name)).sum();
+            let own = self.spenders.get(node).map_or(LEAST_NEED, |s| need(s, &tenant.name));
+            let wanted = floor + (1.0 - FLOOR) * (own / all.max(own));
+            let others = self.spenders.iter().filter(|(other, _)| *other != node).map(|(_, s)| {
+                let holds = s.holds.get(&tenant.name).copied().filter(|_| is_reserved(s));
+                holds.unwrap_or(floor).max(floor)
+            });
+            let part = wanted.min(1.0 - others.sum::<f64>()).max(floor);
+            if let Some(spender) = self.spenders.get_mut(node) {
+                let holds = spender.holds.entry(tenant.name.clone()).or_default();
+                *holds = holds.max(part);
+            }
+            let total = self.totals.get(&tenant.name).copied().unwrap_or(0.0);
+            let allowed = tenant.burst + tenant.rate * window.secs();
+            let closed = if total > allowed { (left.nanos() / 1_000_000) as u32 } else { 0 };
+            shares.push(Share { tenant: tenant.name.clone(), part: part as f32, closed_ms: closed });
+        }
+        shares
     }
 }
 
@@ -105,6 +132,8 @@
     use crate::buckets::Buckets;
 
     const WINDOW: Span = Span::from_millis(5000);
+    /// What the operators' rule grants besides, in requests and as a part.
+    const SLACK: (f64, f64) = (20.0, 0.1);
 
     fn tenant() -> Tenant {
         Tenant { name: "t".into(), priority: None, rate: 40.0, burst: 40.0, homes: vec![] }
@@ -116,7 +145,7 @@
     fn the_sum_stays_within_the_quota() {
         arbtest::arbtest(|u| {
             let (tenant, mut purse) = (tenant(), Purse::default());
-            let mut roads: Vec<Buckets> = (0..6).map(|_| Buckets::default()).collect();
+            let mut roads: Vec<Buckets> = (0..6).map(|_| Buckets::new(SLACK)).collect();
             roads.iter_mut().for_each(|r| r.shared_by(6));
             let mut passed: Vec<u64> = Vec::new();
             let mut load = vec![0u32; 6];
@@ -135,7 +164,8 @@
                         }
                     }
                     if tick % 10 == n as u64 && u.ratio(8, 10)? {
-                        purse.hear(now, &n.to_string(), "z", &road.counts(), WINDOW);
+                        let holds = road.holds(now);
+                        purse.hear(now, &n.to_string(), "z", (&road.counts(), &holds), WINDOW);
                         if u.ratio(9, 10)? {
                             road.hear(
                                 now,
@@ -148,7 +178,7 @@
                 if u.ratio(1, 100)? && restarts < 2 {
                     restarts += 1;
                     let n = u.int_in_range(0..=5)?;
-                    roads[n] = Buckets::default();
+                    roads[n] = Buckets::new(SLACK);
                     roads[n].shared_by(6);
                 }
             }
@@ -166,7 +196,7 @@
     #[test]
     fn an_uneven_tenant_gets_its_quota() {
         let (tenant, mut purse) = (tenant(), Purse::default());
-        let mut roads: Vec<Buckets> = (0..8).map(|_| Buckets::default()).collect();
+        let mut roads: Vec<Buckets> = (0..8).map(|_| Buckets::new(SLACK)).collect();
         let (mut asked, mut refused) = (0, 0);
         for tick in 0..300u64 {
             let now = Time::from_nanos((100_000 + tick * 100) * 1_000_000);
@@ -181,7 +211,8 @@
                     }
                 }
                 if tick % 10 == n as u64 {
-                    purse.hear(now, &n.to_string(), "z", &road.counts(), WINDOW);
+                    let holds = road.holds(now);
+                    purse.hear(now, &n.to_string(), "z", (&road.counts(), &holds), WINDOW);
                     road.hear(
                         now,
                         now,
--- a/crates/trailbook/src/words.rs
+++ b/crates/trailbook/src/words.rs
@@ -145,12 +145,14 @@
     Hello {
         edge: Edge,
     },
-    /// Every second and when something changed: its own clock, what it has, whether clients may come.
+    /// Every second and when something changed: its own clock, what it has, whether clients may come, what it counted
+    /// and what parts of quotas it holds.
     Ping {
         clock: u64,
         have: u64,
         ready: bool,
         counts: Vec<Count>,
+        holds: Vec<(String, f32)>,
     },
     /// Begins a line between cores, by the control address of the one who speaks.
     Core {
