--- a/crates/cairn/src/lib.rs
+++ b/crates/cairn/src/lib.rs
@@ -14,7 +14,7 @@
 
 use lynxstair::rng::Rng;
 use lynxstair::types::{Span, Time};
-use lynxstair_trailbook::words::{Bytes, Stamp, Vote};
+use lynxstair_trailbook::words::{Bytes, Stamp, State, Vote};
 use serde::{Deserialize, Serialize};
 
 /// How often a leader speaks, and how long nobody must have heard one before another is asked for.
@@ -28,6 +28,9 @@
 const UNHEARD: Span = Span::from_millis(800);
 const DISK_OWES: Span = Span::from_millis(700);
 
+/// More cores agree on nothing any better.
+const MOST_MEMBERS: usize = 7;
+
 pub type Node = SocketAddr;
 
 /// What a core keeps on its disk, all of it in one write.
@@ -37,11 +40,10 @@
     /// Who got this core's vote in the term.
     pub vote: Option<Node>,
     pub stamp: Stamp,
-    pub state: Bytes,
+    /// What was stored last, and which cores agree on what follows: the founders at first.
+    pub state: State,
     /// A number drawn when the disk was found emptied; until it is let in again it neither votes nor counts.
     pub lost: Option<u64>,
-    /// The core that the founders were: fixed when the system first started.
-    pub members: Vec<Node>,
 }
 
 /// What to do, in order.
@@ -151,7 +153,7 @@
             members.dedup();
             let drawn = u64::from(rng.draw()) << 32 | u64::from(rng.draw());
             let lost = (!bootstrap).then_some(drawn);
-            Record { members, lost, ..Record::default() }
+            Record { lost, state: State { members, ..State::default() }, ..Record::default() }
         });
         let mut cairn = Cairn {
             me,
@@ -179,7 +181,7 @@
     // ---- what others ask of it ----
 
     pub fn members(&self) -> &[Node] {
-        &self.record.members
+        &self.record.state.members
     }
 
     pub fn leader(&self) -> Option<Node> {
@@ -213,7 +215,7 @@
     }
 
     pub fn is_open(&self) -> bool {
-        matches!(&self.stand, Stand::Leads(l) if l.proposed.is_some())
+        matches!(&self.stand, Stand::Leads(_)) && self.agreed < self.record.stamp
     }
 
     /// When `tick` has something to do.
@@ -239,7 +241,8 @@
         }
         self.proposals += 1;
         let stamp = Stamp { term: self.record.term, index: self.record.stamp.index + 1 };
-        self.write(now, stamp, Bytes(Arc::new(state)));
+        let members = self.record.state.members.clone();
+        self.write(now, stamp, State { members, book: Bytes(Arc::new(state)) });
         let number = self.proposals;
         if let Stand::Leads(l) = &mut self.stand {
             l.proposed = Some((number, stamp));
@@ -248,6 +251,24 @@
         Some(number)
     }
 
+    /// A core that is none of the members speaks: it is taken in, one at a time, while the leader has nothing else
+    /// open. It counts from when that is written: each majority of before and after has a core in common.
+    pub fn knock(&mut self, now: Time, node: Node) {
+        let members = &self.record.state.members;
+        if !self.leads() || self.is_open() || members.contains(&node) || members.len() >= MOST_MEMBERS {
+            return;
+        }
+        let mut state = self.record.state.clone();
+        state.members.push(node);
+        state.members.sort();
+        let stamp = Stamp { term: self.record.term, index: self.record.stamp.index + 1 };
+        self.write(now, stamp, state);
+        if let Stand::Leads(l) = &mut self.stand {
+            l.peers.entry(node).or_default();
+        }
+        self.speak(now);
+    }
+
     /// A write is on the disk.
     pub fn saved(&mut self, now: Time, number: u64) {
         while let Some(write) = self.waiting.pop_front_if(|w| w.number <= number) {
@@ -278,7 +299,7 @@
                     self.speak(now);
                 }
             }
-            _ if self.lost().is_some() || !self.record.members.contains(&self.me) => {
+            _ if self.lost().is_some() || !self.record.state.members.contains(&self.me) => {
                 self.follow(now, None);
             }
             _ => self.ask(now, false),
@@ -286,9 +307,6 @@
     }
 
     pub fn hear(&mut self, now: Time, from: Node, word: Vote) {
-        if !self.record.members.contains(&from) {
-            return;
-        }
         match word {
             Vote::Ask { term, last, real: false } => {
                 // Whoever hears a leader has no use for another.
@@ -397,11 +415,11 @@
 
     fn others(&self) -> impl Iterator<Item = Node> {
         let me = self.me;
-        self.record.members.clone().into_iter().filter(move |n| *n != me)
+        self.record.state.members.clone().into_iter().filter(move |n| *n != me)
     }
 
     fn majority(&self) -> usize {
-        self.record.members.len() / 2 + 1
+        self.record.state.members.len() / 2 + 1
     }
 
     fn vote(&mut self, now: Time, from: Node, term: u64, last: Stamp) {
@@ -454,7 +472,7 @@
 
     // ---- the state ----
 
-    fn write(&mut self, now: Time, stamp: Stamp, state: Bytes) {
+    fn write(&mut self, now: Time, stamp: Stamp, state: State) {
         self.record.stamp = stamp;
         self.record.state = state;
         self.save(now, Vec::new());
@@ -478,7 +496,7 @@
         from: Node,
         (term, round): (u64, u64),
         last: Stamp,
-        state: Option<Bytes>,
+        state: Option<State>,
         agreed: Stamp,
     ) {
         if term > self.record.term {
@@ -509,7 +527,7 @@
 
     fn agree(&mut self, stamp: Stamp) {
         self.agreed = stamp;
-        self.out.push(Do::Agreed(stamp, self.record.state.clone()));
+        self.out.push(Do::Agreed(stamp, self.record.state.book.clone()));
     }
 
     /// A leader says to all what stands.
@@ -540,7 +558,7 @@
             let word = Vote::Put { term, round: l.round, last, state, agreed, echo, fresh };
             self.out.push(Do::Say(*to, word));
         }
-        if self.record.members.len() == 1 {
+        if self.record.state.members.len() == 1 {
             l.sure_at = now;
         }
     }
--- a/crates/cairn/tests/agreement.rs
+++ b/crates/cairn/tests/agreement.rs
@@ -73,7 +73,8 @@
     }
 
     fn start(&mut self, c: usize, bootstrap: bool) {
-        let seeds: Vec<Node> = (0..self.cores.len()).map(node).collect();
+        // Of five, three are named at the start; the others knock.
+        let seeds: Vec<Node> = (0..self.cores.len().min(3)).map(node).collect();
         let seed = u64::from(self.rng.draw());
         let found = self.cores[c].disk.clone();
         self.cores[c].room = Some(Cairn::start(self.now, node(c), &seeds, seed, found, bootstrap));
@@ -163,6 +164,12 @@
             let now = self.now;
             self.cores[c].room.as_mut().expect("runs").tick(now);
             self.act(c);
+            // Every core keeps a line to the founders, and so is seen by them.
+            let knocker = (now.nanos() / 1_000_000) as usize % self.cores.len();
+            if self.cores[knocker].room.is_some() && self.cut.is_none() {
+                self.cores[c].room.as_mut().expect("runs").knock(now, node(knocker));
+                self.act(c);
+            }
         }
         while let Some(first) = self.words.first_entry()
             && first.key().0 <= self.now
--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -12,7 +12,7 @@
 use lynxstair_cairn::{Cairn, Do, Node, Record};
 use lynxstair_lines as lines;
 use lynxstair_ridge::book::{Book, Change, Ruling};
-use lynxstair_ridge::purse::Purse;
+use lynxstair_ridge::purse::{Grant, Purse};
 use lynxstair_ridge::register::Register;
 use lynxstair_trailbook::configuration::Configuration;
 use lynxstair_trailbook::settings::Settings;
@@ -46,6 +46,10 @@
 /// What a caller may send, and how many callers there may be at once.
 const CALLERS: Most = Most { body: 8 << 20, connections: 2000 };
 const LOOKUPS: Most = Most { body: 1024, connections: 1500 };
+/// No system has more huts than this.
+const MOST_HUTS: usize = 16;
+/// A book is sent by the leader when it is agreed on; whoever lacks it after so long gets it from any hut.
+const LACKS: Span = Span::from_millis(800);
 /// A line that holds so many unsent bytes leads nowhere.
 const MOST_UNSENT: usize = 8 << 20;
 
@@ -61,6 +65,10 @@
     edge: Edge,
     ready: bool,
     heard_at: Time,
+    /// What it was told last of how many gatekeepers there are.
+    zones: Vec<(String, u32)>,
+    /// How often on end it said that it lacks the book.
+    lacked: u32,
 }
 
 /// What the rooms hold; one short lock.
@@ -73,8 +81,12 @@
     purse: Purse,
     waiting: HashMap<u64, Arc<Waiting>>,
     followers: HashMap<u64, Follower>,
+    /// The huts that this one keeps a line to, and the lines that are open.
+    huts: Vec<Node>,
     lines: HashMap<Node, Arc<Conn>>,
     last_follower: u64,
+    /// When the book was agreed on here.
+    book_at: Time,
 }
 
 pub struct Hut {
@@ -110,11 +122,17 @@
         book: Book::default(),
         configuration: None,
         register: Register::default(),
-        purse: Purse::default(),
+        purse: Purse::new(Grant {
+            window: settings.bounds.quota_window,
+            requests: settings.bounds.quota_slack,
+            over: settings.bounds.quota_overshoot,
+        }),
         waiting: HashMap::new(),
         followers: HashMap::new(),
+        huts: Vec::new(),
         lines: HashMap::new(),
         last_follower: 0,
+        book_at: now,
     };
     let inner = calls::listen(settings.inner())?;
     let control = calls::listen(me)?;
@@ -130,11 +148,10 @@
     go("alarms", move || h.alarms.run());
     let h = hut.clone();
     go("time", move || h.keep_time());
-    for peer in hut.rooms().cairn.members().to_vec() {
-        if peer != me {
-            let h = hut.clone();
-            go("a line", move || h.keep_line(peer));
-        }
+    {
+        let mut rooms = hut.rooms();
+        let members = rooms.cairn.members().to_vec();
+        hut.meet(&mut rooms, &members);
     }
     let h = hut.clone();
     go("the feed", move || calls::accept(&inner, |stream| h.admit(stream)));
@@ -166,6 +183,26 @@
 
     // ---- agreement: time, disk, lines ----
 
+    /// Keeps a line to each of these huts from now on; those who follow the feed are told of new ones.
+    fn meet(self: &Arc<Self>, rooms: &mut Rooms, huts: &[Node]) {
+        let mut is_news = false;
+        for hut in huts {
+            if *hut != self.me && !rooms.huts.contains(hut) && rooms.huts.len() < MOST_HUTS {
+                rooms.huts.push(*hut);
+                is_news = true;
+                let (h, hut) = (self.clone(), *hut);
+                go("a line", move || h.keep_line(hut));
+            }
+        }
+        if is_news {
+            tell(rooms, &Down::Huts(self.all_huts(rooms)));
+        }
+    }
+
+    fn all_huts(&self, rooms: &Rooms) -> Vec<Node> {
+        rooms.huts.iter().copied().chain([self.me]).collect()
+    }
+
     fn keep_time(self: &Arc<Self>) {
         let mut sweep_at = self.alarms.now();
         loop {
@@ -209,11 +246,12 @@
     }
 
     /// Does what the agreement asks for.
-    fn act(&self, now: Time, rooms: &mut Rooms) {
+    fn act(self: &Arc<Self>, now: Time, rooms: &mut Rooms) {
         loop {
             let todo = rooms.cairn.todo();
             if todo.is_empty() {
-                return;
+                let members = rooms.cairn.members().to_vec();
+                return self.meet(rooms, &members);
             }
             for item in todo {
                 match item {
@@ -234,6 +272,10 @@
                             info!(number = book.number, generation = book.generation, term = stamp.term; "agreed on");
                             rooms.configuration = book.configuration();
                             rooms.book = book;
+                            rooms.book_at = now;
+                            if let Some(configuration) = &rooms.configuration {
+                                rooms.purse.keep(&configuration.tenants);
+                            }
                             if rooms.cairn.leads() {
                                 let state = Bytes(Arc::new(rooms.book.for_the_road()));
                                 tell(rooms, &Down::Book { index: rooms.book.number, state });
@@ -248,7 +290,6 @@
                     }
                 }
             }
-            let _ = now;
         }
     }
 
@@ -290,50 +331,72 @@
             let now = self.alarms.now();
             let mut rooms = self.rooms();
             match word {
-                Up::Core { from } => core = Some(from),
+                Up::Core { from } => {
+                    core = Some(from);
+                    self.meet(&mut rooms, &[from]);
+                }
                 Up::Vote(vote) => {
                     let Some(from) = core else { return false };
                     rooms.cairn.hear(now, from, vote);
+                    rooms.cairn.knock(now, from);
                     self.act(now, &mut rooms);
                 }
                 Up::Heard(lives) => {
                     let register = &mut rooms.register;
                     let news: Vec<&Life> = lives.iter().filter(|life| register.hear(now, life)).collect();
                     let news: Vec<Life> = news.iter().filter_map(|l| register.life(now, &l.id)).collect();
-                    if !news.is_empty() {
+                    // The hut that heard it tells the road; the leader does so too, for those that it can't reach.
+                    if !news.is_empty() && rooms.cairn.leader() == Some(self.me) {
                         tell(&rooms, &Down::Lives { lives: news, whole: false });
                     }
+                    if let Some(from) = core {
+                        rooms.cairn.knock(now, from);
+                        self.act(now, &mut rooms);
+                    }
                 }
-                Up::Hello { edge } => {
+                Up::Hello { edge, lives } => {
                     rooms.followers.retain(|_, f| f.edge.node != edge.node);
                     rooms.last_follower += 1;
                     let number = rooms.last_follower;
                     follower = Some(number);
-                    let lives = rooms.register.all(now);
-                    say(conn, &Down::Lives { lives, whole: true });
-                    let new = Follower { conn: conn.clone(), edge, ready: false, heard_at: now };
+                    say(conn, &Down::Huts(self.all_huts(&rooms)));
+                    if lives {
+                        say(conn, &Down::Lives { lives: rooms.register.all(now), whole: true });
+                    }
+                    let zones = Vec::new();
+                    let new =
+                        Follower { conn: conn.clone(), edge, ready: false, heard_at: now, zones, lacked: 0 };
                     rooms.followers.insert(number, new);
                 }
-                Up::Ping { clock, have, ready, counts, holds } => {
-                    let Some(f) = follower.and_then(|n| rooms.followers.get_mut(&n)) else { return false };
+                Up::Ping { clock, have, ready, got, counts } => {
+                    let Rooms { followers, purse, configuration, cairn, book, book_at, .. } = &mut *rooms;
+                    let Some(f) = follower.and_then(|n| followers.get_mut(&n)) else { return false };
                     f.ready = ready;
                     f.heard_at = now;
-                    let (node, zone) = (f.edge.node.clone(), f.edge.zone.clone());
-                    let window = self.settings.bounds.quota_window;
-                    rooms.purse.hear(now, &node, &zone, (&counts, &holds), window);
-                    if have < rooms.book.number {
-                        let state = Bytes(Arc::new(rooms.book.for_the_road()));
-                        say(conn, &Down::Book { index: rooms.book.number, state });
+                    // Others than the leader wait whether it comes from there.
+                    f.lacked = if have < book.number { f.lacked + 1 } else { 0 };
+                    if f.lacked > 0 && now - *book_at > LACKS && (cairn.leads() || f.lacked > 1) {
+                        let state = Bytes(Arc::new(book.for_the_road()));
+                        say(conn, &Down::Book { index: book.number, state });
+                    }
+                    let leads = cairn.leads();
+                    let fresh = cairn.sure_at().map(|at| (now - at).nanos().div_ceil(1_000_000));
+                    say(conn, &Down::Pong { clock, index: book.number, fresh, leads });
+                    let Some(c) = configuration.as_ref().filter(|_| leads) else { return true };
+                    let node = &f.edge.node;
+                    let closed = purse.hear(now, node, &f.edge.zone, (&counts, got), &c.tenants);
+                    let zones = purse.gatekeepers();
+                    if zones != f.zones {
+                        say(conn, &Down::Zones(zones.clone()));
+                        f.zones = zones;
+                    }
+                    if let Some((number, shares)) = purse.shares(now, node, &c.tenants) {
+                        say(conn, &Down::Shares { number, shares });
+                    }
+                    if !closed.is_empty() {
+                        info!(tenants = closed.len(); "quotas are reached: closed everywhere");
+                        tell(&rooms, &Down::Shares { number: 0, shares: closed });
                     }
-                    let leads = rooms.cairn.leads();
-                    let Rooms { configuration, purse, .. } = &mut *rooms;
-                    let shares = match configuration {
-                        Some(c) if leads => purse.shares(now, &node, &c.tenants, window),
-                        _ => Vec::new(),
-                    };
-                    let fresh = rooms.cairn.sure_at().map(|at| (now - at).nanos().div_ceil(1_000_000));
-                    let edges = rooms.purse.gatekeepers();
-                    say(conn, &Down::Pong { clock, index: rooms.book.number, fresh, edges, shares });
                 }
             }
             true
@@ -418,7 +481,7 @@
         Reply::json(200, rooms.book.text.as_bytes())
     }
 
-    fn change(&self, path: &str, change: Change) -> Reply {
+    fn change(self: &Arc<Self>, path: &str, change: Change) -> Reply {
         let until = self.alarms.now() + PATIENCE;
         let waiting = Arc::new(Waiting { blocker: Blocker::current(), settled: Mutex::new(None) });
         let number = loop {
--- a/crates/hut/src/store.rs
+++ b/crates/hut/src/store.rs
@@ -80,7 +80,7 @@
     use std::sync::Arc;
 
     use lynxstair_cairn::Record;
-    use lynxstair_trailbook::words::{Bytes, Stamp};
+    use lynxstair_trailbook::words::{Bytes, Stamp, State};
 
     use super::{Memory, Sqlite, Store};
 
@@ -93,9 +93,8 @@
                 term,
                 vote: Some(node),
                 stamp: Stamp { term, index: 7 },
-                state: Bytes(Arc::new(vec![term as u8; 30_000])),
+                state: State { members: vec![node], book: Bytes(Arc::new(vec![term as u8; 30_000])) },
                 lost: Some(9),
-                members: vec![node],
             };
             store.save(&record).expect("saved");
             assert_eq!(store.load(), Ok(Some(record)), "the last one whole");
--- a/crates/pass/src/feed.rs
+++ b/crates/pass/src/feed.rs
@@ -9,6 +9,7 @@
 use lynxstair_lines as lines;
 use lynxstair_trailbook::words::{Down, Up};
 use lynxstair_wire::conn::Conn;
+use lynxstair_wire::coroutine::go;
 
 use crate::road::Road;
 
@@ -17,27 +18,63 @@
 const SILENT: Span = Span::from_millis(2_600);
 const AGAIN: Span = Span::from_millis(200);
 const MOST_UNSENT: usize = 1 << 20;
+/// No system has more huts than this.
+const MOST_HUTS: usize = 16;
+
+/// A line to one hut.
+struct Line {
+    hut: SocketAddr,
+    conn: Arc<Conn>,
+    /// It leads, as far as it has said; the number of the last shares that it told.
+    leads: bool,
+    got: u64,
+}
+
+#[derive(Default)]
+struct Lines {
+    /// The huts that are followed, by their control addresses.
+    huts: Vec<SocketAddr>,
+    open: Vec<Line>,
+}
 
 #[derive(Default)]
 pub struct Feed {
-    open: Mutex<Vec<Arc<Conn>>>,
+    lines: Mutex<Lines>,
 }
 
 impl Feed {
-    fn open(&self) -> MutexGuard<'_, Vec<Arc<Conn>>> {
-        self.open.lock().unwrap_or_else(|e| e.into_inner())
+    fn lines(&self) -> MutexGuard<'_, Lines> {
+        self.lines.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Follows each of these huts from now on.
+    pub fn meet(road: &Arc<Road>, huts: &[SocketAddr]) {
+        let mut lines = road.feed.lines();
+        for hut in huts {
+            if !lines.huts.contains(hut) && lines.huts.len() < MOST_HUTS {
+                lines.huts.push(*hut);
+                let (r, hut) = (road.clone(), *hut);
+                go("the feed", move || Feed::follow(&r, hut));
+            }
+        }
     }
 
     /// Keeps a line to one hut, for ever.
-    pub fn follow(road: &Arc<Road>, hut: SocketAddr) {
+    fn follow(road: &Arc<Road>, hut: SocketAddr) {
+        let inner = SocketAddr::new(hut.ip(), road.settings.ports.0);
+        let mut is_first = true;
         loop {
-            if let Some(conn) = lines::open(&road.alarms, hut) {
-                road.feed.open().push(conn.clone());
-                lines::write(&conn, &lines::frame(&Up::Hello { edge: road.edge.clone() }), MOST_UNSENT);
-                say(road, std::slice::from_ref(&conn), Vec::new());
+            if let Some(conn) = lines::open(&road.alarms, inner) {
+                // Who begins needs to know all lives once; who was away from one hut, what that one heard.
+                let lives = !is_first || !road.rooms().has_lives;
+                is_first = false;
+                let hello = Up::Hello { edge: road.edge.clone(), lives };
+                lines::write(&conn, &lines::frame(&hello), MOST_UNSENT);
+                road.feed.lines().open.push(Line { hut, conn: conn.clone(), leads: false, got: 0 });
+                Feed::speak_to(road, Some(&conn));
                 Feed::listen(road, &conn);
                 conn.close();
-                road.feed.open().retain(|c| !Arc::ptr_eq(c, &conn));
+                road.feed.lines().open.retain(|l| !Arc::ptr_eq(&l.conn, &conn));
                 info!(hut = hut.to_string(); "a line of the feed has ended");
             }
             road.alarms.sleep_until(road.alarms.now() + AGAIN);
@@ -52,52 +89,66 @@
             let now = road.alarms.now();
             let Some(word) = word else { return !is_silent(heard_at) };
             heard_at = now;
-            let mut rooms = road.rooms();
             match word {
                 Down::Book { index, state } => {
-                    if rooms.take_book(now, index, &state.0) {
+                    if road.rooms().take_book(now, index, &state.0) {
                         info!(number = index; "a book is in force");
-                        drop(rooms);
                         // So that the hut knows, and its next answer counts.
-                        say(road, std::slice::from_ref(conn), Vec::new());
+                        Feed::speak_to(road, Some(conn));
                     }
                 }
-                Down::Lives { lives, .. } => rooms.take_lives(now, &lives),
-                Down::Pong { clock, index, fresh, edges, shares } => {
+                Down::Lives { lives, .. } => road.rooms().take_lives(now, &lives),
+                Down::Pong { clock, index, fresh, leads } => {
                     let sent_at = Time::from_nanos(clock);
-                    let fresh = fresh.map(Span::from_millis);
-                    rooms.take_pong(now, sent_at, (index, fresh), &edges, &shares);
-                    drop(rooms);
+                    road.rooms().take_pong(sent_at, index, fresh.map(Span::from_millis), leads);
+                    Feed::heard(road, conn, |line| line.leads = leads);
                     road.alarms.nudge(now + SILENT, conn);
                 }
+                Down::Shares { number, shares } => {
+                    road.rooms().buckets.hear(now, now, &shares);
+                    Feed::heard(road, conn, |line| line.got = line.got.max(number));
+                }
+                Down::Zones(zones) => road.rooms().take_zones(now, &zones),
+                Down::Huts(huts) => Feed::meet(road, &huts),
             }
             true
         });
     }
 
+    fn heard(road: &Road, conn: &Arc<Conn>, what: impl FnOnce(&mut Line)) {
+        if let Some(line) = road.feed.lines().open.iter_mut().find(|l| Arc::ptr_eq(&l.conn, conn)) {
+            what(line);
+        }
+    }
+
     /// Speaks every second; from the start on at a time of its own, so that not all do so at once.
     pub fn speak(road: &Arc<Road>, offset: Span) {
         let mut at = road.alarms.now() + offset;
         loop {
             road.alarms.sleep_until(at);
             at = at + PING;
-            Feed::speak_now(road);
+            Feed::speak_to(road, None);
         }
     }
 
-    pub fn speak_now(road: &Arc<Road>) {
-        let open = road.feed.open().clone();
-        let counts = road.rooms().buckets.counts();
-        say(road, &open, counts);
+    /// Speaks to one hut, or to all; what was counted goes to the one that leads.
+    pub fn speak_to(road: &Road, only: Option<&Arc<Conn>>) {
+        let now = road.alarms.now();
+        let lines = road.feed.lines();
+        let (have, ready, mut counts) = {
+            let mut rooms = road.rooms();
+            let leads = lines.open.iter().any(|l| l.leads) && only.is_none();
+            let counts = if leads { rooms.buckets.counts() } else { Vec::new() };
+            (rooms.mirror.number(), rooms.is_ready(now), counts)
+        };
+        let mut to: Vec<&Line> =
+            lines.open.iter().filter(|l| only.is_none_or(|c| Arc::ptr_eq(c, &l.conn))).collect();
+        // Of two that say that they lead, one has not heard yet that it does no more.
+        to.sort_by_key(|l| (!l.leads, l.hut));
+        for line in to {
+            let counts = if line.leads { std::mem::take(&mut counts) } else { Vec::new() };
+            let ping = Up::Ping { clock: now.nanos(), have, ready, got: line.got, counts };
+            lines::write(&line.conn, &lines::frame(&ping), MOST_UNSENT);
+        }
     }
 }
-
-fn say(road: &Arc<Road>, to: &[Arc<Conn>], counts: Vec<lynxstair_trailbook::words::Count>) {
-    let now = road.alarms.now();
-    let (have, ready, holds) = {
-        let rooms = road.rooms();
-        (rooms.mirror.number(), rooms.is_ready(now), rooms.buckets.holds(now))
-    };
-    let frame = lines::frame(&Up::Ping { clock: now.nanos(), have, ready, counts, holds });
-    to.iter().for_each(|conn| lines::write(conn, &frame, MOST_UNSENT));
-}
--- a/crates/pass/src/road.rs
+++ b/crates/pass/src/road.rs
@@ -98,7 +98,7 @@
         let grace = self.settings.bounds.grace;
         let began = self.alarms.now();
         self.enter(Phase::Leaving);
-        Feed::speak_now(self);
+        Feed::speak_to(self, None);
         self.alarms.sleep_until(began + grace.times(OPEN_PART));
         self.enter(Phase::Closing);
         let end = began + grace.times(END_PART);
@@ -145,11 +145,7 @@
     go("alarms", move || r.alarms.run());
     let r = road.clone();
     go("upkeep", move || r.keep_up());
-    for seed in &road.settings.seeds {
-        let hut = std::net::SocketAddr::new(seed.ip(), road.settings.ports.0);
-        let r = road.clone();
-        go("the feed", move || Feed::follow(&r, hut));
-    }
+    Feed::meet(&road, &road.settings.seeds);
     let r = road.clone();
     let offset = Span::from_millis(200 + seed % 800);
     go("pings", move || Feed::speak(&r, offset));
--- a/crates/pass/src/rooms.rs
+++ b/crates/pass/src/rooms.rs
@@ -15,7 +15,7 @@
 use lynxstair_trailbook::configuration::Kind;
 use lynxstair_trailbook::settings::Settings;
 use lynxstair_trailbook::verdict::Verdict;
-use lynxstair_trailbook::words::{Life, Share};
+use lynxstair_trailbook::words::Life;
 
 /// When a client may come back to a gatekeeper that is not up to date, or knows no worker.
 const SOON: Span = Span::from_millis(300);
@@ -86,7 +86,7 @@
             mirror: Mirror::default(),
             trust: Trust::default(),
             register: Register::default(),
-            buckets: Buckets::new((bounds.quota_slack, bounds.quota_overshoot)),
+            buckets: Buckets::new(bounds.quota_slack, bounds.quota_overshoot),
             budget: Budget::new(bounds.retry_ratio, bounds.retry_slack),
             ladder: Ladder::new(seed, &settings.zone, &settings.region, &settings.zones),
             has_lives: false,
@@ -129,26 +129,22 @@
         }
     }
 
-    pub fn take_pong(
-        &mut self,
-        now: Time,
-        sent_at: Time,
-        (index, fresh): (u64, Option<Span>),
-        edges: &[(String, u32)],
-        shares: &[Share],
-    ) {
+    pub fn take_pong(&mut self, sent_at: Time, index: u64, fresh: Option<Span>, leads: bool) {
         if let Some(fresh) = fresh {
             self.trust.hear(sent_at, index, fresh, self.mirror.number());
         }
-        if !shares.is_empty() {
-            let all = edges.iter().map(|(_, n)| n).sum();
-            self.buckets.shared_by(all);
-            self.budget.shared_by(all);
-            self.ladder.shared_by(now, edges);
-            self.buckets.hear(now, sent_at, shares);
+        if leads {
+            self.buckets.renew(sent_at);
         }
     }
 
+    pub fn take_zones(&mut self, now: Time, zones: &[(String, u32)]) {
+        let all = zones.iter().map(|(_, n)| n).sum();
+        self.buckets.shared_by(all);
+        self.budget.shared_by(all);
+        self.ladder.shared_by(now, zones);
+    }
+
     pub fn tick(&mut self, now: Time) {
         self.ladder.tick(now);
         // Lives that are long over; the silent ones are the huts' to tell.
--- a/crates/ridge/src/buckets.rs
+++ b/crates/ridge/src/buckets.rs
@@ -13,13 +13,16 @@
 
 /// A part that was given stands for so long without another; then only the floor is this gatekeeper's to spend.
 const STANDS: Span = Span::from_millis(6000);
-/// The answer while a window is closed: come back in a second (design page).
+/// The most that a client is told to wait while a tenant is closed: a second (design page).
 const CLOSED: Span = Span::from_millis(1000);
 /// The parts of what the operators grant beyond the quota that are made use of: more room in the buckets, as what
 /// comes in by chance at many small ones would be refused with room left elsewhere; and a little faster filling.
-const SLACK_PART: f64 = 0.6;
-const OVER_PART: f64 = 0.4;
-/// Where the parts are so small that a bucket would never hold one token, it holds this many.
+pub const SLACK_PART: f64 = 0.6;
+pub const OVER_PART: f64 = 0.4;
+/// At many gatekeepers a part is less than a token, and what comes in by chance would be refused with room left
+/// elsewhere: a bucket holds this many at the least. All of them together could then hold more than the quota;
+/// the purse closes a tenant before they let it through. Where a tenant was closed lately, one token is the least.
+pub const DEPTH: f64 = 4.0;
 const LEAST: f64 = 1.0;
 
 #[derive(Default)]
@@ -28,6 +31,7 @@
     /// The part of the quota that was given, and when.
     part: Option<(f64, Time)>,
     closed_until: Time,
+    tight_until: Time,
     passed: u32,
     refused: u32,
 }
@@ -50,8 +54,9 @@
 }
 
 impl Buckets {
-    pub fn new(slack: (f64, f64)) -> Self {
-        Buckets { all: HashMap::new(), gatekeepers: 1.0, slack }
+    /// `requests` and a part of the quota, `over`, are granted beyond it in a window.
+    pub fn new(requests: f64, over: f64) -> Self {
+        Buckets { all: HashMap::new(), gatekeepers: 1.0, slack: (requests, over) }
     }
 
     /// How many gatekeepers there are in all.
@@ -74,10 +79,13 @@
         let (requests, over) = self.slack;
         let rate = tenant.rate * part * (1.0 + over * OVER_PART);
         let most = tenant.burst * part + requests * SLACK_PART / gatekeepers;
-        let level = bucket.tokens.fill(now, rate, most.max(LEAST));
+        let least = if now < bucket.tight_until { LEAST } else { DEPTH };
+        let level = bucket.tokens.fill(now, rate, most.max(least));
         if now < bucket.closed_until {
+            // Nothing is saved up meanwhile.
+            bucket.tokens.level = level.min(0.0);
             bucket.refused += 1;
-            return Err(CLOSED);
+            return Err(CLOSED.min(bucket.closed_until - now).max(Span::from_millis(1)));
         }
         if level < 1.0 {
             bucket.refused += 1;
@@ -96,12 +104,6 @@
         }
     }
 
-    /// The parts that are held.
-    pub fn holds(&self, now: Time) -> Vec<(String, f32)> {
-        let n = self.gatekeepers;
-        self.all.iter().map(|(tenant, b)| (tenant.clone(), b.part(now, n) as f32)).collect()
-    }
-
     /// What was counted since the last time.
     pub fn counts(&mut self) -> Vec<Count> {
         let counted = self.all.iter_mut().filter(|(_, b)| b.passed + b.refused > 0);
@@ -114,15 +116,28 @@
             .collect()
     }
 
-    /// The purse's answer to a ping that was sent then.
+    /// What the purse says, in answer to a ping that was sent then or to all at once.
     pub fn hear(&mut self, now: Time, sent_at: Time, shares: &[Share]) {
         for share in shares {
             let bucket = self.all.entry(share.tenant.clone()).or_default();
-            if bucket.part.is_none_or(|(_, at)| at <= sent_at) {
+            if share.part.is_finite() {
                 bucket.part = Some((f64::from(share.part).clamp(0.0, 1.0), sent_at));
             }
             if share.closed_ms > 0 {
                 bucket.closed_until = now + Span::from_millis(u64::from(share.closed_ms));
+                bucket.tokens.level = bucket.tokens.level.min(0.0);
+            }
+            if share.tight_ms > 0 {
+                bucket.tight_until = now + Span::from_millis(u64::from(share.tight_ms));
+            }
+        }
+    }
+
+    /// The core that leads answers: what was given before still stands.
+    pub fn renew(&mut self, sent_at: Time) {
+        for bucket in self.all.values_mut() {
+            if let Some((_, at)) = &mut bucket.part {
+                *at = sent_at.max(*at);
             }
         }
     }
--- a/crates/trailbook/src/words.rs
+++ b/crates/trailbook/src/words.rs
@@ -42,6 +42,13 @@
     }
 }
 
+/// What is agreed on: the book, and which cores agree on it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    pub members: Vec<SocketAddr>,
+    pub book: Bytes,
+}
+
 /// Between cores, about the book.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Vote {
@@ -63,7 +70,7 @@
         term: u64,
         round: u64,
         last: Stamp,
-        state: Option<Bytes>,
+        state: Option<State>,
         agreed: Stamp,
         echo: u64,
         fresh: Option<u64>,
@@ -129,30 +136,33 @@
     pub life: u64,
 }
 
-/// What one tenant's bucket at one gatekeeper may hold: parts of the whole quota.
+/// What one tenant's bucket at one gatekeeper may hold: a part of the whole quota.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Share {
     pub tenant: String,
     pub part: f32,
-    /// The window's total has passed what it allows: refused for so long, in milliseconds.
+    /// All gatekeepers together have let through what they may: refused for so long, in milliseconds.
     pub closed_ms: u32,
+    /// And for so long no more than its even flow.
+    pub tight_ms: u32,
 }
 
 /// From one who follows the feed: a gatekeeper, or a core another core.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Up {
-    /// Begins the feed.
+    /// Begins the feed. `lives`: all that is known of workers is wanted.
     Hello {
         edge: Edge,
+        lives: bool,
     },
-    /// Every second and when something changed: its own clock, what it has, whether clients may come, what it counted
-    /// and what parts of quotas it holds.
+    /// Every second and when something changed: its own clock, what it has, whether clients may come, which of the
+    /// shares it got last; to the core that leads also what it counted.
     Ping {
         clock: u64,
         have: u64,
         ready: bool,
+        got: u64,
         counts: Vec<Count>,
-        holds: Vec<(String, f32)>,
     },
     /// Begins a line between cores, by the control address of the one who speaks.
     Core {
@@ -171,6 +181,11 @@
     /// Lives of workers: all that are known where `whole`, else what changed.
     Lives { lives: Vec<Life>, whole: bool },
     /// `clock` as it came. No newer book than `index` was agreed on `fresh` milliseconds before that ping came here.
-    /// `edges`: how many gatekeepers there are in each zone. Shares come from the core that leads.
-    Pong { clock: u64, index: u64, fresh: Option<u64>, edges: Vec<(String, u32)>, shares: Vec<Share> },
+    Pong { clock: u64, index: u64, fresh: Option<u64>, leads: bool },
+    /// From the core that leads: parts of quotas that changed, numbered.
+    Shares { number: u64, shares: Vec<Share> },
+    /// How many gatekeepers there are in each zone.
+    Zones(Vec<(String, u32)>),
+    /// The control addresses of all cores.
+    Huts(Vec<SocketAddr>),
 }
