--- a/crates/cairn/src/lib.rs
+++ b/crates/cairn/src/lib.rs
@@ -129,6 +129,8 @@
     /// For a follower: its own clock at which the leader was known to be the only one.
     sure_at: Option<Time>,
     proposals: u64,
+    /// A leader was heard, or led here, since the start.
+    has_heard: bool,
     /// It was let in again by this write; until that is on the disk it still counts as emptied.
     let_in: Option<u64>,
     was_lost: Option<u64>,
@@ -167,6 +169,7 @@
             patience: SILENT,
             sure_at: None,
             proposals: 0,
+            has_heard: false,
             let_in: None,
             was_lost: None,
             out: Vec::new(),
@@ -174,7 +177,7 @@
         if is_new {
             cairn.save(now, Vec::new());
         }
-        cairn.patience = SILENT_AT_START + DRAWN.times(0.6 * cairn.rng.unit());
+        cairn.rest();
         cairn
     }
 
@@ -359,7 +362,9 @@
     // ---- every change of its stand ----
 
     fn rest(&mut self) {
-        self.patience = SILENT + DRAWN.times(self.rng.unit());
+        let (silent, drawn) =
+            if self.has_heard { (SILENT, DRAWN) } else { (SILENT_AT_START, DRAWN.times(0.6)) };
+        self.patience = silent + drawn.times(self.rng.unit());
     }
 
     fn stand_as(&mut self, stand: Stand) {
@@ -400,6 +405,7 @@
     }
 
     fn lead(&mut self, now: Time) {
+        self.has_heard = true;
         let peers = self.others().map(|n| (n, Peer::default())).collect();
         let leading =
             Leading { round: 0, said_at: now, begun: VecDeque::new(), peers, sure_at: now, proposed: None };
@@ -502,6 +508,7 @@
         if term > self.record.term {
             self.enter(now, term, None);
         }
+        self.has_heard = true;
         match &mut self.stand {
             Stand::Follows { leader, heard_at } => {
                 *leader = Some(from);
--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -368,7 +368,7 @@
                         Follower { conn: conn.clone(), edge, ready: false, heard_at: now, zones, lacked: 0 };
                     rooms.followers.insert(number, new);
                 }
-                Up::Ping { clock, have, ready, got, counts } => {
+                Up::Ping { clock, have, ready, got, counts, holds } => {
                     let Rooms { followers, purse, configuration, cairn, book, book_at, .. } = &mut *rooms;
                     let Some(f) = follower.and_then(|n| followers.get_mut(&n)) else { return false };
                     f.ready = ready;
@@ -382,8 +382,12 @@
                     let leads = cairn.leads();
                     let fresh = cairn.sure_at().map(|at| (now - at).nanos().div_ceil(1_000_000));
                     say(conn, &Down::Pong { clock, index: book.number, fresh, leads });
-                    let Some(c) = configuration.as_ref().filter(|_| leads) else { return true };
                     let node = &f.edge.node;
+                    purse.meet(now, node, &f.edge.zone, leads);
+                    let Some(c) = configuration.as_ref().filter(|_| leads) else { return true };
+                    if let Some(holds) = holds {
+                        purse.holds(node, &holds);
+                    }
                     let closed = purse.hear(now, node, &f.edge.zone, (&counts, got), &c.tenants);
                     let zones = purse.gatekeepers();
                     if zones != f.zones {
--- a/crates/lines/src/lib.rs
+++ b/crates/lines/src/lib.rs
@@ -15,9 +15,10 @@
 
 /// What a line holds of one direction.
 pub const MOST: usize = frames::MOST_FRAME + 4;
-/// Bytes that nobody acknowledges for so long, and an opening that takes so long, end a line.
+/// Bytes that nobody acknowledges for so long end a line, and so does an opening that takes longer than the longest
+/// way there and back: what was sent to a machine without power is sent again after seconds only.
 const SILENCE: Span = Span::from_millis(1_500);
-const OPENING: Span = Span::from_millis(1_000);
+const OPENING: Span = Span::from_millis(350);
 
 /// Opens a line; None where that fails or takes too long.
 pub fn open(alarms: &Alarms, to: SocketAddr) -> Option<Arc<Conn>> {
--- a/crates/pass/src/feed.rs
+++ b/crates/pass/src/feed.rs
@@ -28,6 +28,8 @@
     /// It leads, as far as it has said; the number of the last shares that it told.
     leads: bool,
     got: u64,
+    /// It was told which parts of quotas are held here.
+    knows: bool,
 }
 
 #[derive(Default)]
@@ -70,7 +72,13 @@
                 is_first = false;
                 let hello = Up::Hello { edge: road.edge.clone(), lives };
                 lines::write(&conn, &lines::frame(&hello), MOST_UNSENT);
-                road.feed.lines().open.push(Line { hut, conn: conn.clone(), leads: false, got: 0 });
+                road.feed.lines().open.push(Line {
+                    hut,
+                    conn: conn.clone(),
+                    leads: false,
+                    got: 0,
+                    knows: false,
+                });
                 Feed::speak_to(road, Some(&conn));
                 Feed::listen(road, &conn);
                 conn.close();
@@ -101,7 +109,10 @@
                 Down::Pong { clock, index, fresh, leads } => {
                     let sent_at = Time::from_nanos(clock);
                     road.rooms().take_pong(sent_at, index, fresh.map(Span::from_millis), leads);
-                    Feed::heard(road, conn, |line| line.leads = leads);
+                    Feed::heard(road, conn, |line| {
+                        line.knows &= leads;
+                        line.leads = leads;
+                    });
                     road.alarms.nudge(now + SILENT, conn);
                 }
                 Down::Shares { number, shares } => {
@@ -134,20 +145,21 @@
     /// Speaks to one hut, or to all; what was counted goes to the one that leads.
     pub fn speak_to(road: &Road, only: Option<&Arc<Conn>>) {
         let now = road.alarms.now();
-        let lines = road.feed.lines();
-        let (have, ready, mut counts) = {
+        let mut lines = road.feed.lines();
+        let (have, ready, mut counts, held) = {
             let mut rooms = road.rooms();
             let leads = lines.open.iter().any(|l| l.leads) && only.is_none();
             let counts = if leads { rooms.buckets.counts() } else { Vec::new() };
-            (rooms.mirror.number(), rooms.is_ready(now), counts)
+            let held = lines.open.iter().any(|l| l.leads && !l.knows).then(|| rooms.buckets.holds(now));
+            (rooms.mirror.number(), rooms.is_ready(now), counts, held)
         };
-        let mut to: Vec<&Line> =
-            lines.open.iter().filter(|l| only.is_none_or(|c| Arc::ptr_eq(c, &l.conn))).collect();
         // Of two that say that they lead, one has not heard yet that it does no more.
-        to.sort_by_key(|l| (!l.leads, l.hut));
-        for line in to {
+        lines.open.sort_by_key(|l| (!l.leads, l.hut));
+        for line in lines.open.iter_mut().filter(|l| only.is_none_or(|c| Arc::ptr_eq(c, &l.conn))) {
             let counts = if line.leads { std::mem::take(&mut counts) } else { Vec::new() };
-            let ping = Up::Ping { clock: now.nanos(), have, ready, got: line.got, counts };
+            let holds = if line.leads && !line.knows { held.clone() } else { None };
+            line.knows |= holds.is_some();
+            let ping = Up::Ping { clock: now.nanos(), have, ready, got: line.got, counts, holds };
             lines::write(&line.conn, &lines::frame(&ping), MOST_UNSENT);
         }
     }
--- a/crates/ridge/src/buckets.rs
+++ b/crates/ridge/src/buckets.rs
@@ -104,6 +104,13 @@
         }
     }
 
+    /// The parts that are held.
+    pub fn holds(&self, now: Time) -> Vec<(String, f32)> {
+        let n = self.gatekeepers;
+        let given = self.all.iter().filter(|(_, b)| b.part.is_some());
+        given.map(|(tenant, b)| (tenant.clone(), b.part(now, n) as f32)).collect()
+    }
+
     /// What was counted since the last time.
     pub fn counts(&mut self) -> Vec<Count> {
         let counted = self.all.iter_mut().filter(|(_, b)| b.passed + b.refused > 0);
--- a/crates/ridge/src/purse.rs
+++ b/crates/ridge/src/purse.rs
@@ -54,6 +54,8 @@
     /// What it was told since, and by which number.
     told: HashMap<String, f64>,
     number: u64,
+    /// It has said what it holds, since this purse is the one that gives.
+    is_known: bool,
 }
 
 #[derive(Debug, Default)]
@@ -90,6 +92,30 @@
         Purse { grant, spenders: HashMap::new(), totals: HashMap::new() }
     }
 
+    /// A gatekeeper is there; whether or not this purse is the one that gives.
+    pub fn meet(&mut self, now: Time, node: &str, zone: &str, gives: bool) {
+        // Its first count is of about a second.
+        let before = now.saturating_sub(Span::from_millis(1000));
+        let new = || Spender { heard_at: before, ..Spender::default() };
+        let spender = self.spenders.entry(node.to_string()).or_insert_with(new);
+        spender.zone = zone.to_string();
+        if !gives {
+            spender.heard_at = now;
+            spender.is_known = false;
+            spender.told.clear();
+        }
+        self.spenders.retain(|_, s| now - s.heard_at < COUNTED);
+    }
+
+    /// A gatekeeper says which parts it holds: those that another purse gave.
+    pub fn holds(&mut self, node: &str, holds: &[(String, f32)]) {
+        if let Some(spender) = self.spenders.get_mut(node) {
+            spender.holds = holds.iter().map(|(t, p)| (t.clone(), f64::from(*p))).collect();
+            spender.told.clear();
+            spender.is_known = true;
+        }
+    }
+
     /// A gatekeeper says what it counted, and which of the parts it was told it got. Who is to be closed at once.
     pub fn hear(
         &mut self,
@@ -159,6 +185,8 @@
             holds.max(s.told.get(tenant).copied().unwrap_or(0.0)).max(floor)
         };
         let need = |s: &Spender, tenant: &str| s.needs.get(tenant).copied().unwrap_or(0.0).max(LEAST_NEED);
+        // Who has just begun to give knows not yet what the others hold, and takes back only.
+        let all_known = self.spenders.values().all(|s| s.is_known || !is_reserved(s));
         let mut shares = Vec::new();
         for tenant in tenants.iter().filter(|t| t.rate > 0.0) {
             let own = self.spenders.get(node)?;
@@ -167,8 +195,9 @@
             let wanted = floor + (1.0 - FLOOR) * (need(own, name) / all.max(need(own, name)));
             let others = self.spenders.iter().filter(|(other, _)| *other != node);
             let others: f64 = others.map(|(_, s)| held(s, name)).sum();
-            let part = wanted.min(1.0 - others).max(floor);
             let last = own.told.get(name).or(own.holds.get(name)).copied();
+            let most = if all_known { 1.0 - others } else { last.unwrap_or(floor) };
+            let part = wanted.min(most).max(floor);
             let is_news = last.is_none_or(|l| (part - l).abs() > SAID * l);
             let total = self.totals.get(name).filter(|t| now < t.tight_until);
             if !is_news && total.is_none() {
@@ -300,6 +329,10 @@
                 if ms % 1000 == own && self.rng.unit() >= self.lost {
                     let (counts, got) = (self.roads[n].counts(), self.got[n]);
                     let tenants = std::slice::from_ref(&self.tenant);
+                    self.purse.meet(now, &n.to_string(), "z", true);
+                    if self.got[n] == 0 {
+                        self.purse.holds(&n.to_string(), &self.roads[n].holds(now));
+                    }
                     let closed = self.purse.hear(now, &n.to_string(), "z", (&counts, got), tenants);
                     if !closed.is_empty() {
                         (0..self.roads.len())
--- a/crates/trailbook/src/words.rs
+++ b/crates/trailbook/src/words.rs
@@ -156,13 +156,15 @@
         lives: bool,
     },
     /// Every second and when something changed: its own clock, what it has, whether clients may come, which of the
-    /// shares it got last; to the core that leads also what it counted.
+    /// shares it got last; to the core that leads also what it counted and, where that one has just begun to lead,
+    /// which parts of quotas it holds.
     Ping {
         clock: u64,
         have: u64,
         ready: bool,
         got: u64,
         counts: Vec<Count>,
+        holds: Option<Vec<(String, f32)>>,
     },
     /// Begins a line between cores, by the control address of the one who speaks.
     Core {
