--- a/crates/ridge/src/buckets.rs
+++ b/crates/ridge/src/buckets.rs
@@ -9,10 +9,8 @@
 use lynxstair_trailbook::configuration::Tenant;
 use lynxstair_trailbook::words::{Count, Share};
 
-use crate::purse::FLOOR;
-
-/// A part that was given stands for so long without another; then only the floor is this gatekeeper's to spend.
-const STANDS: Span = Span::from_millis(6000);
+/// A part that was given stands for so long without the purse's word; then an even part is the most.
+const STANDS: Span = Span::from_millis(2500);
 /// The most that a client is told to wait while a tenant is closed: a second (design page).
 const CLOSED: Span = Span::from_millis(1000);
 /// The parts of what the operators grant beyond the quota that are made use of: more room in the buckets, as what
@@ -24,6 +22,8 @@
 /// the purse closes a tenant before they let it through. Where a tenant was closed lately, one token is the least.
 pub const DEPTH: f64 = 4.0;
 const LEAST: f64 = 1.0;
+/// And a new one begins with this many at the least.
+const FIRST: f64 = 2.0;
 
 #[derive(Default)]
 struct Bucket {
@@ -47,8 +47,8 @@
     fn part(&self, now: Time, gatekeepers: f64) -> f64 {
         match self.part {
             Some((part, at)) if now - at < STANDS => part,
-            Some((part, _)) => part.min(FLOOR / gatekeepers),
-            None => FLOOR / gatekeepers,
+            Some((part, _)) => part.min(1.0 / gatekeepers),
+            None => 1.0 / gatekeepers,
         }
     }
 }
@@ -72,7 +72,7 @@
         let gatekeepers = self.gatekeepers;
         let bucket = self.all.entry(tenant.name.clone()).or_insert_with(|| Bucket {
             // Its burst is split over the gatekeepers.
-            tokens: Store { level: (tenant.burst / gatekeepers).max(LEAST), at: now },
+            tokens: Store { level: (tenant.burst / gatekeepers).max(FIRST), at: now },
             ..Bucket::default()
         });
         let part = bucket.part(now, gatekeepers);
--- a/crates/ridge/src/purse.rs
+++ b/crates/ridge/src/purse.rs
@@ -14,16 +14,18 @@
 
 use crate::buckets::{DEPTH, OVER_PART, SLACK_PART};
 
-/// The part of the quota that is split evenly, and that a gatekeeper may spend whatever it hears.
-pub const FLOOR: f64 = 0.4;
+/// The part of the quota that is split evenly among those that are heard.
+const FLOOR: f64 = 0.4;
 /// The weight of a new count in what a gatekeeper needs. One that chance does not explain, so many deviations above,
 /// counts at once.
 const FRESH: f64 = 0.12;
 const DEVIATIONS: f64 = 3.0;
-/// A gatekeeper that says nothing keeps what it was given for so long, longer than it spends it; and it is counted
-/// as one of them for as long as this.
-const RESERVED: Span = Span::from_millis(7000);
+/// A gatekeeper that says nothing keeps what it was given for so long, longer than it spends it, and then an even
+/// part for as long as it is counted as one of them.
+const RESERVED: Span = Span::from_millis(3300);
 const COUNTED: Span = Span::from_millis(12_000);
+/// So many counts say what a gatekeeper needs.
+const SETTLED: u32 = 3;
 /// A need below this, in requests a second, is taken for this: whoever has none may get some at any time.
 const LEAST_NEED: f64 = 0.3;
 /// A part is said anew where it changed by more than this.
@@ -56,6 +58,8 @@
     number: u64,
     /// It has said what it holds, since this purse is the one that gives.
     is_known: bool,
+    /// How often it has said what it counted, since then.
+    counts: u32,
 }
 
 #[derive(Debug, Default)]
@@ -102,6 +106,8 @@
         if !gives {
             spender.heard_at = now;
             spender.is_known = false;
+            spender.counts = 0;
+            spender.needs.clear();
             spender.told.clear();
         }
         self.spenders.retain(|_, s| now - s.heard_at < COUNTED);
@@ -132,7 +138,9 @@
         if got >= spender.number {
             spender.holds.extend(spender.told.drain());
         }
-        let weight = FRESH * gap.min(1.0);
+        spender.counts += 1;
+        // The first counts are all that is known of it.
+        let weight = (FRESH * gap.min(1.0)).max(1.0 / f64::from(spender.counts));
         for need in spender.needs.values_mut() {
             *need *= 1.0 - weight;
         }
@@ -181,12 +189,16 @@
         let floor = FLOOR / n;
         let is_reserved = |s: &Spender| now - s.heard_at < RESERVED;
         let held = |s: &Spender, tenant: &str| {
-            let holds = s.holds.get(tenant).copied().filter(|_| is_reserved(s)).unwrap_or(floor);
+            if !is_reserved(s) || !s.is_known {
+                return 1.0 / n;
+            }
+            let holds = s.holds.get(tenant).copied().unwrap_or(1.0 / n);
             holds.max(s.told.get(tenant).copied().unwrap_or(0.0)).max(floor)
         };
         let need = |s: &Spender, tenant: &str| s.needs.get(tenant).copied().unwrap_or(0.0).max(LEAST_NEED);
-        // Who has just begun to give knows not yet what the others hold, and takes back only.
-        let all_known = self.spenders.values().all(|s| s.is_known || !is_reserved(s));
+        // Who has just begun to give knows not yet what the others hold and need: it leaves things as they are.
+        let is_settled = |s: &Spender| s.is_known && s.counts >= SETTLED;
+        let all_known = self.spenders.values().all(|s| is_settled(s) || !is_reserved(s));
         let mut shares = Vec::new();
         for tenant in tenants.iter().filter(|t| t.rate > 0.0) {
             let own = self.spenders.get(node)?;
@@ -196,14 +208,13 @@
             let others = self.spenders.iter().filter(|(other, _)| *other != node);
             let others: f64 = others.map(|(_, s)| held(s, name)).sum();
             let last = own.told.get(name).or(own.holds.get(name)).copied();
-            let most = if all_known { 1.0 - others } else { last.unwrap_or(floor) };
-            let part = wanted.min(most).max(floor);
-            let is_news = last.is_none_or(|l| (part - l).abs() > SAID * l);
+            let part = if all_known { wanted.min(1.0 - others).max(floor) } else { last.unwrap_or(f64::NAN) };
+            let is_news = all_known && last.is_none_or(|l| (part - l).abs() > SAID * l);
             let total = self.totals.get(name).filter(|t| now < t.tight_until);
             if !is_news && total.is_none() {
                 continue;
             }
-            let part = if is_news { part } else { last.unwrap_or(part) };
+            let part = if is_news { part } else { f64::NAN };
             shares.push(match total {
                 Some(total) => total.share(now, tenant, part as f32),
                 None => Share { tenant: name.clone(), part: part as f32, closed_ms: 0, tight_ms: 0 },
@@ -214,7 +225,7 @@
         }
         let spender = self.spenders.get_mut(node)?;
         spender.number += 1;
-        for share in &shares {
+        for share in shares.iter().filter(|s| s.part.is_finite()) {
             // What was told before and is not said to have come may be held as well.
             let told = spender.told.entry(share.tenant.clone()).or_default();
             *told = told.max(f64::from(share.part));
@@ -330,7 +341,7 @@
                     let (counts, got) = (self.roads[n].counts(), self.got[n]);
                     let tenants = std::slice::from_ref(&self.tenant);
                     self.purse.meet(now, &n.to_string(), "z", true);
-                    if self.got[n] == 0 {
+                    if ms < 2000 {
                         self.purse.holds(&n.to_string(), &self.roads[n].holds(now));
                     }
                     let closed = self.purse.hear(now, &n.to_string(), "z", (&counts, got), tenants);
