--- a/crates/ridge/src/ladder.rs
+++ b/crates/ridge/src/ladder.rs
@@ -20,6 +20,9 @@
 
 /// How far apart what is heard may be and still count as one moment for the module.
 const STEP: Span = Span::from_millis(1);
+/// The least that the module lets be out at a worker, over all gatekeepers, is less than what a worker answers within
+/// the routes' targets: so many times as much may be.
+const ROOMIER: u32 = 2;
 /// When a client is to come back where every rung is full, in parts of the route's target.
 const COME_BACK: f64 = 0.25;
 const COME_BACK_LEAST: Span = Span::from_millis(100);
@@ -175,7 +178,7 @@
             repeat: if kind.is_repeatable() { Repeat::Idempotent } else { Repeat::NonIdempotent },
         };
         let settings = Settings {
-            gatekeepers: self.sharing(zone),
+            gatekeepers: self.sharing(zone).div_ceil(ROOMIER),
             step: STEP,
             operations: self.work.get(service).map_or(Vec::new(), |w| w.iter().map(operation).collect()),
             plans: vec![Plan::default()],
