--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+/// The weight of a new gap between invocations of a customer.
+pub(super) const FRESH_GAP: f64 = 0.3;
 /// Where the last total is old, the next report comes after this part of a round.
 pub(super) const SOON_PART: f64 = 0.2;
 /// A window is several rounds long, as in the paper; a count may be kept for no more than a minute.
@@ -62,6 +64,12 @@
             // The ceiling's store starts empty, so that a restart never fills it.
             ..Customer::default()
         });
+        // How far apart its invocations come in here; nothing is known of that with the first.
+        if customer.seen_at != Time::default() {
+            let gap = (now - customer.seen_at).secs();
+            let weight = if customer.gap > 0.0 { FRESH_GAP } else { 1.0 };
+            customer.gap += weight * (gap - customer.gap);
+        }
         customer.plan = arrival.plan;
         customer.spread = customer.spread.max(spread);
         customer.seen_at = now;
@@ -196,7 +204,10 @@
     let gap = (now - c.told_at).secs().max(0.1);
     c.others_rate += FRESH_USE * (others / gap - c.others_rate);
     c.own_since = c.unreported;
-    c.tokens.level = (c.tokens.level + c.guessed - others).clamp(-plan.burst, plan.burst);
+    // What the others let through beyond the bucket is owed as far as it would fill up again before the customer
+    // comes back here: one that is met seldom would else find a full bucket each time, at each of hundreds.
+    let owed = (plan.rate.unwrap_or(0.0) * c.gap).min(plan.burst);
+    c.tokens.level = (c.tokens.level + c.guessed - others).clamp(-owed, plan.burst);
     c.guessed = 0.0;
     c.told_at = now;
     if s.total + s.lost > plan.allowance {
--- a/src/state.rs
+++ b/src/state.rs
@@ -164,6 +164,8 @@
     pub ceiling: Store,
     pub out: u32,
     pub seen_at: Time,
+    /// How far apart its invocations come in here, in seconds.
+    pub gap: f64,
     /// Let through and not yet reported.
     pub unreported: f64,
     pub report_due: bool,
