--- /dev/null
+++ b/crates/pass/tests/whole_path.rs
@@ -0,0 +1,376 @@
+//! The whole path on loopback: three huts and three passes as programs, workers and an operator played here.
+//! Nothing waits for a time: what is to come is asked for until it is there.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use tempfile::TempDir;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct Message {
+    first: String,
+    headers: HashMap<String, String>,
+    body: String,
+}
+
+impl Message {
+    fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+}
+
+fn read(from: &mut impl BufRead) -> Option<Message> {
+    let mut first = String::new();
+    from.read_line(&mut first).ok().filter(|n| *n > 0)?;
+    let mut headers = HashMap::new();
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        headers.insert(name.to_ascii_lowercase(), value.trim().to_string());
+    }
+    let mut body = vec![0; headers.get("content-length").map_or(0, |l| l.parse().expect("a length"))];
+    from.read_exact(&mut body).ok()?;
+    Some(Message { first: first.trim_end().to_string(), headers, body: String::from_utf8(body).ok()? })
+}
+
+/// One call on a connection of its own.
+fn call(to: SocketAddr, head: &str, body: &str) -> Option<Message> {
+    let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
+    let n = body.len();
+    write!(stream, "{head}\r\nHost: h.example\r\nContent-Length: {n}\r\nConnection: close\r\n\r\n{body}")
+        .ok()?;
+    read(&mut BufReader::new(stream))
+}
+
+fn until<T>(what: &str, mut get: impl FnMut() -> Option<T>) -> T {
+    let began = Instant::now();
+    loop {
+        if let Some(got) = get() {
+            return got;
+        }
+        assert!(began.elapsed() < PATIENCE, "not in time: {what}");
+        thread::yield_now();
+    }
+}
+
+/// What a worker does with requests under a path that holds this word.
+fn does(path: &str) -> &'static str {
+    ["cut", "late", "500", "full"].into_iter().find(|d| path.contains(d)).unwrap_or("serve")
+}
+
+/// A worker: serves, beats to the huts in turn, and notes what it ran.
+fn worker(
+    id: &str,
+    at: SocketAddr,
+    huts: Vec<SocketAddr>,
+    ran: Arc<Mutex<Vec<(String, String)>>>,
+) -> Sender<()> {
+    let listener = TcpListener::bind(at).expect("bound");
+    let own = id.to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (own, ran) = (own.clone(), ran.clone());
+            thread::spawn(move || {
+                let mut out = stream.try_clone().expect("cloned");
+                let mut reader = BufReader::new(stream);
+                while let Some(m) = read(&mut reader) {
+                    let attempt = m.header("attempt-id").to_string();
+                    if m.header("target-instance") != own {
+                        let _ =
+                            write!(out, "HTTP/1.1 421 No\r\nInstance-Id: {own}\r\nContent-Length: 0\r\n\r\n");
+                        continue;
+                    }
+                    let what = does(&m.first);
+                    if what == "full" {
+                        let _ = write!(out, "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+                        continue;
+                    }
+                    ran.lock().expect("ran").push((attempt.clone(), m.header("tenant").to_string()));
+                    let head = format!("Attempt-Id: {attempt}\r\nServer-Seal: {own}");
+                    let _ = match what {
+                        // Without a length, and then a reset: no end.
+                        "cut" => {
+                            let written = write!(out, "HTTP/1.1 200 OK\r\n{head}\r\n\r\nhalf");
+                            let _ = socket2::SockRef::from(&out).set_linger(Some(Duration::ZERO));
+                            drop((out, reader));
+                            let _ = written;
+                            return;
+                        }
+                        // A surplus answer first, to a request that nobody sent.
+                        "late" => write!(
+                            out,
+                            "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Seal: x\r\nContent-Length: 3\r\n\r\nbad\
+                             HTTP/1.1 200 OK\r\n{head}\r\nContent-Length: 4\r\n\r\ngood"
+                        ),
+                        "500" => write!(out, "HTTP/1.1 500 No\r\n{head}\r\nContent-Length: 0\r\n\r\n"),
+                        _ => write!(
+                            out,
+                            "HTTP/1.1 200 OK\r\n{head}\r\nContent-Length: 4\r\n\r\n{}",
+                            &m.first[..4]
+                        ),
+                    };
+                }
+            });
+        }
+    });
+    let (stop, stopped) = channel();
+    let id = id.to_string();
+    thread::spawn(move || {
+        for seq in 1.. {
+            let body = format!(
+                r#"{{"service":"s","address":"{at}","zone":"z1","capacity":6,"state":"ready","cold-left-s":0,"call-seq":{seq}}}"#
+            );
+            let taken = |hut: &&SocketAddr| {
+                call(**hut, &format!("PUT /instances/{id} HTTP/1.1"), &body)
+                    .is_some_and(|m| m.status() == 200)
+            };
+            huts.iter().cycle().skip(seq % 3).take(3).find(taken);
+            if !matches!(
+                stopped.recv_timeout(Duration::from_millis(300)),
+                Err(std::sync::mpsc::RecvTimeoutError::Timeout)
+            ) {
+                return;
+            }
+        }
+    });
+    stop
+}
+
+struct System {
+    folder: TempDir,
+    children: HashMap<String, Child>,
+    huts: Vec<SocketAddr>,
+    fronts: Vec<SocketAddr>,
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        for child in self.children.values_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl System {
+    fn start() -> System {
+        let net = format!("127.{}.{}", 60 + std::process::id() % 100, std::process::id() / 100 % 250);
+        let at =
+            |n: usize, port: u16| -> SocketAddr { format!("{net}.{n}:{port}").parse().expect("an address") };
+        let huts: Vec<SocketAddr> = (1..=3).map(|n| at(n, 8383)).collect();
+        let fronts: Vec<SocketAddr> = (11..=13).map(|n| at(n, 8389)).collect();
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut system = System { folder, children: HashMap::new(), huts, fronts };
+        for n in 1..=3 {
+            system.start_one(&format!("hut{n}"), true);
+            system.start_one(&format!("pass{n}"), true);
+        }
+        system
+    }
+
+    fn start_one(&mut self, name: &str, bootstrap: bool) {
+        let (kind, n) = name.split_at(name.len() - 1);
+        let n: usize = n.parse().expect("a number");
+        let own = if kind == "hut" { self.huts[n - 1] } else { self.fronts[n - 1] };
+        let ip = own.ip();
+        let bind = if kind == "hut" {
+            format!("  control: \"{own}\"\n  directory: \"{ip}:8385\"\n")
+        } else {
+            format!("  front: \"{own}\"\n  readiness: \"{ip}:8384\"\n")
+        };
+        let seeds: String = self.huts.iter().map(|h| format!("  - \"{h}\"\n")).collect();
+        let data = self.folder.path().join(name);
+        let text = format!(
+            "node-name: \"{name}\"\nip: \"{ip}\"\nzone: \"z1\"\nregion: \"r1\"\nzones:\n  z1: \"r1\"\nbind:\n{bind}\
+             port-range:\n  - 7460\n  - 7475\nseeds:\n{seeds}bootstrap: {bootstrap}\nlimits:\n  memory-mb: 64\n  \
+             max-fds: 900\ndata-dir: \"{}\"\nbeat-period-s: 0.3\nbounds: \"revoke-final=true,grace-s=2\"\n",
+            data.display()
+        );
+        let file = self.folder.path().join(format!("{name}.yaml"));
+        std::fs::write(&file, text).expect("written");
+        let program =
+            Path::new(env!("CARGO_BIN_EXE_lynxstair-pass")).with_file_name(format!("lynxstair-{kind}"));
+        assert!(program.exists(), "{}: run the tests with --workspace", program.display());
+        let child = Command::new(program)
+            .env("LYNXSTAIR_BOOT", &file)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("started");
+        self.children.insert(name.to_string(), child);
+    }
+
+    fn kill(&mut self, name: &str) {
+        let mut child = self.children.remove(name).expect("runs");
+        child.kill().expect("killed");
+        child.wait().expect("ended");
+    }
+
+    /// The operator's call, to any hut, where it is sent on and again until it is clear.
+    fn order(&self, head: &str, body: &str) -> Message {
+        until(head, || {
+            self.huts.iter().find_map(|hut| {
+                let mut answer = call(*hut, head, body)?;
+                if answer.status() == 307 {
+                    let to = answer.header("location").split('/').nth(2)?.parse().ok()?;
+                    answer = call(to, head, body)?;
+                }
+                (answer.status() < 500 && answer.status() != 307).then_some(answer)
+            })
+        })
+    }
+
+    fn ask(&self, pass: usize, method: &str, path: &str, id: &str, key: &str) -> Option<Message> {
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nAttempt-Id: {id}\r\nTime-Left-Ms: 2000\r\nAuthorization: Bearer {key}"
+        );
+        call(self.fronts[pass], &head, "")
+    }
+
+    fn leader(&self) -> usize {
+        until("a leader", || {
+            let says = |hut: &SocketAddr| call(*hut, "GET /status HTTP/1.1", "").map(|m| m.body);
+            let me = |n: usize| {
+                says(&self.huts[n])?.contains(&format!("\"leader\":\"{}\"", self.huts[n])).then_some(n)
+            };
+            (0..3).find_map(me)
+        })
+    }
+}
+
+fn configuration(generation: u32, base: u32, keys: &str, rate: u32) -> String {
+    format!(
+        r#"{{"generation":"{generation:08x}","base-version":"{base:08x}",
+        "routes":{{"columns":["name","host","path-prefix","route-kind","timeout-s","target-s","service","max-attempts"],
+        "rows":[["safe","h.example","/safe/","safe",2,1,"s",3],["unsafe","h.example","/unsafe/","unsafe",2,1,"s",3]]}},
+        "services":{{"columns":["name","max-conns"],"rows":[["s",100]]}},
+        "tenants":{{"columns":["name","api-keys","rate-per-s","burst"],"rows":[["t1",{keys},0,0],
+        ["small",["ks"],{rate},3]]}}}}"#
+    )
+}
+
+#[test]
+fn the_whole_path() {
+    let mut system = System::start();
+    let ran = Arc::new(Mutex::new(Vec::new()));
+    let ip = system.huts[0].ip().to_string();
+    let net = ip.rsplit_once('.').expect("an address").0.to_string();
+    let at = |n: usize| -> SocketAddr { format!("{net}.{}:9000", 20 + n).parse().expect("an address") };
+    let stops: Vec<_> =
+        (1..=3).map(|n| worker(&format!("i-{n}"), at(n), system.huts.clone(), ran.clone())).collect();
+
+    // A configuration is taken, from any hut; what is wrong is named; one of two wins; the same again is known.
+    let first = configuration(5, 0, r#"["k1","k2"]"#, 1);
+    assert_eq!(system.order("PUT /config HTTP/1.1", &first).status(), 200);
+    let bad = system.order("PUT /config HTTP/1.1", &configuration(7, 5, r#"["ks"]"#, 1));
+    assert!(bad.status() == 400 && bad.body.contains("tenants.small"), "{}", bad.body);
+    let second = configuration(8, 5, r#"["k1"]"#, 1);
+    assert_eq!(system.order("PUT /config HTTP/1.1", &second).status(), 200);
+    assert_eq!(system.order("PUT /config HTTP/1.1", &configuration(9, 5, r#"["k3"]"#, 1)).status(), 412);
+    assert_eq!(system.order("PUT /config HTTP/1.1", &second).status(), 200);
+
+    // Clients find the passes, and are served at each by a worker that gets the tenant and not the key.
+    let board: SocketAddr = format!("{}:8385", system.huts[1].ip()).parse().expect("an address");
+    until("the board names all three", || {
+        let m = call(board, "GET /resolve?name=h.example&region=r1&zone=z1 HTTP/1.1", "")?;
+        (m.status() == 200 && system.fronts.iter().all(|f| m.body.contains(&f.to_string()))).then_some(())
+    });
+    for pass in 0..3 {
+        until("served", || {
+            let m = system.ask(pass, "GET", "/safe/x", &format!("a{pass}"), "k1")?;
+            (m.status() == 200 && m.body == "GET " && !m.header("server-seal").is_empty()).then_some(())
+        });
+        let seen = ran.lock().expect("ran").iter().any(|(a, t)| *a == format!("a{pass}") && t == "t1");
+        assert!(seen, "the worker was told the tenant");
+        let status = |path, key| system.ask(pass, "GET", path, "b", key).map(|m| m.status());
+        assert_eq!((status("/safe/x", "k2"), status("/none/", "k1")), (Some(401), Some(404)));
+    }
+
+    // Answers that break off, come too many, fail, or say that nothing ran.
+    let times = |id: &str| ran.lock().expect("ran").iter().filter(|(a, _)| a == id).count();
+    let cut = system.ask(0, "POST", "/unsafe/cut", "u1", "k1").expect("an answer");
+    assert_eq!((cut.status(), times("u1")), (502, 1), "may have run: no promise, and never again");
+    let cut = system.ask(0, "GET", "/safe/cut", "s1", "k1").expect("an answer");
+    assert!(cut.status() == 502 && times("s1") > 1, "{}: repeated, and never taken for whole", cut.status());
+    let late = system.ask(1, "GET", "/safe/late", "s2", "k1").expect("an answer");
+    assert_eq!((late.status(), late.body.as_str()), (200, "good"));
+    let failed = system.ask(1, "POST", "/unsafe/500", "u2", "k1").expect("an answer");
+    assert_eq!((failed.status(), times("u2")), (500, 1), "the worker's own answer is the client's");
+    let full = system.ask(2, "POST", "/unsafe/full", "u3", "k1").expect("an answer");
+    assert!(full.status() == 503 && times("u3") == 0 && !full.header("retry-after").is_empty());
+
+    // Beyond its quota a tenant is refused, with a time.
+    let refused =
+        until("refused", || system.ask(0, "GET", "/safe/x", "q", "ks").filter(|m| m.status() == 429));
+    assert!(refused.header("retry-after").parse::<f64>().is_ok_and(|s| s > 0.0));
+
+    // The leader is killed right after an acknowledgement: the change is in force, and the next one is taken.
+    let third = configuration(12, 8, r#"["k4"]"#, 1);
+    assert_eq!(system.order("PUT /config HTTP/1.1", &third).status(), 200);
+    let leader = system.leader();
+    system.kill(&format!("hut{}", leader + 1));
+    let read = system.order("GET /config HTTP/1.1", "");
+    assert!(read.status() == 200 && read.body.contains("0000000c"), "{}", read.body);
+    until("the taken key is refused", || {
+        system.ask(1, "GET", "/safe/x", "c", "k1").filter(|m| m.status() == 401)
+    });
+    until("the new one works", || system.ask(1, "GET", "/safe/x", "d", "k4").filter(|m| m.status() == 200));
+
+    // It comes back with its disk emptied, and is let in: with it, and without another, a change is taken.
+    std::fs::remove_dir_all(system.folder.path().join(format!("hut{}", leader + 1))).expect("removed");
+    system.start_one(&format!("hut{}", leader + 1), false);
+    until("the emptied hut follows", || {
+        let m = call(system.huts[leader], "GET /status HTTP/1.1", "")?;
+        m.body.contains("\"generation\":\"0000000c\"").then_some(())
+    });
+    let fourth = configuration(13, 12, r#"["k5"]"#, 1);
+    assert_eq!(system.order("PUT /config HTTP/1.1", &fourth).status(), 200);
+
+    // A pass that is told to end goes on for a while and ends well.
+    let pass = system.children.get("pass3").expect("runs").id();
+    assert!(Command::new("kill").arg("-TERM").arg(pass.to_string()).status().is_ok_and(|s| s.success()));
+    until("it leaves the board", || {
+        let m = call(board, "GET /resolve?name=h.example&region=r1&zone=z1 HTTP/1.1", "");
+        m.filter(|m| m.status() == 200 && !m.body.contains(&system.fronts[2].to_string()))
+    });
+    let ended = system.children.remove("pass3").expect("runs").wait().expect("ended");
+    assert!(ended.success(), "{ended}");
+    drop(stops);
+}
+
+/// A command line or a settings file that can't be used: said with the key, and code 2.
+#[test]
+fn what_is_bad_is_named() {
+    let file = tempfile::NamedTempFile::new().expect("a file");
+    let run = |args: &[&str]| {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_lynxstair-pass"));
+        let out = child.args(args).env_remove("LYNXSTAIR_BOOT").output().expect("ran");
+        (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
+    };
+    std::fs::write(file.path(), "node-name: \"x\"\nip: \"nowhere\"\n").expect("written");
+    let path = file.path().display().to_string();
+    let cases: [(&[&str], &str); 4] = [
+        (&["check", &path], "ip: an address is wanted"),
+        (&["check"], "check: a file is wanted"),
+        (&["dance"], "dance: no such command"),
+        (&[], "LYNXSTAIR_BOOT names no settings file"),
+    ];
+    for (args, wanted) in cases {
+        let (code, said) = run(args);
+        assert!(code == Some(2) && said.contains(wanted), "{args:?}: {code:?} {said}");
+    }
+    assert_eq!(run(&["--version"]).0, Some(0));
+}
