An idle connection is closed unread, and its client is told for how long it may rest

An idle connection was ended by a shutdown and what still came was read over: a request that crossed it was read and never answered. Now it is closed at once, so that such a request is reset unread; answers carry Keep-Alive with the time, less a second, and what was told holds where a new version grants less. Ruled out with log lines at each place that ends a connection: no stream was cut, no write failed, no handler panicked; all other ends were the clients' own.

--- a/crates/pass/src/clients.rs
+++ b/crates/pass/src/clients.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use lynxstair::types::{Span, Time};
@@ -68,7 +68,11 @@
             }
             let Ok(conn) = Conn::new(stream, MOST) else { return };
             let number = clients.last.fetch_add(1, Ordering::Relaxed);
-            let client = Arc::new(Client { conn: Arc::new(conn), order: Mutex::default() });
+            let client = Arc::new(Client {
+                conn: Arc::new(conn),
+                order: Mutex::default(),
+                told_idle: AtomicU64::new(0),
+            });
             clients.open.fetch_add(1, Ordering::Relaxed);
             clients.all().insert(number, client.clone());
             let (r, ending) = (road.clone(), road.clone());
@@ -106,8 +110,13 @@
 struct Client {
     conn: Arc<Conn>,
     order: Mutex<Order>,
+    /// How long the connection may stand idle, as its client was told last, in nanoseconds.
+    told_idle: AtomicU64,
 }
 
+/// What is told of the time that a connection may stand idle is so much less than the time itself.
+const IDLE_MARGIN: Span = Span::from_millis(1_000);
+
 /// A request as it was read.
 struct Request {
     number: u64,
@@ -137,6 +146,8 @@
         let mut told_to_go_on = false;
         loop {
             let (header_time, idle_time, most_body) = road.client_limits();
+            // What the client was told holds, also where a new version grants less.
+            let idle_time = idle_time.max(Span::from_nanos(self.told_idle.load(Ordering::Relaxed)));
             let now = road.alarms.now();
             match part_since {
                 Some(part) => road.alarms.nudge(part + header_time, &self.conn),
@@ -162,9 +173,10 @@
                     if busy > 0 {
                         since = now;
                     } else if road.is_closing() || now - since >= idle_time {
+                        // At once, and nothing is read any more: a request that crosses this is reset unread, and
+                        // its client knows that it may send it again.
                         drop(inbound);
-                        self.conn.finish();
-                        return self.read_over(road);
+                        return self.conn.close();
                     }
                     break;
                 }
@@ -281,7 +293,7 @@
             "a refusal",
             move || {
                 if client.wait_turn(number) {
-                    let _ = client.conn.write(|out| put_own(out, &own, None, false));
+                    let _ = client.conn.write(|out| put_own(out, &own, None, "", false));
                 }
             },
             move |panicked| ending.over(number, panicked),
@@ -350,14 +362,29 @@
             order.last = Some(order.asked.max(number));
         }
         let keep = keep || self.order().last != Some(number);
+        let connection = self.connection(road, keep);
         match answered {
             Err(own) => {
-                if self.conn.write(|out| put_own(out, &own, Some(attempt), keep)).is_err() {
+                if self.conn.write(|out| put_own(out, &own, Some(attempt), &connection, keep)).is_err() {
                     self.conn.close();
                 }
             }
-            Ok((admitted, answer)) => self.pass_on(road, &admitted, answer, carrier, keep),
+            Ok((admitted, answer)) => self.pass_on(road, &admitted, answer, carrier, &connection),
+        }
+    }
+
+    /// The header lines that tell the client whether, and how long, the connection stays.
+    fn connection(&self, road: &Road, keep: bool) -> String {
+        if !keep {
+            return "Connection: close\r\n".to_string();
+        }
+        let idle = road.client_limits().1;
+        let told = idle.secs() - IDLE_MARGIN.secs();
+        if told < 1.0 {
+            return String::new();
         }
+        self.told_idle.store(idle.nanos(), Ordering::Relaxed);
+        format!("Keep-Alive: timeout={}\r\n", told.floor())
     }
 
     fn pass_on(
@@ -366,9 +393,9 @@
         admitted: &Admitted,
         mut answer: Answer,
         carrier: &Carrier,
-        keep: bool,
+        connection: &str,
     ) {
-        if self.conn.write(|out| answer.put(out, keep)).is_err() {
+        if self.conn.write(|out| answer.put(out, connection)).is_err() {
             self.conn.close();
             return road.workers.done(answer);
         }
@@ -393,8 +420,15 @@
 }
 
 /// Writes an answer of our own.
-fn put_own(out: &mut Ring, own: &Own, attempt: Option<&str>, keep: bool) -> std::io::Result<()> {
-    let mut headers = String::new();
+fn put_own(
+    out: &mut Ring,
+    own: &Own,
+    attempt: Option<&str>,
+    connection: &str,
+    keep: bool,
+) -> std::io::Result<()> {
+    // `put_answer` says itself that a connection closes.
+    let mut headers = if keep { connection.to_string() } else { String::new() };
     if let Some(wait) = own.retry_after {
         headers.push_str(&format!("Retry-After: {:.3}\r\n", wait.secs().max(0.001)));
     }
--- a/crates/pass/src/workers.rs
+++ b/crates/pass/src/workers.rs
@@ -385,7 +385,7 @@
 
 impl Answer {
     /// Writes the head and what is here of the body.
-    pub fn put(&self, out: &mut Ring, keep: bool) -> io::Result<()> {
+    pub fn put(&self, out: &mut Ring, connection: &str) -> io::Result<()> {
         let mut inbound = self.conn.inbound();
         let bytes = inbound.bytes();
         let Ok(Some((answer, _))) = http::answer(&bytes[..self.extent.head]) else {
@@ -397,9 +397,7 @@
         if !bare {
             write!(out, "Content-Length: {}\r\n", body.len() + self.rest)?;
         }
-        if !keep {
-            out.write_all(b"Connection: close\r\n")?;
-        }
+        out.write_all(connection.as_bytes())?;
         for (name, value) in answer.headers.passed_on() {
             http::put_header(out, name, value)?;
         }
--- a/crates/pass/tests/whole_path.rs
+++ b/crates/pass/tests/whole_path.rs
@@ -256,6 +256,7 @@
         r#"{{"generation":"{generation:08x}","base-version":"{base:08x}",
         "routes":{{"columns":["name","host","path-prefix","route-kind","timeout-s","target-s","service","max-attempts"],
         "rows":[["safe","h.example","/safe/","safe",2,1,"s",3],["unsafe","h.example","/unsafe/","unsafe",2,1,"s",3]]}},
+        "limits":{{"idle-timeout-s":2}},
         "services":{{"columns":["name","max-conns"],"rows":[["s",100]]}},
         "tenants":{{"columns":["name","api-keys","rate-per-s","burst"],"rows":[["t1",{keys},0,0],
         ["small",["ks"],{rate},3]]}}}}"#
@@ -312,6 +313,20 @@
     let full = system.ask(2, "POST", "/unsafe/full", "u3", "k1").expect("an answer");
     assert!(full.status() == 503 && times("u3") == 0 && !full.header("retry-after").is_empty());
 
+    // A connection is told how long it may rest, and ends after that, with nothing read and nothing said.
+    let stream = TcpStream::connect(system.fronts[0]).expect("connected");
+    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    let request = "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: k\r\nTime-Left-Ms: 2000\r\n";
+    write!(&stream, "{request}Authorization: Bearer k1\r\n\r\n").expect("written");
+    let mut reader = BufReader::new(&stream);
+    let served = read(&mut reader).expect("an answer");
+    assert_eq!((served.status(), served.header("keep-alive")), (200, "timeout=1"));
+    let mut rest = Vec::new();
+    assert!(
+        std::io::Read::read_to_end(&mut reader, &mut rest).is_ok() && rest.is_empty(),
+        "closed, nothing said"
+    );
+
     // Beyond its quota a tenant is refused, with a time.
     let refused =
         until("refused", || system.ask(0, "GET", "/safe/x", "q", "ks").filter(|m| m.status() == 429));
