Workers' lives are kept over a loss of power; huts open their lines to each other sooner

A pass that has not been told how many gatekeepers there are takes them for twelve: for one, it would have spent the whole quota after a start of all at once.

--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -35,14 +35,18 @@
 const SURE: Span = Span::from_millis(400);
 /// How often silent workers are looked for.
 const SWEEP: Span = Span::from_millis(500);
+/// How often the workers' lives are written, where they changed: known at once after a loss of power, they are served
+/// before each has beaten again.
+const KEEP: Span = Span::from_millis(1_000);
 /// A gatekeeper that said nothing for so long is left out of the board's answers.
 const ABSENT: Span = Span::from_millis(2_500);
 /// How long clients may go by an answer of the board, in seconds; the operators' most where that is less.
 const TTL_S: f64 = 3.0;
 /// After its start a hut waits so long for gatekeepers before it answers for all of them.
 const GATHERS: Span = Span::from_millis(700);
-/// Between two tries to reach another hut.
-const AGAIN: Span = Span::from_millis(150);
+/// Huts are near each other: how long a line between them may take to open, and how long until it is tried again.
+const OPENING: Span = Span::from_millis(200);
+const AGAIN: Span = Span::from_millis(60);
 /// What a caller may send, and how many callers there may be at once.
 const CALLERS: Most = Most { body: 8 << 20, connections: 2000 };
 const LOOKUPS: Most = Most { body: 1024, connections: 1500 };
@@ -78,6 +82,8 @@
     book: Book,
     configuration: Option<Configuration>,
     register: Register,
+    /// Since the lives were written last.
+    lives_changed: bool,
     purse: Purse,
     waiting: HashMap<u64, Arc<Waiting>>,
     followers: HashMap<u64, Follower>,
@@ -89,13 +95,19 @@
     book_at: Time,
 }
 
+/// What the disk's thread is to write.
+enum Job {
+    Book(u64, Record),
+    Lives(Vec<u8>),
+}
+
 pub struct Hut {
     settings: Settings,
     me: Node,
     started_at: Time,
     alarms: Arc<Alarms>,
     rooms: Mutex<Rooms>,
-    disk: Sender<(u64, Record)>,
+    disk: Sender<Job>,
 }
 
 /// Serves until it is told to end.
@@ -109,6 +121,7 @@
         None => Box::new(Memory::default()),
     };
     let found = store.load()?;
+    let lives: Vec<Life> = ciborium::from_reader(&store.load_lives()?[..]).unwrap_or_default();
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let alarms = Arc::new(Alarms::new(clock)?);
     let now = alarms.now();
@@ -117,11 +130,14 @@
     let cairn = Cairn::start(now, me, &settings.seeds, seed, found, settings.bootstrap);
     info!(node = settings.node, found = is_found, bootstrap = settings.bootstrap; "the hut opens");
     let (disk, jobs) = channel();
+    let mut register = Register::default();
+    register.restore(now, &lives, settings.beat_period);
     let rooms = Rooms {
         cairn,
         book: Book::default(),
         configuration: None,
-        register: Register::default(),
+        register,
+        lives_changed: false,
         purse: Purse::new(Grant {
             window: settings.bounds.quota_window,
             requests: settings.bounds.quota_slack,
@@ -205,6 +221,7 @@
 
     fn keep_time(self: &Arc<Self>) {
         let mut sweep_at = self.alarms.now();
+        let mut keep_at = sweep_at + KEEP;
         loop {
             let now = self.alarms.now();
             let due = {
@@ -221,6 +238,14 @@
                         tell(&rooms, &Down::Lives { lives, whole: false });
                     }
                 }
+                if now >= keep_at && rooms.lives_changed {
+                    keep_at = now + KEEP;
+                    rooms.lives_changed = false;
+                    let mut held = Vec::new();
+                    if ciborium::into_writer(&rooms.register.all(now), &mut held).is_ok() {
+                        let _ = self.disk.send(Job::Lives(held));
+                    }
+                }
                 rooms.cairn.next_due().min(sweep_at)
             };
             self.alarms.sleep_until(due.max(now + Span::from_millis(5)));
@@ -228,20 +253,29 @@
     }
 
     /// The disk's thread: nothing else waits for the disk.
-    fn write(self: &Arc<Self>, mut store: Box<dyn Store>, jobs: &Receiver<(u64, Record)>) {
-        while let Ok((mut number, mut record)) = jobs.recv() {
-            // Only the newest of what piled up has to be on the disk.
-            while let Ok((later, newer)) = jobs.try_recv() {
-                (number, record) = (later, newer);
+    fn write(self: &Arc<Self>, mut store: Box<dyn Store>, jobs: &Receiver<Job>) {
+        while let Ok(first) = jobs.recv() {
+            // Only the newest of what piled up has to be on the disk, and the book goes first.
+            let (mut book, mut lives) = (None, None);
+            for job in std::iter::once(first).chain(jobs.try_iter()) {
+                match job {
+                    Job::Book(number, record) => book = Some((number, record)),
+                    Job::Lives(held) => lives = Some(held),
+                }
             }
-            while let Err(e) = store.save(&record) {
-                warn!(error = e; "the disk refuses the book");
-                thread::sleep(std::time::Duration::from_millis(50));
+            if let Some((number, record)) = book {
+                while let Err(e) = store.save(&record) {
+                    warn!(error = e; "the disk refuses the book");
+                    thread::sleep(std::time::Duration::from_millis(50));
+                }
+                let now = self.alarms.now();
+                let mut rooms = self.rooms();
+                rooms.cairn.saved(now, number);
+                self.act(now, &mut rooms);
+            }
+            if let Some(Err(e)) = lives.map(|held| store.save_lives(&held)) {
+                warn!(error = e; "the disk refuses the workers' lives");
             }
-            let now = self.alarms.now();
-            let mut rooms = self.rooms();
-            rooms.cairn.saved(now, number);
-            self.act(now, &mut rooms);
         }
     }
 
@@ -256,7 +290,7 @@
             for item in todo {
                 match item {
                     Do::Save(number, record) => {
-                        let _ = self.disk.send((number, record));
+                        let _ = self.disk.send(Job::Book(number, record));
                     }
                     Do::Say(to, word) => {
                         if let Some(conn) = rooms.lines.get(&to) {
@@ -297,7 +331,7 @@
     fn keep_line(self: &Arc<Self>, peer: Node) {
         let to = Node::new(peer.ip(), self.settings.ports.0);
         loop {
-            if let Some(conn) = lines::open(&self.alarms, to) {
+            if let Some(conn) = lines::open(&self.alarms, to, OPENING) {
                 {
                     let now = self.alarms.now();
                     let mut rooms = self.rooms();
@@ -345,6 +379,7 @@
                     let register = &mut rooms.register;
                     let news: Vec<&Life> = lives.iter().filter(|life| register.hear(now, life)).collect();
                     let news: Vec<Life> = news.iter().filter_map(|l| register.life(now, &l.id)).collect();
+                    rooms.lives_changed |= !news.is_empty();
                     // The hut that heard it tells the road; the leader does so too, for those that it can't reach.
                     if !news.is_empty() && rooms.cairn.leader() == Some(self.me) {
                         tell(&rooms, &Down::Lives { lives: news, whole: false });
@@ -440,6 +475,7 @@
         let now = self.alarms.now();
         let mut rooms = self.rooms();
         let is_news = rooms.register.hear(now, &life);
+        rooms.lives_changed |= is_news;
         if let Some(known) = rooms.register.life(now, id) {
             pass_on(&rooms, known, is_news);
         }
@@ -449,6 +485,7 @@
     fn leave(&self, id: &str) -> Reply {
         let now = self.alarms.now();
         let mut rooms = self.rooms();
+        rooms.lives_changed = true;
         if let Some(life) = rooms.register.leave(now, id) {
             pass_on(&rooms, life, true);
         }
--- a/crates/hut/src/store.rs
+++ b/crates/hut/src/store.rs
@@ -11,6 +11,9 @@
     fn load(&mut self) -> Result<Option<Record>, String>;
     /// Returns once the record outlives a loss of power.
     fn save(&mut self, record: &Record) -> Result<(), String>;
+    /// The workers' lives as saved last; empty where nothing is held.
+    fn load_lives(&mut self) -> Result<Vec<u8>, String>;
+    fn save_lives(&mut self, lives: &[u8]) -> Result<(), String>;
 }
 
 /// On disk.
@@ -30,7 +33,8 @@
             .execute_batch(
                 "PRAGMA locking_mode=EXCLUSIVE; PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL;
                  PRAGMA cache_size=-256; PRAGMA wal_autocheckpoint=200; PRAGMA journal_size_limit=1048576;
-                 CREATE TABLE IF NOT EXISTS record (one INTEGER PRIMARY KEY CHECK (one = 1), held BLOB NOT NULL);",
+                 CREATE TABLE IF NOT EXISTS record (one INTEGER PRIMARY KEY CHECK (one = 1), held BLOB NOT NULL);
+                 CREATE TABLE IF NOT EXISTS lives (one INTEGER PRIMARY KEY CHECK (one = 1), held BLOB NOT NULL);",
             )
             .map_err(fail)?;
         // Its files are new, perhaps: they last once the folder that names them is synced.
@@ -56,12 +60,26 @@
             .execute("INSERT OR REPLACE INTO record (one, held) VALUES (1, ?1)", params![held]);
         written.map(|_| ()).map_err(|e| format!("the book's record: {e}"))
     }
+
+    fn load_lives(&mut self) -> Result<Vec<u8>, String> {
+        let row =
+            self.connection.query_row("SELECT held FROM lives", [], |r| r.get::<_, Vec<u8>>(0)).optional();
+        row.map(Option::unwrap_or_default).map_err(|e| format!("the workers' lives: {e}"))
+    }
+
+    fn save_lives(&mut self, lives: &[u8]) -> Result<(), String> {
+        let written = self
+            .connection
+            .execute("INSERT OR REPLACE INTO lives (one, held) VALUES (1, ?1)", params![lives]);
+        written.map(|_| ()).map_err(|e| format!("the workers' lives: {e}"))
+    }
 }
 
 /// In memory, for tests and for a core that was given no disk.
 #[derive(Default)]
 pub struct Memory {
     held: Option<Record>,
+    lives: Vec<u8>,
 }
 
 impl Store for Memory {
@@ -73,6 +91,15 @@
         self.held = Some(record.clone());
         Ok(())
     }
+
+    fn load_lives(&mut self) -> Result<Vec<u8>, String> {
+        Ok(self.lives.clone())
+    }
+
+    fn save_lives(&mut self, lives: &[u8]) -> Result<(), String> {
+        self.lives = lives.to_vec();
+        Ok(())
+    }
 }
 
 #[cfg(test)]
@@ -87,6 +114,11 @@
     /// What every store must do.
     fn contract(store: &mut dyn Store) {
         assert_eq!(store.load(), Ok(None), "a new one holds nothing");
+        assert_eq!(store.load_lives(), Ok(Vec::new()));
+        for lives in [&b"one"[..], b"two"] {
+            store.save_lives(lives).expect("saved");
+            assert_eq!(store.load_lives().as_deref(), Ok(lives));
+        }
         let node = "10.0.0.1:80".parse().expect("one");
         for term in 1..40 {
             let record = Record {
--- a/crates/lines/src/lib.rs
+++ b/crates/lines/src/lib.rs
@@ -15,15 +15,14 @@
 
 /// What a line holds of one direction.
 pub const MOST: usize = frames::MOST_FRAME + 4;
-/// Bytes that nobody acknowledges for so long end a line, and so does an opening that takes longer than the longest
-/// way there and back: what was sent to a machine without power is sent again after seconds only.
+/// Bytes that nobody acknowledges for so long end a line.
 const SILENCE: Span = Span::from_millis(1_500);
-const OPENING: Span = Span::from_millis(350);
 
-/// Opens a line; None where that fails or takes too long.
-pub fn open(alarms: &Alarms, to: SocketAddr) -> Option<Arc<Conn>> {
+/// Opens a line; None where that fails or takes longer than `within`, which is to be little more than the longest way
+/// there and back: what was sent to a machine without power is sent again after seconds only.
+pub fn open(alarms: &Alarms, to: SocketAddr, within: Span) -> Option<Arc<Conn>> {
     let conn = Arc::new(Conn::open(to, MOST).ok()?);
-    let until = alarms.now() + OPENING;
+    let until = alarms.now() + within;
     alarms.nudge(until, &conn);
     if !connected(alarms, &conn, until) {
         conn.close();
--- a/crates/pass/src/feed.rs
+++ b/crates/pass/src/feed.rs
@@ -16,7 +16,9 @@
 /// How often it speaks, and what it takes a hut for that answered none of that for so long.
 const PING: Span = Span::from_millis(1_000);
 const SILENT: Span = Span::from_millis(2_600);
-const AGAIN: Span = Span::from_millis(200);
+/// A hut may be a region away.
+const OPENING: Span = Span::from_millis(350);
+const AGAIN: Span = Span::from_millis(150);
 const MOST_UNSENT: usize = 1 << 20;
 /// No system has more huts than this.
 const MOST_HUTS: usize = 16;
@@ -66,7 +68,7 @@
         let inner = SocketAddr::new(hut.ip(), road.settings.ports.0);
         let mut is_first = true;
         loop {
-            if let Some(conn) = lines::open(&road.alarms, inner) {
+            if let Some(conn) = lines::open(&road.alarms, inner, OPENING) {
                 // Who begins needs to know all lives once; who was away from one hut, what that one heard.
                 let lives = !is_first || !road.rooms().has_lives;
                 is_first = false;
--- a/crates/ridge/src/buckets.rs
+++ b/crates/ridge/src/buckets.rs
@@ -22,6 +22,9 @@
 /// the purse closes a tenant before they let it through. Where a tenant was closed lately, one token is the least.
 pub const DEPTH: f64 = 4.0;
 const LEAST: f64 = 1.0;
+/// Before it is told how many gatekeepers there are, one takes them for this many: after a start of all at once each
+/// would else spend the whole.
+const UNTOLD: f64 = 12.0;
 /// And a new one begins with this many at the least.
 const FIRST: f64 = 2.0;
 
@@ -56,7 +59,7 @@
 impl Buckets {
     /// `requests` and a part of the quota, `over`, are granted beyond it in a window.
     pub fn new(requests: f64, over: f64) -> Self {
-        Buckets { all: HashMap::new(), gatekeepers: 1.0, slack: (requests, over) }
+        Buckets { all: HashMap::new(), gatekeepers: UNTOLD, slack: (requests, over) }
     }
 
     /// How many gatekeepers there are in all.
--- a/crates/ridge/src/register.rs
+++ b/crates/ridge/src/register.rs
@@ -11,6 +11,8 @@
 const REMEMBERED: Span = Span::from_millis(60_000);
 /// So many beats missing make a life silent.
 const MISSED: f64 = 4.5;
+/// A life from before a start counts as heard so many beats ago.
+const RESTORED: f64 = 2.0;
 /// A change of the time that a worker is cold is news from here on.
 const COLD_NEWS: Span = Span::from_millis(400);
 
@@ -36,6 +38,15 @@
         &self.lives
     }
 
+    /// What was known before this process began: taken for what it is worth until each worker speaks again, and for
+    /// less time than a beat that was heard. A request to a life that is over since costs a try: it names the life.
+    pub fn restore(&mut self, now: Time, lives: &[Life], beat: Span) {
+        for life in lives.iter().filter(|l| matches!(l.standing, Standing::Ready | Standing::Draining)) {
+            let heard_ms = beat.times(RESTORED).nanos() / 1_000_000;
+            self.hear(now, &Life { heard_ms, ..life.clone() });
+        }
+    }
+
     /// Whether what a worker says is news. An earlier word than the last is none, and nothing after the end is.
     pub fn hear(&mut self, now: Time, life: &Life) -> bool {
         let heard_at = now.saturating_sub(Span::from_millis(life.heard_ms));
@@ -188,6 +199,25 @@
         }
     }
 
+    /// What was known before a start stands for a while, is silent unless it speaks, and never goes before a beat.
+    #[test]
+    fn lives_from_before_a_start() {
+        let beat = Span::from_millis(1500);
+        let mut register = Register::default();
+        register.hear(at(0), &life(9, Standing::Draining, 0));
+        register.restore(at(0), &[life(7, Standing::Ready, 0)], beat);
+        assert_eq!(register.lives()["i-1"].standing, Standing::Draining);
+        let mut register = Register::default();
+        register.restore(
+            at(0),
+            &[life(7, Standing::Ready, 0), Life { id: "i-2".into(), ..life(3, Standing::Gone, 0) }],
+            beat,
+        );
+        assert_eq!((register.lives().len(), register.sweep(at(3000), beat).len()), (1, 0));
+        assert_eq!(register.sweep(at(4000), beat), ["i-1"]);
+        assert!(register.hear(at(4100), &life(8, Standing::Ready, 0)));
+    }
+
     #[test]
     fn the_silent_are_told_once_and_the_gone_forgotten() {
         let mut register = Register::default();
