--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -12,6 +12,7 @@
 use lynxstair_cairn::{Cairn, Do, Node, Record};
 use lynxstair_lines as lines;
 use lynxstair_ridge::book::{Book, Change, Ruling};
+use lynxstair_ridge::feed::Sent;
 use lynxstair_ridge::purse::{Grant, Purse};
 use lynxstair_ridge::register::Register;
 use lynxstair_trailbook::configuration::Configuration;
@@ -52,8 +53,6 @@
 const LOOKUPS: Most = Most { body: 1024, connections: 1500 };
 /// No system has more huts than this.
 const MOST_HUTS: usize = 16;
-/// A book is sent by the leader when it is agreed on; whoever lacks it after so long gets it from any hut.
-const LACKS: Span = Span::from_millis(800);
 /// A line that holds so many unsent bytes leads nowhere.
 const MOST_UNSENT: usize = 8 << 20;
 
@@ -71,8 +70,7 @@
     heard_at: Time,
     /// What it was told last of how many gatekeepers there are.
     zones: Vec<(String, u32)>,
-    /// How often on end it said that it lacks the book.
-    lacked: u32,
+    sent: Sent,
 }
 
 /// What the rooms hold; one short lock.
@@ -312,7 +310,9 @@
                             }
                             if rooms.cairn.leads() {
                                 let state = Bytes(Arc::new(rooms.book.for_the_road()));
-                                tell(rooms, &Down::Book { index: rooms.book.number, state });
+                                let index = rooms.book.number;
+                                tell(rooms, &Down::Book { index, state });
+                                rooms.followers.values_mut().for_each(|f| f.sent.all(index));
                             }
                         }
                     }
@@ -399,8 +399,14 @@
                         say(conn, &Down::Lives { lives: rooms.register.all(now), whole: true });
                     }
                     let zones = Vec::new();
-                    let new =
-                        Follower { conn: conn.clone(), edge, ready: false, heard_at: now, zones, lacked: 0 };
+                    let new = Follower {
+                        conn: conn.clone(),
+                        edge,
+                        ready: false,
+                        heard_at: now,
+                        zones,
+                        sent: Sent::default(),
+                    };
                     rooms.followers.insert(number, new);
                 }
                 Up::Ping { clock, have, ready, got, counts, holds } => {
@@ -408,9 +414,7 @@
                     let Some(f) = follower.and_then(|n| followers.get_mut(&n)) else { return false };
                     f.ready = ready;
                     f.heard_at = now;
-                    // Others than the leader wait whether it comes from there.
-                    f.lacked = if have < book.number { f.lacked + 1 } else { 0 };
-                    if f.lacked > 0 && now - *book_at > LACKS && (cairn.leads() || f.lacked > 1) {
+                    if f.sent.due(have, book.number, cairn.leads(), now - *book_at) {
                         let state = Bytes(Arc::new(book.for_the_road()));
                         say(conn, &Down::Book { index: book.number, state });
                     }
