--- a/crates/pass/src/clients.rs
+++ b/crates/pass/src/clients.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use lynxstair::types::{Span, Time};
+use lynxstair::types::{Outcome, Span, Time};
 use lynxstair_trailbook::verdict::Verdict;
 use lynxstair_wire::calls;
 use lynxstair_wire::conn::{Conn, Got, Ring};
@@ -148,22 +148,22 @@
             let (header_time, idle_time, most_body) = road.client_limits();
             // What the client was told holds, also where a new version grants less.
             let idle_time = idle_time.max(Span::from_nanos(self.told_idle.load(Ordering::Relaxed)));
-            let now = road.alarms.now();
             match part_since {
                 Some(part) => road.alarms.nudge(part + header_time, &self.conn),
                 None => road.alarms.nudge(since + idle_time, &self.conn),
             }
             // What is at work goes on; only what is read next waits for room.
             if self.conn.read() != Got::Bytes {
-                return self.settle(road);
+                return self.leave();
             }
-            let _ = now;
             loop {
                 let now = road.alarms.now();
                 let busy = {
                     let order = self.order();
                     if order.last.is_some() {
-                        return self.settle_open(road, order);
+                        // The last request is read: its answer ends the connection.
+                        drop(order);
+                        return self.read_over(road);
                     }
                     (order.asked - order.answered) as usize
                 };
@@ -235,25 +235,12 @@
                     move |panicked| ending.over(number, panicked),
                 );
                 if !keep {
-                    let order = self.order();
-                    return self.settle_open(road, order);
+                    return self.read_over(road);
                 }
             }
         }
     }
 
-    /// The client sends no more, or may: what is at work is answered, then the connection ends.
-    fn settle(&self, _road: &Arc<Road>) {
-        // Who closes its connection has gone.
-        self.leave();
-    }
-
-    /// The last request is read: its answer ends the connection.
-    fn settle_open(&self, road: &Arc<Road>, order: MutexGuard<'_, Order>) {
-        drop(order);
-        self.read_over(road);
-    }
-
     /// Reads over what still comes, until the client is gone or the last answer is long written.
     fn read_over(&self, road: &Arc<Road>) {
         let mut done_at = None;
@@ -473,42 +460,28 @@
         let asked = Asked { host, path, key: key.map(|(_, k)| k.trim()), patience };
         let mut request = self.rooms().admit(read_at, &asked)?;
         let until = request.until.saturating_sub(MARGIN);
+        // A worker's own failure of what may be repeated: the client's answer where no other worker takes it.
+        let mut failed: Option<Answer> = None;
         loop {
             let now = self.alarms.now();
-            let sent = self.rooms().pick(now, &mut request)?;
+            let picked = self.rooms().pick(now, &mut request);
+            let sent = match (picked, failed.take()) {
+                (Ok(sent), answer) => {
+                    answer.into_iter().for_each(|a| self.workers.done(a));
+                    sent
+                }
+                (Err(_), Some(answer)) => return Ok((request, answer)),
+                (Err(own), None) => return Err(own),
+            };
             let tenant = request.tenant.clone();
             let out = Outgoing { call, body, tenant: tenant.as_deref(), attempt };
-            let silence = until;
-            let tried = self.workers.send(&self.alarms, &sent.worker, &out, until, silence, carrier);
+            let tried = self.workers.send(&self.alarms, &sent.worker, &out, until, carrier);
             let now = self.alarms.now();
             self.rooms().ended(now, &mut request, &sent, tried.outcome, tried.verdict);
             match tried.answer {
-                // A worker's own failure of what may be repeated is tried elsewhere, where that may be.
-                Some(answer)
-                    if tried.outcome == lynxstair::types::Outcome::Errored
-                        && request.kind.is_repeatable() =>
-                {
+                Some(answer) if tried.outcome == Outcome::Errored && request.kind.is_repeatable() => {
                     request.verdict = Verdict::MayHaveRun;
-                    let again = self.rooms().pick(now, &mut request);
-                    match again {
-                        Err(_) => return Ok((request, answer)),
-                        Ok(sent) => {
-                            self.workers.done(answer);
-                            let tried =
-                                self.workers.send(&self.alarms, &sent.worker, &out, until, silence, carrier);
-                            self.rooms().ended(
-                                self.alarms.now(),
-                                &mut request,
-                                &sent,
-                                tried.outcome,
-                                tried.verdict,
-                            );
-                            match tried.answer {
-                                Some(answer) => return Ok((request, answer)),
-                                None => return Err(Own::new(502, "no worker's answer came")),
-                            }
-                        }
-                    }
+                    failed = Some(answer);
                 }
                 Some(answer) => return Ok((request, answer)),
                 None if carrier.is_gone() => return Err(Own::new(502, "the client has left")),
--- a/crates/pass/src/workers.rs
+++ b/crates/pass/src/workers.rs
@@ -144,14 +144,13 @@
         true
     }
 
-    /// One try of a request at a worker. It is given up when `until` comes, or `patience` where nothing was heard.
+    /// One try of a request at a worker. It is given up when `until` comes.
     pub fn send(
         &self,
         alarms: &Alarms,
         worker: &Arc<Worker>,
         out: &Outgoing,
         until: Time,
-        silence: Time,
         carrier: &Carrier,
     ) -> Tried {
         let tried = |verdict, outcome| Tried { verdict, outcome, answer: None };
@@ -190,10 +189,7 @@
             return tried(verdict, if never { Outcome::ConnectFailed } else { Outcome::Reset });
         }
         alarms.nudge(until, &conn);
-        if silence < until {
-            alarms.nudge(silence, &conn);
-        }
-        let ended = self.hear(alarms, worker, &conn, out.attempt, until.min(silence), carrier);
+        let ended = self.hear(alarms, worker, &conn, out.attempt, until, carrier);
         match ended {
             Ok(answer) => answer,
             Err(outcome) => {
@@ -292,7 +288,7 @@
                     let keep = extent.keep_alive && inbound.len() == extent.all;
                     inbound.consume(extent.all);
                     drop(inbound);
-                    let until = alarms.now() + idle_for(keep_alive(keep));
+                    let until = alarms.now() + idle_for(None);
                     if keep && stop == Stop::Open {
                         self.rest(worker, conn.clone(), until)
                     } else {
@@ -337,10 +333,6 @@
     Tried { verdict: Verdict::Ran, outcome, answer: Some(answer) }
 }
 
-fn keep_alive(_: bool) -> Option<Span> {
-    None
-}
-
 /// How long a worker keeps an idle connection, by its own word.
 fn idle_of(value: &str) -> Option<Span> {
     let timeout = value.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
