Stand-ins' messages in the whole path's test; an answer's head is parsed once less

Read again: the test of the whole path had its own reader of messages, a twin of lynxstair_standins::Message; and Workers::hear parsed an answer's head a further time to learn its length, which the first parse had given.

--- a/crates/pass/src/workers.rs
+++ b/crates/pass/src/workers.rs
@@ -225,16 +225,18 @@
                     break;
                 }
                 let bytes = inbound.bytes();
-                let (status, has_id, not_run, is_good, length, keep, close) = match http::answer(bytes) {
+                let (head, status, has_id, not_run, is_good, length, keep, coded) = match http::answer(bytes)
+                {
                     Ok(None) => break,
                     Err(_) => return Err(Outcome::Errored),
-                    Ok(Some((answer, _))) => {
+                    Ok(Some((answer, head))) => {
                         let headers = &answer.headers;
                         let id = headers.get("attempt-id");
                         let coded = headers.get("content-encoding").is_some();
                         let seal = headers.get("server-seal").is_some();
                         let is_good = !coded && (seal || !(200..300).contains(&answer.status));
                         (
+                            head,
                             answer.status,
                             id == Some(attempt),
                             headers.get("not-run").is_some() || answer.status == 421,
@@ -248,11 +250,10 @@
                 let extent = match http::answer_extent(bytes, stop, MOST) {
                     Ok(Some(extent)) => extent,
                     Ok(None) => {
-                        let head = head_length(bytes);
                         // A long one is passed on as it comes, once it is known to be the right one.
-                        if let (Some(length), Some(head)) = (length, head)
+                        if let Some(length) = length
                             && length > HELD
-                            && !close
+                            && !coded
                             && has_id
                             && is_good
                             && !not_run
@@ -344,13 +345,6 @@
     most.min(IDLE)
 }
 
-fn head_length(bytes: &[u8]) -> Option<usize> {
-    match http::answer(bytes) {
-        Ok(Some((_, head))) => Some(head),
-        _ => None,
-    }
-}
-
 /// The request as the worker gets it: unchanged but for what concerns one connection, the key, and what we add.
 fn put_request(ring: &mut Ring, out: &Outgoing, worker: &Worker, left_ms: u64) -> io::Result<()> {
     let call = out.call;
--- a/crates/pass/tests/whole_path.rs
+++ b/crates/pass/tests/whole_path.rs
@@ -2,7 +2,7 @@
 //! Nothing waits for a time: what is to come is asked for until it is there.
 
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -11,39 +11,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use lynxstair_standins::Message;
 use tempfile::TempDir;
 
 const PATIENCE: Duration = Duration::from_secs(30);
 
-struct Message {
-    first: String,
-    headers: HashMap<String, String>,
-    body: String,
-}
-
-impl Message {
-    fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
-    }
-
-    fn header(&self, name: &str) -> &str {
-        self.headers.get(name).map_or("", String::as_str)
-    }
-}
-
-fn read(from: &mut impl BufRead) -> Option<Message> {
-    let mut first = String::new();
-    from.read_line(&mut first).ok().filter(|n| *n > 0)?;
-    let mut headers = HashMap::new();
-    loop {
-        let mut line = String::new();
-        from.read_line(&mut line).ok().filter(|n| *n > 0)?;
-        let Some((name, value)) = line.trim_end().split_once(':') else { break };
-        headers.insert(name.to_ascii_lowercase(), value.trim().to_string());
-    }
-    let mut body = vec![0; headers.get("content-length").map_or(0, |l| l.parse().expect("a length"))];
-    from.read_exact(&mut body).ok()?;
-    Some(Message { first: first.trim_end().to_string(), headers, body: String::from_utf8(body).ok()? })
+/// A message's body, as text.
+fn text(message: &Message) -> &str {
+    std::str::from_utf8(&message.body).expect("text")
 }
 
 /// One call on a connection of its own.
@@ -53,7 +28,7 @@
     let n = body.len();
     write!(stream, "{head}\r\nHost: h.example\r\nContent-Length: {n}\r\nConnection: close\r\n\r\n{body}")
         .ok()?;
-    read(&mut BufReader::new(stream))
+    Message::read(&mut BufReader::new(stream))
 }
 
 fn until<T>(what: &str, mut get: impl FnMut() -> Option<T>) -> T {
@@ -87,7 +62,7 @@
             thread::spawn(move || {
                 let mut out = stream.try_clone().expect("cloned");
                 let mut reader = BufReader::new(stream);
-                while let Some(m) = read(&mut reader) {
+                while let Some(m) = Message::read(&mut reader) {
                     let attempt = m.header("attempt-id").to_string();
                     if m.header("target-instance") != own {
                         let _ =
@@ -242,7 +217,8 @@
 
     fn leader(&self) -> usize {
         until("a leader", || {
-            let says = |hut: &SocketAddr| call(*hut, "GET /status HTTP/1.1", "").map(|m| m.body);
+            let says =
+                |hut: &SocketAddr| call(*hut, "GET /status HTTP/1.1", "").map(|m| text(&m).to_string());
             let me = |n: usize| {
                 says(&self.huts[n])?.contains(&format!("\"leader\":\"{}\"", self.huts[n])).then_some(n)
             };
@@ -277,7 +253,7 @@
     let first = configuration(5, 0, r#"["k1","k2"]"#, 1);
     assert_eq!(system.order("PUT /config HTTP/1.1", &first).status(), 200);
     let bad = system.order("PUT /config HTTP/1.1", &configuration(7, 5, r#"["ks"]"#, 1));
-    assert!(bad.status() == 400 && bad.body.contains("tenants.small"), "{}", bad.body);
+    assert!(bad.status() == 400 && text(&bad).contains("tenants.small"), "{}", text(&bad));
     let second = configuration(8, 5, r#"["k1"]"#, 1);
     assert_eq!(system.order("PUT /config HTTP/1.1", &second).status(), 200);
     assert_eq!(system.order("PUT /config HTTP/1.1", &configuration(9, 5, r#"["k3"]"#, 1)).status(), 412);
@@ -287,12 +263,12 @@
     let board: SocketAddr = format!("{}:8385", system.huts[1].ip()).parse().expect("an address");
     until("the board names all three", || {
         let m = call(board, "GET /resolve?name=h.example&region=r1&zone=z1 HTTP/1.1", "")?;
-        (m.status() == 200 && system.fronts.iter().all(|f| m.body.contains(&f.to_string()))).then_some(())
+        (m.status() == 200 && system.fronts.iter().all(|f| text(&m).contains(&f.to_string()))).then_some(())
     });
     for pass in 0..3 {
         until("served", || {
             let m = system.ask(pass, "GET", "/safe/x", &format!("a{pass}"), "k1")?;
-            (m.status() == 200 && m.body == "GET " && !m.header("server-seal").is_empty()).then_some(())
+            (m.status() == 200 && text(&m) == "GET " && !m.header("server-seal").is_empty()).then_some(())
         });
         let seen = ran.lock().expect("ran").iter().any(|(a, t)| *a == format!("a{pass}") && t == "t1");
         assert!(seen, "the worker was told the tenant");
@@ -307,7 +283,7 @@
     let cut = system.ask(0, "GET", "/safe/cut", "s1", "k1").expect("an answer");
     assert!(cut.status() == 502 && times("s1") > 1, "{}: repeated, and never taken for whole", cut.status());
     let late = system.ask(1, "GET", "/safe/late", "s2", "k1").expect("an answer");
-    assert_eq!((late.status(), late.body.as_str()), (200, "good"));
+    assert_eq!((late.status(), text(&late)), (200, "good"));
     let failed = system.ask(1, "POST", "/unsafe/500", "u2", "k1").expect("an answer");
     assert_eq!((failed.status(), times("u2")), (500, 1), "the worker's own answer is the client's");
     let full = system.ask(2, "POST", "/unsafe/full", "u3", "k1").expect("an answer");
@@ -319,7 +295,7 @@
     let request = "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: k\r\nTime-Left-Ms: 2000\r\n";
     write!(&stream, "{request}Authorization: Bearer k1\r\n\r\n").expect("written");
     let mut reader = BufReader::new(&stream);
-    let served = read(&mut reader).expect("an answer");
+    let served = Message::read(&mut reader).expect("an answer");
     assert_eq!((served.status(), served.header("keep-alive")), (200, "timeout=1"));
     let mut rest = Vec::new();
     assert!(
@@ -338,7 +314,7 @@
     let leader = system.leader();
     system.kill(&format!("hut{}", leader + 1));
     let read = system.order("GET /config HTTP/1.1", "");
-    assert!(read.status() == 200 && read.body.contains("0000000c"), "{}", read.body);
+    assert!(read.status() == 200 && text(&read).contains("0000000c"), "{}", text(&read));
     until("the taken key is refused", || {
         system.ask(1, "GET", "/safe/x", "c", "k1").filter(|m| m.status() == 401)
     });
@@ -349,7 +325,7 @@
     system.start_one(&format!("hut{}", leader + 1), false);
     until("the emptied hut follows", || {
         let m = call(system.huts[leader], "GET /status HTTP/1.1", "")?;
-        m.body.contains("\"generation\":\"0000000c\"").then_some(())
+        text(&m).contains("\"generation\":\"0000000c\"").then_some(())
     });
     let fourth = configuration(13, 12, r#"["k5"]"#, 1);
     assert_eq!(system.order("PUT /config HTTP/1.1", &fourth).status(), 200);
@@ -359,7 +335,7 @@
     assert!(Command::new("kill").arg("-TERM").arg(pass.to_string()).status().is_ok_and(|s| s.success()));
     until("it leaves the board", || {
         let m = call(board, "GET /resolve?name=h.example&region=r1&zone=z1 HTTP/1.1", "");
-        m.filter(|m| m.status() == 200 && !m.body.contains(&system.fronts[2].to_string()))
+        m.filter(|m| m.status() == 200 && !text(m).contains(&system.fronts[2].to_string()))
     });
     let ended = system.children.remove("pass3").expect("runs").wait().expect("ended");
     assert!(ended.success(), "{ended}");
