The book is held by rows: a change costs what it names, and the road is sent just that

Cause: each PATCH read the whole text three times (ruling, each hut, each gatekeeper), and each gatekeeper got the whole book at each change: 36 kB and 4.1 ms of its 0.2 core for one route.

Change: a sheet holds the text of each row, shared between versions; a row that did not change is not read again (Configuration::read_after), nor hashed by who applies it. Pages to the road are whole or what became of the book that the gatekeeper holds, by names, with a digest of the sheet that comes of it; one that does not fit is refused and the whole asked for. Sent decides: one page on its way at most, the next one when the gatekeeper has said what it holds; huts that don't lead wait until it has come no further for 0.8 s (before: until the newest book was 0.8 s old, which it never is amid many changes).

--- a/crates/hut/examples/state.rs
+++ b/crates/hut/examples/state.rs
@@ -8,7 +8,7 @@
 use lynxstair::types::Time;
 use lynxstair_cairn::Record;
 use lynxstair_ridge::book::{Book, Change, Ruling};
-use lynxstair_ridge::feed::Mirror;
+use lynxstair_ridge::feed::{Mirror, Steps};
 use lynxstair_trailbook::words::{Bytes, State};
 use store::{Sqlite, Store};
 
@@ -102,8 +102,13 @@
     let mut sqlite = Sqlite::open(folder.path()).expect("open");
     println!("configuration {} bytes, {routes} routes; {changes} changes", text.len());
     let mut book = times.of("PUT: parse, rule", || taken(&Book::default(), &Change::Put(text.into_bytes())));
-    let mut mirror = Mirror::default();
-    mirror.take(Time::from_nanos(1), book.number, &book.for_the_road());
+    let mut agreed = Book::read(&book.written()).expect("read");
+    let (mut mirror, mut steps) = (Mirror::default(), Steps::default());
+    let page = times.of("a hut: write the whole for the road", || steps.page(&agreed, 0));
+    let whole = page.len();
+    times.of("a gatekeeper: take the whole", || {
+        assert!(mirror.take(Time::from_nanos(1), agreed.number, &page));
+    });
     let mut road = 0;
     for generation in 2..2 + changes {
         let change = patch(generation, routes);
@@ -114,14 +119,17 @@
             ..Record::default()
         };
         times.of("save, synced", || sqlite.save(&record).expect("saved"));
-        book = times.of("a hut: read what was agreed on", || {
-            let book = Book::read(&record.state.book.0).expect("read");
-            assert!(book.configuration().is_some());
-            book
+        let newer =
+            times.of("a hut: read what was agreed on", || agreed.after(&record.state.book.0).expect("read"));
+        let page = times.of("a hut: write what changed for the road", || {
+            steps.note(&agreed, &newer);
+            steps.page(&newer, mirror.have())
         });
-        let page = times.of("a hut: write it for the road", || book.for_the_road());
+        (book, agreed) = (new, newer);
         road += page.len();
-        times.of("a gatekeeper: take it", || assert!(mirror.take(Time::from_nanos(2), book.number, &page)));
+        times.of("a gatekeeper: take what changed", || {
+            assert!(mirror.take(Time::from_nanos(2), agreed.number, &page));
+        });
     }
     times.print();
     let on_disk: u64 = std::fs::read_dir(folder.path())
@@ -132,9 +140,10 @@
     let mut sqlite = Sqlite::open(folder.path()).expect("open");
     let mut times = Times::default();
     times.of("load after a start", || assert!(sqlite.load().expect("loads").is_some()));
+    times.of("GET: write the configuration", || book.text().map(|t| t.len()));
     times.print();
     println!(
-        "state {} bytes; to a gatekeeper {} bytes a change; on disk {on_disk} bytes; peak memory {} kB",
+        "state {} bytes; to a gatekeeper {whole} bytes, then {} a change; on disk {on_disk} bytes; peak memory {} kB",
         book.written().len(),
         road / changes as usize,
         peak_kb()
--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -12,7 +12,7 @@
 use lynxstair_cairn::{Cairn, Do, Node, Record};
 use lynxstair_lines as lines;
 use lynxstair_ridge::book::{Book, Change, Ruling};
-use lynxstair_ridge::feed::Sent;
+use lynxstair_ridge::feed::{Sent, Steps};
 use lynxstair_ridge::purse::{Grant, Purse};
 use lynxstair_ridge::register::Register;
 use lynxstair_trailbook::configuration::Configuration;
@@ -78,7 +78,9 @@
     cairn: Cairn,
     /// As agreed on.
     book: Book,
-    configuration: Option<Configuration>,
+    configuration: Option<Arc<Configuration>>,
+    /// How the book came to be what it is, for the road.
+    steps: Steps,
     register: Register,
     /// Since the lives were written last.
     lives_changed: bool,
@@ -89,8 +91,6 @@
     huts: Vec<Node>,
     lines: HashMap<Node, Arc<Conn>>,
     last_follower: u64,
-    /// When the book was agreed on here.
-    book_at: Time,
 }
 
 /// What the disk's thread is to write.
@@ -134,6 +134,7 @@
         cairn,
         book: Book::default(),
         configuration: None,
+        steps: Steps::default(),
         register,
         lives_changed: false,
         purse: Purse::new(Grant {
@@ -146,7 +147,6 @@
         huts: Vec::new(),
         lines: HashMap::new(),
         last_follower: 0,
-        book_at: now,
     };
     let inner = calls::listen(settings.inner())?;
     let control = calls::listen(me)?;
@@ -296,23 +296,20 @@
                         }
                     }
                     Do::Agreed(stamp, state) => {
-                        let Some(book) = Book::read(&state.0) else {
+                        let Some(book) = rooms.book.after(&state.0) else {
                             warn!(index = stamp.index; "a book that can't be read");
                             continue;
                         };
                         if book.number > rooms.book.number {
                             info!(number = book.number, generation = book.generation, term = stamp.term; "agreed on");
-                            rooms.configuration = book.configuration();
+                            rooms.configuration = book.configuration().cloned();
+                            rooms.steps.note(&rooms.book, &book);
                             rooms.book = book;
-                            rooms.book_at = now;
                             if let Some(configuration) = &rooms.configuration {
                                 rooms.purse.keep(&configuration.tenants);
                             }
                             if rooms.cairn.leads() {
-                                let state = Bytes(Arc::new(rooms.book.for_the_road()));
-                                let index = rooms.book.number;
-                                tell(rooms, &Down::Book { index, state });
-                                rooms.followers.values_mut().for_each(|f| f.sent.all(index));
+                                publish(now, rooms);
                             }
                         }
                     }
@@ -410,13 +407,15 @@
                     rooms.followers.insert(number, new);
                 }
                 Up::Ping { clock, have, ready, got, counts, holds } => {
-                    let Rooms { followers, purse, configuration, cairn, book, book_at, .. } = &mut *rooms;
+                    let Rooms { followers, purse, configuration, cairn, book, steps, .. } = &mut *rooms;
                     let Some(f) = follower.and_then(|n| followers.get_mut(&n)) else { return false };
                     f.ready = ready;
                     f.heard_at = now;
-                    if f.sent.due(have, book.number, cairn.leads(), now - *book_at) {
-                        let state = Bytes(Arc::new(book.for_the_road()));
-                        say(conn, &Down::Book { index: book.number, state });
+                    f.sent.hear(now, have);
+                    if let Some(over) = f.sent.due(now, book.number, cairn.leads(), book.bytes()) {
+                        let page = steps.page(book, over);
+                        f.sent.flies(now, book.number, page.len());
+                        say(conn, &Down::Book { index: book.number, state: Bytes(Arc::new(page)) });
                     }
                     let leads = cairn.leads();
                     let fresh = cairn.sure_at().map(|at| (now - at).nanos().div_ceil(1_000_000));
@@ -520,10 +519,10 @@
         if !self.is_sure(self.alarms.now(), &rooms) {
             return unsettled();
         }
-        if rooms.book.text.is_empty() {
-            return error(404, "no configuration yet");
+        match rooms.book.text() {
+            Some(text) => Reply::json(200, text.as_bytes()),
+            None => error(404, "no configuration yet"),
         }
-        Reply::json(200, rooms.book.text.as_bytes())
     }
 
     fn change(self: &Arc<Self>, path: &str, change: Change) -> Reply {
@@ -632,6 +631,21 @@
     rooms.followers.values().for_each(|f| lines::write(&f.conn, &frame, MOST_UNSENT));
 }
 
+/// The book that was agreed on goes to every gatekeeper that follows the feed here, and has none on its way.
+fn publish(now: Time, rooms: &mut Rooms) {
+    let Rooms { followers, steps, book, .. } = rooms;
+    let mut frames: HashMap<u64, Vec<u8>> = HashMap::new();
+    for f in followers.values_mut() {
+        let Some(over) = f.sent.due(now, book.number, true, book.bytes()) else { continue };
+        let frame = frames.entry(over).or_insert_with(|| {
+            let state = Bytes(Arc::new(steps.page(book, over)));
+            lines::frame(&Down::Book { index: book.number, state })
+        });
+        f.sent.flies(now, book.number, frame.len());
+        lines::write(&f.conn, frame, MOST_UNSENT);
+    }
+}
+
 /// What a worker said here goes to the other huts, and where it is news to the road.
 fn pass_on(rooms: &Rooms, life: Life, is_news: bool) {
     let frame = lines::frame(&Up::Heard(vec![life.clone()]));
--- a/crates/pass/src/feed.rs
+++ b/crates/pass/src/feed.rs
@@ -103,9 +103,9 @@
                 Down::Book { index, state } => {
                     if road.rooms().take_book(now, index, &state.0) {
                         info!(number = index; "a book is in force");
-                        // So that the hut knows, and its next answer counts.
-                        Feed::speak_to(road, Some(conn));
                     }
+                    // So that the hut knows what is here, whether it fitted or not, and its next answer counts.
+                    Feed::speak_to(road, Some(conn));
                 }
                 Down::Lives { lives, .. } => road.rooms().take_lives(now, &lives),
                 Down::Pong { clock, index, fresh, leads } => {
@@ -153,7 +153,7 @@
             let leads = lines.open.iter().any(|l| l.leads) && only.is_none();
             let counts = if leads { rooms.buckets.counts() } else { Vec::new() };
             let held = lines.open.iter().any(|l| l.leads && !l.knows).then(|| rooms.buckets.holds(now));
-            (rooms.mirror.number(), rooms.is_ready(now), counts, held)
+            (rooms.mirror.have(), rooms.is_ready(now), counts, held)
         };
         // Of two that say that they lead, one has not heard yet that it does no more.
         lines.open.sort_by_key(|l| (!l.leads, l.hut));
--- a/crates/ridge/src/book.rs
+++ b/crates/ridge/src/book.rs
@@ -16,22 +16,46 @@
 const MARK: usize = 16;
 const KEPT: usize = 8 + MARK;
 
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
 pub struct Book {
     /// Rises with each change.
     pub number: u64,
     /// The configuration's version, 0 for none.
     pub generation: u64,
-    /// The configuration as it is given back; empty for none.
-    pub text: String,
     pub evacuated: BTreeSet<String>,
+    sheet: Sheet,
+    /// What the sheet says; None where there is none yet, or this build can't act on it.
+    configuration: Option<Arc<Configuration>>,
     /// Of the changes that were taken, the newest `REMEMBERED`: the version that each brought (eight bytes, the highest
     /// first) and its identity, one behind the other.
-    #[serde(default)]
     marks: Bytes,
     /// The version of the newest change that was taken and whose identity is no longer held.
+    forgotten: Option<u64>,
+    /// Of the state that it was read from.
+    bytes: usize,
+}
+
+/// A book as it lies on the disks of the core and goes between them.
+#[derive(Serialize)]
+struct Written<'a> {
+    number: u64,
+    sheet: &'a Sheet,
+    evacuated: &'a BTreeSet<String>,
+    marks: &'a Bytes,
+    forgotten: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct Found {
+    number: u64,
+    sheet: Option<Sheet>,
+    evacuated: BTreeSet<String>,
     #[serde(default)]
+    marks: Bytes,
     forgotten: Option<u64>,
+    /// The whole configuration, as builds wrote it that held other identities.
+    #[serde(default)]
+    text: String,
 }
 
 /// What an operator asks for.
@@ -57,7 +81,7 @@
 
 /// What a change makes of the configuration.
 enum Step {
-    To(Box<Sheet>),
+    To(Box<Sheet>, Arc<Configuration>),
     /// It builds on another version than the one in place.
     NotHere,
     /// So does this one, and it may have been taken before all that is remembered.
@@ -80,31 +104,77 @@
 
 impl Book {
     pub fn read(state: &[u8]) -> Option<Book> {
+        Book::default().after(state)
+    }
+
+    /// A book that was agreed on after this one. What is the same in both is shared, and not read again.
+    pub fn after(&self, state: &[u8]) -> Option<Book> {
         if state.is_empty() {
             return Some(Book::default());
         }
-        let mut book: Book = ciborium::from_reader(state).ok()?;
-        if book.marks.0.is_empty() && book.generation > 0 {
-            // From a build that held other identities: none of its changes can be told any more.
-            book.forgotten = Some(book.generation);
-        }
-        Some(book)
+        let found: Found = ciborium::from_reader(state).ok()?;
+        let mut forgotten = found.forgotten;
+        let mut sheet = match found.sheet {
+            Some(sheet) => sheet,
+            None if found.text.is_empty() => Sheet::default(),
+            None => {
+                let sheet = Sheet::read(&values::read(found.text.as_bytes()).ok()?).ok()?;
+                // None of its changes can be told any more.
+                forgotten = Some(sheet.generation);
+                sheet
+            }
+        };
+        sheet.share(&self.sheet);
+        // What an older build took and this one would refuse is kept, and given back; the road goes on without it.
+        let configuration =
+            (sheet.generation > 0).then(|| self.configured(&sheet).ok().map(Arc::new)).flatten();
+        Some(Book {
+            number: found.number,
+            generation: sheet.generation,
+            evacuated: found.evacuated,
+            sheet,
+            configuration,
+            marks: found.marks,
+            forgotten,
+            bytes: state.len(),
+        })
     }
 
     pub fn written(&self) -> Vec<u8> {
+        let written = Written {
+            number: self.number,
+            sheet: &self.sheet,
+            evacuated: &self.evacuated,
+            marks: &self.marks,
+            forgotten: self.forgotten,
+        };
         let mut out = Vec::new();
-        ciborium::into_writer(self, &mut out).expect("written to memory");
+        ciborium::into_writer(&written, &mut out).expect("written to memory");
         out
     }
 
-    /// What a gatekeeper needs of it: without what only the core asks for.
-    pub fn for_the_road(&self) -> Vec<u8> {
-        Book { marks: Bytes::default(), ..self.clone() }.written()
+    /// The configuration as it is given back; None where there is none yet.
+    pub fn text(&self) -> Option<String> {
+        (self.generation > 0).then(|| self.sheet.written())
+    }
+
+    /// How long the state was that it was read from.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub fn sheet(&self) -> &Sheet {
+        &self.sheet
     }
 
-    pub fn configuration(&self) -> Option<Configuration> {
-        let value = values::read(self.text.as_bytes()).ok()?;
-        Configuration::read(&Sheet::read(&value).ok()?).ok()
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// What a sheet says that comes after this one.
+    fn configured(&self, sheet: &Sheet) -> Result<Configuration, Fault> {
+        let older = self.configuration.as_ref().map(|c| (&self.sheet, &**c));
+        Configuration::read_after(sheet, older)
     }
 
     pub fn rule(&self, change: &Change, zones: &[(String, String)]) -> Ruling {
@@ -118,7 +188,7 @@
                     Err(fault) => return Ruling::Refuse(400, fault.to_string()),
                 };
                 match self.changed(change, &call) {
-                    Ok(Step::To(sheet)) => Ruling::Take(Box::new(self.next(change, &sheet))),
+                    Ok(Step::To(sheet, read)) => Ruling::Take(Box::new(self.next(change, *sheet, read))),
                     Ok(Step::NotHere) => {
                         Ruling::Refuse(412, format!("base-version: {:08x} is in place", self.generation))
                     }
@@ -145,12 +215,16 @@
     }
 
     /// The book with this change taken, and remembered.
-    fn next(&self, change: &Change, sheet: &Sheet) -> Book {
+    fn next(&self, change: &Change, sheet: Sheet, configuration: Arc<Configuration>) -> Book {
         let mut book = Book {
             number: self.number + 1,
             generation: sheet.generation,
-            text: sheet.written(),
-            ..self.clone()
+            evacuated: self.evacuated.clone(),
+            sheet,
+            configuration: Some(configuration),
+            marks: self.marks.clone(),
+            forgotten: self.forgotten,
+            bytes: self.bytes,
         };
         if let Some(mark) = identity(change) {
             let marks = Arc::make_mut(&mut book.marks.0);
@@ -181,13 +255,27 @@
             );
         }
         let sheet = match change {
-            Change::Patch(_) if self.text.is_empty() => {
+            Change::Patch(_) if self.generation == 0 => {
                 return values::fault("body", "nothing to change yet");
             }
-            Change::Patch(_) => Sheet::read(&values::read(self.text.as_bytes())?)?.patched(call)?,
-            _ => Sheet::read(call)?,
+            Change::Patch(_) => self.sheet.patched(call)?,
+            _ => {
+                let mut sheet = Sheet::read(call)?;
+                sheet.share(&self.sheet);
+                sheet
+            }
         };
-        Configuration::read(&sheet)?;
-        Ok(Step::To(Box::new(sheet)))
+        let configuration = self.configured(&sheet)?;
+        Ok(Step::To(Box::new(sheet), Arc::new(configuration)))
+    }
+}
+
+impl PartialEq for Book {
+    fn eq(&self, other: &Book) -> bool {
+        // The configuration is what the sheet says.
+        (self.number, self.forgotten) == (other.number, other.forgotten)
+            && self.sheet == other.sheet
+            && self.evacuated == other.evacuated
+            && self.marks == other.marks
     }
 }
--- a/crates/ridge/tests/orders.rs
+++ b/crates/ridge/tests/orders.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use ciborium::cbor;
 use lynxstair_ridge::book::{Book, Change, REMEMBERED, Ruling, identity};
 
 const ROUTES: &str =
@@ -108,13 +109,14 @@
     assert_eq!(status(&book, &put(all, all, "")), 400, "not above the one that it builds on");
     assert!(book.written().len() < 30_000, "{} bytes", book.written().len());
     // A disk of a build that held other identities: nothing that may have been taken is refused.
-    let older = ciborium::Value::serialized(&book).expect("a value");
-    let ciborium::Value::Map(mut fields) = older else { panic!("no map") };
-    fields.retain(|(k, _)| !matches!(k.as_text(), Some("marks" | "forgotten")));
-    fields.push(("taken".into(), ciborium::Value::Array(Vec::new())));
+    let text = book.text().expect("a configuration");
+    let older = cbor!({
+        "number" => 9, "generation" => all, "text" => text, "evacuated" => ["z"], "taken" => [[1, 2]],
+    });
     let mut bytes = Vec::new();
-    ciborium::into_writer(&ciborium::Value::Map(fields), &mut bytes).expect("written");
+    ciborium::into_writer(&older.expect("a value"), &mut bytes).expect("written");
     let book = Book::read(&bytes).expect("read");
+    assert_eq!((book.number, book.generation, book.evacuated.len()), (9, all, 1));
     assert_eq!((rule(&book, &order(all - 1)), status(&book, &put(all + 1, all, ""))), (Ruling::Unclear, 200));
 }
 
@@ -182,9 +184,7 @@
             for majority in majorities {
                 let book = disks.newest(*majority);
                 match (rule(&book, order), is_kept) {
-                    (Ruling::Take(now), false) => {
-                        assert_eq!((now.number, now.generation), (after.number, after.generation), "{step:?}")
-                    }
+                    (Ruling::Take(now), false) => assert_eq!(*now, after, "{step:?}"),
                     (Ruling::Taken, true) => assert_eq!(book, after, "{step:?}"),
                     (other, _) => panic!("{order:?}, {step:?}, {majority:?}: {other:?}"),
                 }
@@ -258,7 +258,7 @@
     for old in [put(3, 0, ""), put(5, 3, "second")] {
         assert_eq!(rule(&third, &old), Ruling::Taken);
     }
-    assert!(third.text.contains("third"));
+    assert!(third.text().is_some_and(|text| text.contains("third")));
 }
 
 /// Each way in which the bench's operator spoils an order: refused with a 4xx, not acknowledged, and leaves no trace.
--- a/crates/trailbook/src/configuration.rs
+++ b/crates/trailbook/src/configuration.rs
@@ -1,12 +1,13 @@
 //! What the system acts on of a configuration, and all that makes one invalid.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use indexmap::IndexMap;
 use lynxstair::types::Span;
 
-use crate::sheet::Sheet;
-use crate::values::{self, Fault, Object, at, fault, needed, path};
+use crate::sheet::{List, Sheet, same};
+use crate::values::{self, Fault, Fields, Item, Object, at, fault, needed, path};
 
 /// A route's `timeout-s` may not exceed this, and its `target-s` lies less than a minute above it.
 const MOST_TIMEOUT_S: f64 = 600.0;
@@ -71,21 +72,25 @@
     pub idle_time: Span,
 }
 
-#[derive(Clone, Debug)]
+type Keys = Arc<[Arc<str>]>;
+
+/// What is the same in two versions is shared by them.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Configuration {
     pub generation: u64,
     /// By host, the longest prefix first.
-    pub routes: HashMap<String, Vec<Route>>,
-    pub services: IndexMap<String, Service>,
-    pub tenants: Vec<Tenant>,
-    /// Which tenant holds a key.
-    pub keys: HashMap<String, usize>,
+    pub routes: Arc<HashMap<String, Vec<Arc<Route>>>>,
+    pub services: Arc<IndexMap<String, Service>>,
+    pub tenants: Arc<Vec<Tenant>>,
+    /// The keys of each tenant, and which tenant holds a key.
+    keys_of: Arc<Vec<Keys>>,
+    keys: Arc<HashMap<Arc<str>, usize>>,
     pub bounds: Bounds,
 }
 
 impl Configuration {
     /// The route of a request: among those of its host, the one with the longest prefix that begins the path.
-    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.rsplit_once(':').filter(|(_, p)| p.parse::<u16>().is_ok()).map_or(host, |(h, _)| h);
         let routes = self.routes.get(host).or_else(|| self.routes.get(&host.to_ascii_lowercase()))?;
         routes.iter().find(|r| path.starts_with(&r.prefix))
@@ -98,64 +103,161 @@
 
     /// All routes, in no order.
     pub fn all_routes(&self) -> impl Iterator<Item = &Route> {
-        self.routes.values().flatten()
+        self.routes.values().flatten().map(|route| &**route)
     }
 
     /// Reads and checks.
     pub fn read(sheet: &Sheet) -> Result<Configuration, Fault> {
+        Configuration::read_after(sheet, None)
+    }
+
+    /// The same, where an older version was read: only what differs from it is read, and all is checked.
+    pub fn read_after(
+        sheet: &Sheet,
+        older: Option<(&Sheet, &Configuration)>,
+    ) -> Result<Configuration, Fault> {
         let [routes, services, tenants] = &sheet.lists;
-        let mut read_services = IndexMap::new();
-        for (name, item) in services {
-            read_services.insert(name.clone(), service(item, &path("services", name))?);
-        }
-        let mut by_host: HashMap<String, Vec<Route>> = HashMap::new();
-        for (name, item) in routes {
-            let route = route(name, item, &path("routes", name), &read_services)?;
-            by_host.entry(route.host.clone()).or_default().push(route);
-        }
-        for routes in by_host.values_mut() {
-            routes.sort_by(|a, b| (b.prefix.len(), &a.prefix).cmp(&(a.prefix.len(), &b.prefix)));
-            if let Some([a, b]) = routes.array_windows().find(|[a, b]| a.prefix == b.prefix) {
-                return fault(path("routes", &b.name), format!("stands in the same place as {}", a.name));
+        let older_list = |n: usize| older.map(|(s, _)| &s.lists[n]);
+        let shared = |n: usize| older.filter(|(s, _)| sheet.lists[n].is(&s.lists[n])).map(|(_, c)| c);
+        let read_services = match shared(1) {
+            Some(c) => c.services.clone(),
+            None => Arc::new(read_services(services)?),
+        };
+        let read_routes = match shared(0) {
+            // Its services may have changed nevertheless.
+            Some(c) => c.routes.clone(),
+            None => Arc::new(read_routes(routes, older_list(0), older.map(|(_, c)| c))?),
+        };
+        for route in read_routes.values().flatten() {
+            if let Some((unknown, _)) = route.services.iter().find(|(s, _)| !read_services.contains_key(s)) {
+                return fault(path("routes", &route.name), format!("names an unknown service {unknown}"));
             }
         }
-        let mut keys = HashMap::new();
-        let mut read_tenants = Vec::new();
-        for (name, item) in tenants {
-            let at = path("tenants", name);
-            for key in list(item, "api-keys", &at)? {
-                if let Some(other) = keys.insert(key, read_tenants.len())
-                    && other != read_tenants.len()
-                {
-                    return fault(at, "shares a key with another tenant");
-                }
+        let (read_tenants, keys_of, keys) = match shared(2) {
+            Some(c) => (c.tenants.clone(), c.keys_of.clone(), c.keys.clone()),
+            None => {
+                let (read, keys_of) = read_tenants(tenants, older_list(2), older.map(|(_, c)| c))?;
+                let keys = held(&read, &keys_of)?;
+                (Arc::new(read), Arc::new(keys_of), Arc::new(keys))
             }
-            read_tenants.push(tenant(name, item, &at)?);
-        }
+        };
         Ok(Configuration {
             generation: sheet.generation,
-            routes: by_host,
+            routes: read_routes,
             services: read_services,
             tenants: read_tenants,
+            keys_of,
             keys,
-            bounds: bounds(&sheet.rest)?,
+            bounds: bounds(&sheet.rest()?)?,
         })
     }
 }
 
-fn list(item: &Object, key: &str, of: &str) -> Result<Vec<String>, Fault> {
+/// Reads a row's cells and what they say.
+fn row<T>(
+    list: &List,
+    cells: &str,
+    of: &str,
+    read: impl FnOnce(&Item) -> Result<T, Fault>,
+) -> Result<T, Fault> {
+    let value = values::read(format!("[{cells}]").as_bytes())?;
+    read(&Item { columns: list.columns(), cells: values::array(&value, of)? })
+}
+
+/// Whether a row stood in an older list as it does now.
+fn is_kept(list: &List, older: Option<&List>, name: &str, cells: &Arc<str>) -> bool {
+    let Some(older) = older.filter(|older| older.columns() == list.columns()) else { return false };
+    older.rows().get(name).is_some_and(|old| same(old, cells))
+}
+
+fn read_services(list: &List) -> Result<IndexMap<String, Service>, Fault> {
+    let mut read = IndexMap::new();
+    for (name, cells) in list.rows() {
+        let of = path("services", name);
+        read.insert(name.to_string(), row(list, cells, &of, |item| service(item, &of))?);
+    }
+    Ok(read)
+}
+
+fn read_routes(
+    list: &List,
+    older: Option<&List>,
+    before: Option<&Configuration>,
+) -> Result<HashMap<String, Vec<Arc<Route>>>, Fault> {
+    let known: HashMap<&str, &Arc<Route>> =
+        before.iter().flat_map(|c| c.routes.values().flatten()).map(|r| (&r.name[..], r)).collect();
+    let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+    for (name, cells) in list.rows() {
+        let of = path("routes", name);
+        let kept = known.get(&name[..]).filter(|_| is_kept(list, older, name, cells));
+        let read = match kept {
+            Some(route) => (*route).clone(),
+            None => Arc::new(row(list, cells, &of, |item| route(name, item, &of))?),
+        };
+        match by_host.get_mut(&read.host) {
+            Some(routes) => routes.push(read),
+            None => drop(by_host.insert(read.host.clone(), vec![read])),
+        }
+    }
+    for routes in by_host.values_mut() {
+        routes.sort_by(|a, b| (b.prefix.len(), &a.prefix).cmp(&(a.prefix.len(), &b.prefix)));
+        if let Some([a, b]) = routes.array_windows().find(|[a, b]| a.prefix == b.prefix) {
+            return fault(path("routes", &b.name), format!("stands in the same place as {}", a.name));
+        }
+    }
+    Ok(by_host)
+}
+
+fn read_tenants(
+    list: &List,
+    older: Option<&List>,
+    before: Option<&Configuration>,
+) -> Result<(Vec<Tenant>, Vec<Keys>), Fault> {
+    let known: HashMap<&str, usize> =
+        before.iter().flat_map(|c| c.tenants.iter().enumerate()).map(|(n, t)| (&t.name[..], n)).collect();
+    let (mut read, mut keys_of) = (Vec::new(), Vec::new());
+    for (name, cells) in list.rows() {
+        let of = path("tenants", name);
+        let kept = known.get(&name[..]).filter(|_| is_kept(list, older, name, cells)).zip(before);
+        let (one, keys) = match kept {
+            Some((n, c)) => (c.tenants[*n].clone(), c.keys_of[*n].clone()),
+            None => row(list, cells, &of, |item| {
+                let keys = texts(item, "api-keys", &of)?.into_iter().map(Arc::from).collect();
+                Ok((tenant(name, item, &of)?, keys))
+            })?,
+        };
+        read.push(one);
+        keys_of.push(keys);
+    }
+    Ok((read, keys_of))
+}
+
+/// Who holds each key: one tenant.
+fn held(tenants: &[Tenant], keys_of: &[Keys]) -> Result<HashMap<Arc<str>, usize>, Fault> {
+    let mut held = HashMap::new();
+    for (n, keys) in keys_of.iter().enumerate() {
+        for key in keys.iter() {
+            if held.insert(key.clone(), n).is_some_and(|other| other != n) {
+                return fault(path("tenants", &tenants[n].name), "shares a key with another tenant");
+            }
+        }
+    }
+    Ok(held)
+}
+
+fn texts(item: &impl Fields, key: &str, of: &str) -> Result<Vec<String>, Fault> {
     at(item, key).map_or(Ok(Vec::new()), |v| values::texts(v, &path(of, key)))
 }
 
 /// A number of 0 or more; the usual one where it is left out.
-fn figure(item: &Object, key: &str, of: &str, usual: f64) -> Result<f64, Fault> {
+fn figure(item: &impl Fields, key: &str, of: &str, usual: f64) -> Result<f64, Fault> {
     match at(item, key).map(|v| values::number(v, &path(of, key))).transpose()? {
         Some(n) if n < 0.0 => fault(path(of, key), "below 0"),
         n => Ok(n.unwrap_or(usual)),
     }
 }
 
-fn service(item: &Object, of: &str) -> Result<Service, Fault> {
+fn service(item: &Item, of: &str) -> Result<Service, Fault> {
     let health =
         at(item, "health-path").map_or(Ok("/health"), |v| values::text(v, &path(of, "health-path")))?;
     Ok(Service {
@@ -166,7 +268,7 @@
     })
 }
 
-fn route(name: &str, item: &Object, of: &str, services: &IndexMap<String, Service>) -> Result<Route, Fault> {
+fn route(name: &str, item: &Item, of: &str) -> Result<Route, Fault> {
     let own = |key: &str| needed(item, key, of).and_then(|v| values::text(v, &path(of, key)));
     let host = own("host")?;
     if host.is_empty() {
@@ -213,9 +315,6 @@
     if to.is_empty() {
         to.push((own("service")?.to_string(), 1.0));
     }
-    if let Some((unknown, _)) = to.iter().find(|(s, _)| !services.contains_key(s)) {
-        return fault(of, format!("names an unknown service {unknown}"));
-    }
     Ok(Route {
         name: name.to_string(),
         host: host.to_ascii_lowercase(),
@@ -227,18 +326,18 @@
         services: to,
         max_attempts: attempts as u32,
         public: at(item, "public").map_or(Ok(false), |v| values::truth(v, &path(of, "public")))?,
-        homes: list(item, "home-regions", of)?,
+        homes: texts(item, "home-regions", of)?,
     })
 }
 
-fn tenant(name: &str, item: &Object, of: &str) -> Result<Tenant, Fault> {
+fn tenant(name: &str, item: &Item, of: &str) -> Result<Tenant, Fault> {
     let priority = at(item, "priority").map(|_| figure(item, "priority", of, 0.0)).transpose()?;
     Ok(Tenant {
         name: name.to_string(),
         priority: priority.map(|p| p as u32),
         rate: figure(item, "rate-per-s", of, 0.0)?,
         burst: figure(item, "burst", of, 0.0)?,
-        homes: list(item, "home-regions", of)?,
+        homes: texts(item, "home-regions", of)?,
     })
 }
 
--- a/crates/trailbook/src/values.rs
+++ b/crates/trailbook/src/values.rs
@@ -74,13 +74,75 @@
     value.get::<bool>().map_or_else(|| fault(at, "true or false is wanted"), |b| Ok(*b))
 }
 
+/// What holds values by keys.
+pub trait Fields {
+    fn field(&self, key: &str) -> Option<&Value>;
+}
+
+impl Fields for Object {
+    fn field(&self, key: &str) -> Option<&Value> {
+        self.get(key)
+    }
+}
+
+/// One row of a list, by the list's columns.
+#[derive(Clone, Copy, Debug)]
+pub struct Item<'a> {
+    pub columns: &'a [String],
+    pub cells: &'a [Value],
+}
+
+impl Fields for Item<'_> {
+    fn field(&self, key: &str) -> Option<&Value> {
+        self.cells.get(self.columns.iter().position(|c| c == key)?)
+    }
+}
+
 /// The value under a key; null counts as left out.
-pub fn at<'a>(object: &'a Object, key: &str) -> Option<&'a Value> {
-    object.get(key).filter(|v| !v.is_null())
+pub fn at<'a>(of: &'a impl Fields, key: &str) -> Option<&'a Value> {
+    of.field(key).filter(|v| !v.is_null())
+}
+
+pub fn needed<'a>(fields: &'a impl Fields, key: &str, of: &str) -> Result<&'a Value, Fault> {
+    at(fields, key).map_or_else(|| fault(path(of, key), "missing"), Ok)
+}
+
+/// A value as text: the same value gives the same text, whatever order its keys came in.
+pub fn written(value: &Value) -> String {
+    let mut out = String::new();
+    write(value, &mut out);
+    out
 }
 
-pub fn needed<'a>(object: &'a Object, key: &str, of: &str) -> Result<&'a Value, Fault> {
-    at(object, key).map_or_else(|| fault(path(of, key), "missing"), Ok)
+pub fn write(value: &Value, out: &mut String) {
+    match value {
+        Value::Array(all) => {
+            out.push('[');
+            for (n, one) in all.iter().enumerate() {
+                if n > 0 {
+                    out.push(',');
+                }
+                write(one, out);
+            }
+            out.push(']');
+        }
+        Value::Object(all) => {
+            let mut keys: Vec<&String> = all.keys().collect();
+            keys.sort_unstable();
+            out.push('{');
+            for (n, key) in keys.into_iter().enumerate() {
+                if n > 0 {
+                    out.push(',');
+                }
+                write(&Value::String(key.clone()), out);
+                out.push(':');
+                write(&all[key], out);
+            }
+            out.push('}');
+        }
+        // A number that JSON has no text for is no number of an operator's either.
+        one => out.push_str(&one.stringify().unwrap_or_else(|_| "null".to_string())),
+    }
 }
 
 pub fn path(of: &str, key: &str) -> String {
