The record in two rows, checked as a whole; what a disk can't give back is set aside

Cause: each vote wrote the whole state again; a record that could not be read ended the process at each start, and a log whose database's name was lost read as a first start (SQLite removes such a log).

Change: the book has a row of its own, written where it changed, in one transaction with what is beside it, which names it by digest (BLAKE3): a mixture is no record. Unreadable files are renamed (the last ones kept), logged, and the disk counts as emptied, also with bootstrap and after further starts, until a record is saved. An error of the disk is tried again for three seconds first; a database that another process has open is not touched. The folder's own name is synced. Lives that can't be read no longer keep a hut from starting.

Tests: the contract as it was, in a test file; the log cut or torn at 60 places, the database at 20, each file gone by itself: an older record whole, or an emptied disk that is then used.

--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -115,18 +115,29 @@
     let me = settings.control.ok_or("settings: bind.control: missing")?;
     let directory = settings.directory;
     let mut store: Box<dyn Store> = match &settings.data_dir {
-        Some(folder) => Box::new(Sqlite::open(Path::new(folder))?),
+        Some(folder) => {
+            // A disk may be slow to come back: some seconds.
+            let mut tries = 0..60;
+            let wait = || {
+                thread::sleep(std::time::Duration::from_millis(50));
+                tries.next().is_some()
+            };
+            Box::new(Sqlite::open(Path::new(folder), wait)?)
+        }
         None => Box::new(Memory::default()),
     };
     let found = store.load()?;
-    let lives: Vec<Life> = ciborium::from_reader(&store.load_lives()?[..]).unwrap_or_default();
+    let lives: Vec<Life> =
+        ciborium::from_reader(&store.load_lives().unwrap_or_default()[..]).unwrap_or_default();
+    // What can't be read any more was held once: this is no first start.
+    let bootstrap = settings.bootstrap && !store.is_emptied();
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let alarms = Arc::new(Alarms::new(clock)?);
     let now = alarms.now();
     let seed = now.nanos() ^ u64::from(me.port()) << 48 ^ hash(&settings.node);
     let is_found = found.is_some();
-    let cairn = Cairn::start(now, me, &settings.seeds, seed, found, settings.bootstrap);
-    info!(node = settings.node, found = is_found, bootstrap = settings.bootstrap; "the hut opens");
+    let cairn = Cairn::start(now, me, &settings.seeds, seed, found, bootstrap);
+    info!(node = settings.node, found = is_found, bootstrap = bootstrap; "the hut opens");
     let (disk, jobs) = channel();
     let mut register = Register::default();
     register.restore(now, &lives, settings.beat_period);
--- a/crates/hut/src/store.rs
+++ b/crates/hut/src/store.rs
@@ -1,31 +1,90 @@
-//! Where a core keeps its record: one row in SQLite, written and synced as a whole. The contract in the tests below
-//! is what every store must pass.
+//! Where a core keeps its record: in SQLite, synced before it counts. `crates/hut/tests/store.rs` holds the contract of
+//! every store, and what of it a loss of power may leave.
 
+use std::fs::{self, File};
+use std::io;
 use std::path::{Path, PathBuf};
 
+use log::warn;
 use lynxstair_cairn::Record;
-use rusqlite::{Connection, OptionalExtension, params};
+use lynxstair_trailbook::words::Bytes;
+use rusqlite::{Connection, ErrorCode, OptionalExtension, params};
 
 pub trait Store: Send {
     /// What was saved last; None where the disk holds nothing.
     fn load(&mut self) -> Result<Option<Record>, String>;
     /// Returns once the record outlives a loss of power.
     fn save(&mut self, record: &Record) -> Result<(), String>;
+    /// Whether nothing is held because what was held can't be read any more: this is no first start, whoever says so.
+    fn is_emptied(&self) -> bool;
     /// The workers' lives as saved last; empty where nothing is held.
     fn load_lives(&mut self) -> Result<Vec<u8>, String>;
     fn save_lives(&mut self, lives: &[u8]) -> Result<(), String>;
 }
 
-/// On disk.
+/// Why a database is not used.
+enum Trouble {
+    /// It holds what no whole write left: it won't get better.
+    Unreadable(String),
+    /// The disk: it may be better soon.
+    Disk(String),
+    /// Another process has it open: it must not be touched.
+    Held(String),
+}
+
+/// Why a record can't be read.
+enum Bad {
+    Sqlite(rusqlite::Error),
+    Record(String),
+}
+
+/// On disk. The book has a row of its own, so that a vote does not write it again; what is held beside it names it by its
+/// digest, so that a mixture of two writes is never taken for a record.
 pub struct Sqlite {
     connection: Connection,
+    /// The book that is on the disk, with its digest.
+    book: Option<(Bytes, [u8; DIGEST])>,
+    is_emptied: bool,
 }
 
+const DIGEST: usize = 16;
+const MAIN: &str = "book.sqlite";
+const LOG: &str = "book.sqlite-wal";
+/// What could not be read, kept to be looked at: the last one only.
+const ASIDE: [(&str, &str); 2] = [(MAIN, "book.sqlite.unreadable"), (LOG, "book.sqlite-wal.unreadable")];
+
 impl Sqlite {
-    pub fn open(folder: &Path) -> Result<Sqlite, String> {
-        std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-        let file: PathBuf = folder.join("book.sqlite");
-        let fail = |e: rusqlite::Error| format!("{}: {e}", file.display());
+    /// Opens what the folder holds. What can't be read is set aside, and the disk counts as emptied. An error of the disk
+    /// is answered by `wait`: whether to try again.
+    pub fn open(folder: &Path, mut wait: impl FnMut() -> bool) -> Result<Sqlite, String> {
+        loop {
+            let why = match Sqlite::begin(folder) {
+                Ok(sqlite) => return Ok(sqlite),
+                Err(Trouble::Disk(why) | Trouble::Held(why)) if wait() => {
+                    warn!(error = why; "the disk can't be opened yet");
+                    continue;
+                }
+                Err(Trouble::Held(why)) => return Err(why),
+                Err(Trouble::Disk(why) | Trouble::Unreadable(why)) => why,
+            };
+            warn!(error = why; "what the disk holds can't be read: set aside, the disk counts as emptied");
+            set_aside(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+            return Sqlite::begin(folder).map_err(|t| match t {
+                Trouble::Unreadable(why) | Trouble::Disk(why) | Trouble::Held(why) => why,
+            });
+        }
+    }
+
+    fn begin(folder: &Path) -> Result<Sqlite, Trouble> {
+        let file: PathBuf = folder.join(MAIN);
+        let at = |e: io::Error| Trouble::Disk(format!("{}: {e}", folder.display()));
+        make(folder).map_err(at)?;
+        let length = |name: &str| fs::metadata(folder.join(name)).map_or(0, |m| m.len());
+        if length(MAIN) == 0 && length(LOG) > 0 {
+            // SQLite would take this for a new one, and remove the log.
+            return Err(Trouble::Unreadable(format!("{}: a log without its database", file.display())));
+        }
+        let fail = |e: rusqlite::Error| trouble(&file, &e);
         let connection = Connection::open(&file).map_err(fail)?;
         // One process and one thread use it: no mapped index of the log, which the lock alone would need. A write is
         // synced before it counts.
@@ -33,32 +92,143 @@
             .execute_batch(
                 "PRAGMA locking_mode=EXCLUSIVE; PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL;
                  PRAGMA cache_size=-256; PRAGMA wal_autocheckpoint=200; PRAGMA journal_size_limit=1048576;
-                 CREATE TABLE IF NOT EXISTS record (one INTEGER PRIMARY KEY CHECK (one = 1), held BLOB NOT NULL);
+                 CREATE TABLE IF NOT EXISTS head (one INTEGER PRIMARY KEY CHECK (one = 1), held BLOB NOT NULL,
+                   book BLOB NOT NULL, digest BLOB NOT NULL);
+                 CREATE TABLE IF NOT EXISTS book (one INTEGER PRIMARY KEY CHECK (one = 1), held BLOB NOT NULL);
                  CREATE TABLE IF NOT EXISTS lives (one INTEGER PRIMARY KEY CHECK (one = 1), held BLOB NOT NULL);",
             )
             .map_err(fail)?;
-        // Its files are new, perhaps: they last once the folder that names them is synced.
-        let synced = std::fs::File::open(folder).and_then(|f| f.sync_all());
-        synced.map_err(|e| format!("{}: {e}", folder.display()))?;
-        Ok(Sqlite { connection })
+        let mut sqlite = Sqlite { connection, book: None, is_emptied: false };
+        let found = sqlite.read().map_err(|bad| match bad {
+            Bad::Sqlite(e) => fail(e),
+            Bad::Record(why) => Trouble::Unreadable(format!("{}: {why}", file.display())),
+        })?;
+        sqlite.is_emptied = found.is_none() && ASIDE.iter().any(|(_, aside)| folder.join(aside).exists());
+        // Its files are new, perhaps, the log at each start: they last once the folder that names them is synced.
+        sync(folder).map_err(at)?;
+        Ok(sqlite)
+    }
+
+    /// The record, where one is held and is whole.
+    fn read(&mut self) -> Result<Option<Record>, Bad> {
+        let row = |r: &rusqlite::Row| {
+            Ok((r.get::<_, Vec<u8>>(0)?, r.get::<_, Vec<u8>>(1)?, r.get::<_, Vec<u8>>(2)?))
+        };
+        let head = self.connection.query_row("SELECT held, book, digest FROM head", [], row).optional();
+        let book =
+            self.connection.query_row("SELECT held FROM book", [], |r| r.get::<_, Vec<u8>>(0)).optional();
+        let (head, book) = (head.map_err(Bad::Sqlite)?, book.map_err(Bad::Sqlite)?);
+        let (held, named, digest, book) = match (head, book) {
+            (None, None) => return Ok(None),
+            (Some((held, named, digest)), Some(book)) => (held, named, digest, book),
+            _ => return Err(Bad::Record("a part of the record is missing".to_string())),
+        };
+        let of_book = digest_of(&[&book]);
+        if named != of_book || digest != digest_of(&[&held, &named]) {
+            return Err(Bad::Record("the record is not as it was written".to_string()));
+        }
+        let mut record: Record = ciborium::from_reader(&held[..]).map_err(|e| Bad::Record(e.to_string()))?;
+        record.state.book = Bytes(book.into());
+        self.book = Some((record.state.book.clone(), of_book));
+        Ok(Some(record))
     }
 }
 
+fn trouble(file: &Path, e: &rusqlite::Error) -> Trouble {
+    let why = format!("{}: {e}", file.display());
+    match e.sqlite_error_code() {
+        Some(ErrorCode::DatabaseBusy | ErrorCode::DatabaseLocked) => Trouble::Held(why),
+        Some(
+            ErrorCode::CannotOpen
+            | ErrorCode::DiskFull
+            | ErrorCode::SystemIoFailure
+            | ErrorCode::OutOfMemory
+            | ErrorCode::PermissionDenied
+            | ErrorCode::ReadOnly,
+        ) => Trouble::Disk(why),
+        // Not a database, a broken one, or tables of another make.
+        _ => Trouble::Unreadable(why),
+    }
+}
+
+fn digest_of(parts: &[&[u8]]) -> [u8; DIGEST] {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(part);
+    }
+    let digest = hasher.finalize();
+    std::array::from_fn(|n| digest.as_bytes()[n])
+}
+
+fn sync(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
+}
+
+/// Makes the folder, so that it lasts as well: each one that was made is named in the one above it.
+fn make(folder: &Path) -> io::Result<()> {
+    if folder.is_dir() {
+        return Ok(());
+    }
+    let above = folder.parent().filter(|above| !above.as_os_str().is_empty());
+    above.map_or(Ok(()), make)?;
+    match fs::create_dir(folder) {
+        Err(e) if e.kind() != io::ErrorKind::AlreadyExists => return Err(e),
+        _ => {}
+    }
+    sync(above.unwrap_or(Path::new(".")))
+}
+
+fn set_aside(folder: &Path) -> io::Result<()> {
+    for (name, aside) in ASIDE {
+        match fs::rename(folder.join(name), folder.join(aside)) {
+            // What was set aside before goes with it: a log of another database is of no use.
+            Err(e) if e.kind() == io::ErrorKind::NotFound => {}
+            done => done?,
+        }
+    }
+    sync(folder)
+}
+
 impl Store for Sqlite {
     fn load(&mut self) -> Result<Option<Record>, String> {
-        let row =
-            self.connection.query_row("SELECT held FROM record", [], |r| r.get::<_, Vec<u8>>(0)).optional();
-        let Some(held) = row.map_err(|e| format!("the book's record: {e}"))? else { return Ok(None) };
-        ciborium::from_reader(&held[..]).map(Some).map_err(|e| format!("the book's record: {e}"))
+        self.read().map_err(|bad| match bad {
+            Bad::Sqlite(e) => format!("the book's record: {e}"),
+            Bad::Record(why) => why,
+        })
     }
 
     fn save(&mut self, record: &Record) -> Result<(), String> {
+        let fail = |e: rusqlite::Error| format!("the book's record: {e}");
+        let book = &record.state.book;
+        let on_disk = self.book.take().filter(|(held, _)| held == book);
+        let (is_new, of_book) = match &on_disk {
+            Some((_, digest)) => (false, *digest),
+            None => (true, digest_of(&[&book.0])),
+        };
+        let mut head = record.clone();
+        head.state.book = Bytes::default();
         let mut held = Vec::new();
-        ciborium::into_writer(record, &mut held).map_err(|e| format!("the book's record: {e}"))?;
-        let written = self
-            .connection
-            .execute("INSERT OR REPLACE INTO record (one, held) VALUES (1, ?1)", params![held]);
-        written.map(|_| ()).map_err(|e| format!("the book's record: {e}"))
+        ciborium::into_writer(&head, &mut held).map_err(|e| format!("the book's record: {e}"))?;
+        let digest = digest_of(&[&held, &of_book]);
+        // Both or none of them. Where that fails, what the disk holds is not known: all is written the next time.
+        let both = self.connection.transaction().map_err(fail)?;
+        if is_new {
+            both.execute("INSERT OR REPLACE INTO book (one, held) VALUES (1, ?1)", params![&book.0[..]])
+                .map_err(fail)?;
+        }
+        both.execute(
+            "INSERT OR REPLACE INTO head (one, held, book, digest) VALUES (1, ?1, ?2, ?3)",
+            params![held, of_book, digest],
+        )
+        .map_err(fail)?;
+        both.commit().map_err(fail)?;
+        self.book = Some((book.clone(), of_book));
+        self.is_emptied = false;
+        Ok(())
+    }
+
+    fn is_emptied(&self) -> bool {
+        self.is_emptied
     }
 
     fn load_lives(&mut self) -> Result<Vec<u8>, String> {
@@ -92,6 +262,10 @@
         Ok(())
     }
 
+    fn is_emptied(&self) -> bool {
+        false
+    }
+
     fn load_lives(&mut self) -> Result<Vec<u8>, String> {
         Ok(self.lives.clone())
     }
@@ -101,51 +275,3 @@
         Ok(())
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use std::sync::Arc;
-
-    use lynxstair_cairn::Record;
-    use lynxstair_trailbook::words::{Bytes, Stamp, State};
-
-    use super::{Memory, Sqlite, Store};
-
-    /// What every store must do.
-    fn contract(store: &mut dyn Store) {
-        assert_eq!(store.load(), Ok(None), "a new one holds nothing");
-        assert_eq!(store.load_lives(), Ok(Vec::new()));
-        for lives in [&b"one"[..], b"two"] {
-            store.save_lives(lives).expect("saved");
-            assert_eq!(store.load_lives().as_deref(), Ok(lives));
-        }
-        let node = "10.0.0.1:80".parse().expect("one");
-        for term in 1..40 {
-            let record = Record {
-                term,
-                vote: Some(node),
-                stamp: Stamp { term, index: 7 },
-                state: State { members: vec![node], book: Bytes(Arc::new(vec![term as u8; 30_000])) },
-                lost: Some(9),
-            };
-            store.save(&record).expect("saved");
-            assert_eq!(store.load(), Ok(Some(record)), "the last one whole");
-        }
-    }
-
-    #[test]
-    fn stores_keep_the_contract() {
-        contract(&mut Memory::default());
-        let folder = tempfile::tempdir().expect("a folder");
-        contract(&mut Sqlite::open(folder.path()).expect("open"));
-        let mut again = Sqlite::open(folder.path()).expect("open");
-        assert_eq!(again.load().expect("loads").map(|r| r.term), Some(39), "outlives its process");
-    }
-
-    #[test]
-    fn a_folder_that_can_not_be_is_named() {
-        let file = tempfile::NamedTempFile::new().expect("a file");
-        let error = Sqlite::open(&file.path().join("x")).err().expect("no folder in a file");
-        assert!(error.contains(&file.path().display().to_string()), "{error}");
-    }
-}
--- /dev/null
+++ b/crates/hut/tests/store.rs
@@ -0,0 +1,218 @@
+//! What every store must do, and what a loss of power may leave of the one on disk: an older record whole, or a disk that
+//! counts as emptied; never a mixture, never a first start.
+
+use std::fs;
+use std::path::Path;
+use std::sync::Arc;
+
+use lynxstair_cairn::Record;
+use lynxstair_trailbook::words::{Bytes, State};
+use store::{Memory, Sqlite, Store};
+
+#[path = "../src/store.rs"]
+mod store;
+
+fn open(folder: &Path) -> Sqlite {
+    Sqlite::open(folder, || false).expect("open")
+}
+
+/// The record of a term; the book changes with every third.
+fn record(term: u64) -> Record {
+    let node = "10.0.0.1:80".parse().expect("one");
+    let book = Bytes(Arc::new(vec![(term / 3) as u8; 30_000 + (term / 3) as usize]));
+    Record {
+        term,
+        vote: Some(node),
+        state: State { members: vec![node], book },
+        lost: Some(9),
+        ..Record::default()
+    }
+}
+
+/// What every store must do.
+fn contract(store: &mut dyn Store) {
+    assert_eq!(store.load(), Ok(None), "a new one holds nothing");
+    assert!(!store.is_emptied(), "and never did");
+    assert_eq!(store.load_lives(), Ok(Vec::new()));
+    for lives in [&b"one"[..], b"two"] {
+        store.save_lives(lives).expect("saved");
+        assert_eq!(store.load_lives().as_deref(), Ok(lives));
+    }
+    for term in 1..40 {
+        store.save(&record(term)).expect("saved");
+        assert_eq!(store.load(), Ok(Some(record(term))), "the last one whole");
+    }
+    // A book that was there before, after another.
+    for term in [4, 39, 4, 39] {
+        store.save(&record(term)).expect("saved");
+        assert_eq!(store.load(), Ok(Some(record(term))));
+    }
+}
+
+#[test]
+fn stores_keep_the_contract() {
+    contract(&mut Memory::default());
+    let folder = tempfile::tempdir().expect("a folder");
+    let inner = folder.path().join("a/b");
+    contract(&mut open(&inner));
+    let mut again = open(&inner);
+    assert_eq!(again.load(), Ok(Some(record(39))), "outlives its process");
+    assert!(!again.is_emptied());
+}
+
+#[test]
+fn a_folder_that_can_not_be_is_named() {
+    let file = tempfile::NamedTempFile::new().expect("a file");
+    let mut waits = 0;
+    let wait = || {
+        waits += 1;
+        waits < 3
+    };
+    let error = Sqlite::open(&file.path().join("x"), wait).err().expect("no folder in a file");
+    assert!(error.contains(&file.path().display().to_string()), "{error}");
+    assert_eq!(waits, 3, "it tries again first");
+}
+
+/// A vote does not write the book again.
+#[test]
+fn a_vote_is_small() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut store = open(folder.path());
+    let log = || fs::metadata(folder.path().join("book.sqlite-wal")).expect("a log").len();
+    let record = |term| Record { term, ..record(3) };
+    store.save(&record(3)).expect("saved");
+    let before = log();
+    store.save(&record(4)).expect("saved");
+    assert!(log() - before < 3 * 4_200, "{} bytes", log() - before);
+    assert_eq!(store.load(), Ok(Some(record(4))));
+}
+
+/// The log's name is in the folder, and the folder synced, before anything is saved: else what was synced into the log
+/// could be lost with its name.
+#[test]
+fn the_log_is_named_before_it_counts() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut store = open(folder.path());
+    store.save(&record(1)).expect("saved");
+    drop(store); // It removes its log.
+    assert!(!folder.path().join("book.sqlite-wal").exists());
+    let _store = open(folder.path());
+    assert!(folder.path().join("book.sqlite-wal").exists());
+}
+
+/// The files as they lie on the disk after the records up to `last` were saved, in the middle of its life.
+fn files(last: u64) -> Vec<(&'static str, Vec<u8>)> {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut store = open(folder.path());
+    for term in 1..=last {
+        store.save(&record(term)).expect("saved");
+    }
+    let read = |name| (name, fs::read(folder.path().join(name)).expect("there"));
+    vec![read("book.sqlite"), read("book.sqlite-wal")]
+}
+
+/// What a start finds where the disk holds just these files. Whatever that is, it opens and saves.
+fn found(files: &[(&str, Vec<u8>)]) -> (Option<Record>, bool) {
+    let folder = tempfile::tempdir().expect("a folder");
+    for (name, bytes) in files {
+        fs::write(folder.path().join(name), bytes).expect("written");
+    }
+    let mut store = open(folder.path());
+    let found = (store.load().expect("loads"), store.is_emptied());
+    drop(store);
+    let mut again = open(folder.path());
+    assert_eq!((again.load().expect("loads"), again.is_emptied()), found, "the same at the next start");
+    again.save(&record(90)).expect("saved");
+    assert!(!again.is_emptied());
+    drop(again);
+    assert_eq!(open(folder.path()).load(), Ok(Some(record(90))));
+    found
+}
+
+/// One of the records that were saved, whole, or nothing; then whether it counts as emptied.
+fn is_older_or_none(found: &Option<Record>, last: u64) -> bool {
+    found.as_ref().is_none_or(|r| r.term <= last && *r == record(r.term))
+}
+
+/// The log cut at any place, or with a piece of it never written; the database cut, or with a piece of it lost; each
+/// file gone by itself.
+#[test]
+fn power_loss_leaves_an_older_record_or_an_emptied_disk() {
+    let last = 14;
+    let whole = files(last);
+    let [(main, database), (name, log)] = &whole[..] else { panic!("two files") };
+    assert_eq!(found(&whole), (Some(record(last)), false));
+    let mut seen = std::collections::BTreeSet::new();
+    let mut check = |files: &[(&str, Vec<u8>)], what: &str| {
+        let (found, is_emptied) = found(files);
+        assert!(
+            is_older_or_none(&found, last),
+            "{what}: {:?}",
+            found.map(|r| (r.term, r.state.book.0.len()))
+        );
+        assert!(!(is_emptied && found.is_some()), "{what}");
+        seen.insert(found.map(|r| r.term));
+    };
+    for part in 0..60 {
+        let cut = log.len() * part / 60;
+        check(&[(*main, database.clone()), (*name, log[..cut].to_vec())], "a log cut");
+        let mut torn = log.clone();
+        let end = (cut + 4_096).min(log.len());
+        torn[cut..end].fill(0);
+        check(&[(*main, database.clone()), (*name, torn)], "a log with a hole");
+    }
+    check(&[(*main, database.clone())], "no log");
+    for part in 0..20 {
+        let cut = database.len() * part / 20;
+        check(&[(*main, database[..cut].to_vec()), (*name, log.clone())], "a database cut");
+        check(&[(*main, database[..cut].to_vec())], "a database cut, no log");
+        let mut torn = database.clone();
+        let end = (cut + 4_096).min(database.len());
+        torn[cut..end].fill(0x5a);
+        check(&[(*main, torn.clone()), (*name, log.clone())], "a database with a hole");
+        check(&[(*main, torn)], "a database with a hole, no log");
+    }
+    assert!(seen.len() > 5, "{seen:?}");
+    assert_eq!(
+        found(&[]),
+        (None, false),
+        "nothing at all: a first start, or one emptied, as the settings say"
+    );
+    assert_eq!(found(&[(*name, log.clone())]), (None, true), "a log without its database");
+    assert_eq!(found(&[(*main, Vec::new()), (*name, log.clone())]), (None, true));
+    assert_eq!(found(&[(*main, b"no database at all".repeat(500))]), (None, true));
+}
+
+/// A database that another process has open is not touched.
+#[test]
+fn what_is_open_elsewhere_is_left_alone() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut first = open(folder.path());
+    first.save(&record(1)).expect("saved");
+    assert!(Sqlite::open(folder.path(), || false).is_err());
+    first.save(&record(2)).expect("saved");
+    drop(first);
+    assert_eq!(open(folder.path()).load(), Ok(Some(record(2))));
+}
+
+/// Rows that are not of one write: not a record.
+#[test]
+fn a_mixture_is_no_record() {
+    let folder = tempfile::tempdir().expect("a folder");
+    for spoil in [
+        "UPDATE book SET held = x'00'",
+        "DELETE FROM book",
+        "DELETE FROM head",
+        "UPDATE head SET held = substr(held, 1, length(held) - 1)",
+        "DROP TABLE head; CREATE TABLE head (other INTEGER)",
+    ] {
+        let mut store = open(folder.path());
+        store.save(&record(5)).expect("saved");
+        drop(store);
+        let raw = rusqlite::Connection::open(folder.path().join("book.sqlite")).expect("open");
+        raw.execute_batch(spoil).expect("spoiled");
+        drop(raw);
+        let mut store = open(folder.path());
+        assert_eq!((store.load(), store.is_emptied()), (Ok(None), true), "{spoil}");
+    }
+}
