A hut out of touch promises workers nothing and calls nobody silent

Cause: a control machine that was cut off from the others went on acknowledging beats that it could hand to nobody. Each side then declared the other's workers silent, and the road, which hears both, dropped them all.

Change: ridge::watch decides, without I/O, what a worker is answered and who may be called silent. Out of touch with the majority (not sure of the leader by an echo within 0.5 s) a hut records and passes on what a worker says and answers 503, so that the worker calls the next. Only a hut that leads, in touch, says that a worker is silent, and counts silence from when it began to lead; after standing still it counts anew. The other huts are told too. A life that nobody was told to be silent is kept for ten minutes, not for one.

--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -15,6 +15,7 @@
 use lynxstair_ridge::feed::Sent;
 use lynxstair_ridge::purse::{Grant, Purse};
 use lynxstair_ridge::register::Register;
+use lynxstair_ridge::watch::{Answer, Contact, Watch};
 use lynxstair_trailbook::configuration::Configuration;
 use lynxstair_trailbook::settings::Settings;
 use lynxstair_trailbook::values;
@@ -34,6 +35,8 @@
 const PATIENCE: Span = Span::from_millis(850);
 /// A leader that a majority answered within this long answers for the newest book.
 const SURE: Span = Span::from_millis(400);
+/// A hut that was sure of the leader within this long is in touch with the majority.
+const TOUCH: Span = Span::from_millis(500);
 /// How often silent workers are looked for.
 const SWEEP: Span = Span::from_millis(500);
 /// How often the workers' lives are written, where they changed: known at once after a loss of power, they are served
@@ -79,7 +82,7 @@
     /// As agreed on.
     book: Book,
     configuration: Option<Configuration>,
-    register: Register,
+    watch: Watch,
     /// Since the lives were written last.
     lives_changed: bool,
     purse: Purse,
@@ -134,7 +137,7 @@
         cairn,
         book: Book::default(),
         configuration: None,
-        register,
+        watch: Watch::new(now, register, settings.beat_period),
         lives_changed: false,
         purse: Purse::new(Grant {
             window: settings.bounds.quota_window,
@@ -190,6 +193,19 @@
     text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
+impl Rooms {
+    /// How this hut stands to the majority now. Sure by an echo, both ways: what is said here reaches the leader.
+    fn stand(&mut self, now: Time) {
+        let in_touch = self.cairn.sure_at().is_some_and(|at| now - at < TOUCH);
+        let contact = match (in_touch, self.cairn.leads()) {
+            (false, _) => Contact::Out,
+            (true, false) => Contact::Follows,
+            (true, true) => Contact::Leads,
+        };
+        self.watch.stand(now, contact);
+    }
+}
+
 impl Hut {
     fn rooms(&self) -> MutexGuard<'_, Rooms> {
         self.rooms.lock().unwrap_or_else(|e| e.into_inner())
@@ -228,11 +244,13 @@
                 self.act(now, &mut rooms);
                 if now >= sweep_at {
                     sweep_at = now + SWEEP;
-                    let silent = rooms.register.sweep(now, self.settings.beat_period);
-                    let lives: Vec<Life> =
-                        silent.iter().filter_map(|id| rooms.register.life(now, id)).collect();
+                    rooms.stand(now);
+                    let lives = rooms.watch.sweep(now);
                     if !lives.is_empty() {
                         info!(lives = lives.len(); "workers have fallen silent");
+                        rooms.lives_changed = true;
+                        let frame = lines::frame(&Up::Heard(lives.clone()));
+                        rooms.lines.values().for_each(|conn| lines::write(conn, &frame, MOST_UNSENT));
                         tell(&rooms, &Down::Lives { lives, whole: false });
                     }
                 }
@@ -240,7 +258,7 @@
                     keep_at = now + KEEP;
                     rooms.lives_changed = false;
                     let mut held = Vec::new();
-                    if ciborium::into_writer(&rooms.register.all(now), &mut held).is_ok() {
+                    if ciborium::into_writer(&rooms.watch.register().all(now), &mut held).is_ok() {
                         let _ = self.disk.send(Job::Lives(held));
                     }
                 }
@@ -336,7 +354,7 @@
                     let now = self.alarms.now();
                     let mut rooms = self.rooms();
                     say(&conn, &Up::Core { from: self.me });
-                    say(&conn, &Up::Heard(rooms.register.all(now)));
+                    say(&conn, &Up::Heard(rooms.watch.register().all(now)));
                     rooms.lines.insert(peer, conn.clone());
                 }
                 // Nothing comes back on it but its end.
@@ -376,9 +394,7 @@
                     self.act(now, &mut rooms);
                 }
                 Up::Heard(lives) => {
-                    let register = &mut rooms.register;
-                    let news: Vec<&Life> = lives.iter().filter(|life| register.hear(now, life)).collect();
-                    let news: Vec<Life> = news.iter().filter_map(|l| register.life(now, &l.id)).collect();
+                    let news = rooms.watch.hear(now, &lives);
                     rooms.lives_changed |= !news.is_empty();
                     // The hut that heard it tells the road; the leader does so too, for those that it can't reach.
                     if !news.is_empty() && rooms.cairn.leader() == Some(self.me) {
@@ -396,7 +412,7 @@
                     follower = Some(number);
                     say(conn, &Down::Huts(self.all_huts(&rooms)));
                     if lives {
-                        say(conn, &Down::Lives { lives: rooms.register.all(now), whole: true });
+                        say(conn, &Down::Lives { lives: rooms.watch.register().all(now), whole: true });
                     }
                     let zones = Vec::new();
                     let new = Follower {
@@ -478,22 +494,17 @@
         };
         let now = self.alarms.now();
         let mut rooms = self.rooms();
-        let is_news = rooms.register.hear(now, &life);
-        rooms.lives_changed |= is_news;
-        if let Some(known) = rooms.register.life(now, id) {
-            pass_on(&rooms, known, is_news);
-        }
-        Reply::json(200, "{}")
+        rooms.stand(now);
+        let answer = rooms.watch.beat(now, &life);
+        answered(&mut rooms, answer)
     }
 
     fn leave(&self, id: &str) -> Reply {
         let now = self.alarms.now();
         let mut rooms = self.rooms();
-        rooms.lives_changed = true;
-        if let Some(life) = rooms.register.leave(now, id) {
-            pass_on(&rooms, life, true);
-        }
-        Reply::json(200, "{}")
+        rooms.stand(now);
+        let answer = rooms.watch.leave(now, id);
+        answered(&mut rooms, answer)
     }
 
     /// Elsewhere: the hut that leads, or nobody knows who does.
@@ -576,7 +587,8 @@
         let now = self.alarms.now();
         let rooms = self.rooms();
         let leader = rooms.cairn.leader().map_or("null".to_string(), |l| format!("\"{l}\""));
-        let workers = rooms.register.lives().values().filter(|k| k.standing == Standing::Ready).count();
+        let workers =
+            rooms.watch.register().lives().values().filter(|k| k.standing == Standing::Ready).count();
         let edges = rooms.followers.values().filter(|f| f.ready && now - f.heard_at < ABSENT).count();
         let sure = rooms.cairn.sure_at().map_or("null".to_string(), |at| format!("{:.3}", (now - at).secs()));
         Reply::json(
@@ -631,13 +643,17 @@
     rooms.followers.values().for_each(|f| lines::write(&f.conn, &frame, MOST_UNSENT));
 }
 
-/// What a worker said here goes to the other huts, and where it is news to the road.
-fn pass_on(rooms: &Rooms, life: Life, is_news: bool) {
-    let frame = lines::frame(&Up::Heard(vec![life.clone()]));
-    rooms.lines.values().for_each(|conn| lines::write(conn, &frame, MOST_UNSENT));
-    if is_news {
-        tell(rooms, &Down::Lives { lives: vec![life], whole: false });
+/// What a worker said here goes to the other huts, and where it is news to the road; and what the worker gets.
+fn answered(rooms: &mut Rooms, answer: Answer) -> Reply {
+    rooms.lives_changed |= answer.is_news;
+    if let Some(life) = answer.life {
+        let frame = lines::frame(&Up::Heard(vec![life.clone()]));
+        rooms.lines.values().for_each(|conn| lines::write(conn, &frame, MOST_UNSENT));
+        if answer.is_news {
+            tell(rooms, &Down::Lives { lives: vec![life], whole: false });
+        }
     }
+    if answer.is_promised { Reply::json(200, "{}") } else { error(503, "out of touch with the other huts") }
 }
 
 fn say<W: serde::Serialize>(conn: &Arc<Conn>, word: &W) {
--- a/crates/ridge/src/lib.rs
+++ b/crates/ridge/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod purse;
 pub mod register;
 pub mod trust;
+pub mod watch;
--- a/crates/ridge/src/register.rs
+++ b/crates/ridge/src/register.rs
@@ -9,6 +9,8 @@
 
 /// A life that is over is remembered for so long, so that a late beat does not bring it back.
 const REMEMBERED: Span = Span::from_millis(60_000);
+/// And a life that seems to go on, without a word of it, for so long.
+const UNTOLD: Span = Span::from_millis(600_000);
 /// So many beats missing make a life silent.
 const MISSED: f64 = 4.5;
 /// A life from before a start counts as heard so many beats ago.
@@ -114,11 +116,21 @@
 
     /// Who has fallen silent since; lets go of what is long over.
     pub fn sweep(&mut self, now: Time, beat: Span) -> Vec<String> {
+        self.sweep_since(now, beat, Some(Time::default()))
+    }
+
+    /// The same, where silence counts from then on only; None where it does not count.
+    pub fn sweep_since(&mut self, now: Time, beat: Span, counts_from: Option<Time>) -> Vec<String> {
         let silent = beat.times(MISSED);
-        self.lives.retain(|_, k| now - k.heard_at < REMEMBERED + silent);
+        self.lives.retain(|_, k| {
+            // Nobody was told yet that it is silent: it is kept until somebody may say so.
+            let kept = if k.standing == Standing::Ready { UNTOLD } else { REMEMBERED };
+            now - k.heard_at < kept + silent
+        });
+        let Some(from) = counts_from else { return Vec::new() };
         let mut news = Vec::new();
         for (id, known) in &mut self.lives {
-            if known.standing == Standing::Ready && now - known.heard_at > silent {
+            if known.standing == Standing::Ready && now - known.heard_at.max(from) > silent {
                 known.standing = Standing::Silent;
                 news.push(id.clone());
             }
--- /dev/null
+++ b/crates/ridge/tests/watch.rs
@@ -0,0 +1,182 @@
+//! Who speaks for the workers while a hut is cut off: three huts and a road on a virtual clock, the cuts by hand.
+
+use std::collections::HashMap;
+
+use lynxstair::types::{Span, Time};
+use lynxstair_ridge::register::Register;
+use lynxstair_ridge::watch::{Contact, Watch};
+use lynxstair_trailbook::words::{Life, Standing};
+
+const BEAT: Span = Span::from_millis(1_500);
+const WORKERS: u64 = 9;
+const HUTS: usize = 3;
+
+fn at(ms: u64) -> Time {
+    Time::from_nanos((100_000 + ms) * 1_000_000)
+}
+
+fn life(worker: u64, seq: u64, standing: Standing) -> Life {
+    Life {
+        id: format!("i-{worker}"),
+        service: "s".into(),
+        address: "10.0.0.1:80".parse().expect("one"),
+        zone: "z".into(),
+        capacity: 3,
+        standing,
+        cold_ms: 0,
+        seq,
+        heard_ms: 0,
+    }
+}
+
+/// Huts, the road that hears all of them, and workers that each keep to the hut that acknowledged them last.
+struct Story {
+    now: u64,
+    huts: Vec<Watch>,
+    /// How each stands, and which of them hear each other.
+    contacts: [Contact; HUTS],
+    sides: [u8; HUTS],
+    road: Register,
+    homes: HashMap<u64, usize>,
+    seqs: HashMap<u64, u64>,
+    dead: Vec<u64>,
+}
+
+impl Story {
+    fn new() -> Story {
+        let contacts = [Contact::Leads, Contact::Follows, Contact::Follows];
+        let huts = (0..HUTS).map(|_| Watch::new(at(0), Register::default(), BEAT)).collect();
+        Story {
+            now: 0,
+            huts,
+            contacts,
+            sides: [0; HUTS],
+            road: Register::default(),
+            homes: (0..WORKERS).map(|w| (w, w as usize % HUTS)).collect(),
+            seqs: HashMap::new(),
+            dead: Vec::new(),
+        }
+    }
+
+    fn told(&mut self, lives: &[Life]) {
+        for life in lives {
+            self.road.hear(at(self.now), life);
+        }
+    }
+
+    fn tell(&mut self, from: usize, lives: &[Life], is_news: bool) {
+        for to in (0..HUTS).filter(|to| *to != from) {
+            if self.sides[to] == self.sides[from] {
+                let news = self.huts[to].hear(at(self.now), lives);
+                if self.contacts[to] == Contact::Leads {
+                    self.told(&news);
+                }
+            }
+        }
+        if is_news {
+            self.told(lives);
+        }
+    }
+
+    /// A worker calls one hut after the other until one acknowledges it.
+    fn beat(&mut self, worker: u64, standing: Standing) -> usize {
+        for tried in 0..HUTS {
+            let hut = (self.homes[&worker] + tried) % HUTS;
+            let seq = self.seqs.entry(worker).or_default();
+            *seq += 1;
+            let said = life(worker, *seq, standing);
+            let answer = self.huts[hut].beat(at(self.now), &said);
+            self.tell(hut, answer.life.as_slice(), answer.is_news);
+            if answer.is_promised {
+                self.homes.insert(worker, hut);
+                return hut;
+            }
+        }
+        panic!("nobody acknowledges {worker} at {}", self.now);
+    }
+
+    fn play(&mut self, until: u64) {
+        while self.now < until {
+            self.now += 500;
+            for hut in 0..HUTS {
+                self.huts[hut].stand(at(self.now), self.contacts[hut]);
+                let silent = self.huts[hut].sweep(at(self.now));
+                self.tell(hut, &silent, true);
+            }
+            for worker in 0..WORKERS {
+                if self.now % 1_500 == worker % 3 * 500 && !self.dead.contains(&worker) {
+                    self.beat(worker, Standing::Ready);
+                }
+            }
+        }
+    }
+
+    fn on_the_road(&self, standing: Standing) -> usize {
+        self.road.lives().values().filter(|k| k.standing == standing).count()
+    }
+}
+
+/// The day of the cut (control.md): one hut is cut off from the others for 20 s, and hears workers as before. Each
+/// side used to declare those of the other silent, and the road dropped them all.
+#[test]
+fn a_hut_that_is_cut_off_darkens_nothing() {
+    for cut_off in 0..HUTS {
+        let mut story = Story::new();
+        story.play(6_000);
+        assert_eq!(story.on_the_road(Standing::Ready), WORKERS as usize);
+        story.sides[cut_off] = 1;
+        story.contacts[cut_off] = Contact::Out;
+        if cut_off == 0 {
+            story.contacts[1] = Contact::Leads;
+        }
+        story.dead.push(4);
+        for until in (7..26).map(|s| s * 1_000) {
+            story.play(until);
+            assert!(story.on_the_road(Standing::Ready) >= WORKERS as usize - 1, "{cut_off}: at {until}");
+        }
+        assert_eq!(story.on_the_road(Standing::Silent), 1, "{cut_off}: who is dead is dropped all the same");
+        assert!(story.homes.iter().all(|(w, home)| *w == 4 || *home != cut_off), "the others found a hut");
+        story.sides[cut_off] = 0;
+        story.contacts[cut_off] = Contact::Follows;
+        story.play(40_000);
+        assert_eq!(story.on_the_road(Standing::Ready), WORKERS as usize - 1, "{cut_off}: and after it");
+    }
+}
+
+/// A drain said to a hut that is cut off: the road hears of it, but it is acknowledged by one in touch.
+#[test]
+fn a_drain_is_acknowledged_in_touch() {
+    let mut story = Story::new();
+    story.play(6_000);
+    story.sides[2] = 1;
+    story.contacts[2] = Contact::Out;
+    story.play(6_500);
+    story.homes.insert(5, 2);
+    assert_ne!(story.beat(5, Standing::Draining), 2);
+    assert_eq!(story.on_the_road(Standing::Draining), 1);
+}
+
+/// A new leader counts silence from when it began to lead: what was said to the one before may not have come here. One
+/// that stood still counts anew.
+#[test]
+fn silence_counts_from_when_one_leads() {
+    let beat_at = |watch: &mut Watch, ms: u64, contact| {
+        watch.stand(at(ms), contact);
+        watch.sweep(at(ms)).len()
+    };
+    let mut watch = Watch::new(at(0), Register::default(), BEAT);
+    watch.beat(at(0), &life(1, 1, Standing::Ready));
+    for ms in (500..20_000).step_by(500) {
+        assert_eq!(beat_at(&mut watch, ms, Contact::Follows), 0, "a follower says nobody is silent");
+    }
+    for ms in (20_000..26_600).step_by(500) {
+        assert_eq!(beat_at(&mut watch, ms, Contact::Leads), 0, "{ms}");
+    }
+    // It stands still for 12 s, and wakes as if it still led.
+    assert_eq!(beat_at(&mut watch, 38_500, Contact::Leads), 0);
+    for ms in (39_000..45_000).step_by(500) {
+        assert_eq!(beat_at(&mut watch, ms, Contact::Leads), 0, "{ms}");
+    }
+    assert_eq!(beat_at(&mut watch, 45_500, Contact::Leads), 1);
+    assert_eq!(beat_at(&mut watch, 46_000, Contact::Leads), 0, "said once");
+}
