hut: one concern a file

hut.rs was one centre for six matters. Now: hut (life, shared state), agreement (time, disk, what the room asks for), peers (lines to other huts), inner (who comes by the inner port), lives, orders, directory, feed, control. Each has its own state; one short lock over all stays, as a word often concerns several. No behaviour changes; Up::Ping carries a struct of its name.

--- /dev/null
+++ b/crates/hut/src/agreement.rs
@@ -0,0 +1,172 @@
+//! The agreement on time, disk and lines: the room decides, this does what it asks for.
+
+use std::collections::HashMap;
+use std::sync::mpsc::Receiver;
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use log::{info, warn};
+use lynxstair::types::{Span, Time};
+use lynxstair_cairn::{Do, Record};
+use lynxstair_ridge::book::Book;
+use lynxstair_trailbook::configuration::Configuration;
+use lynxstair_trailbook::words::Up;
+use lynxstair_wire::alarms::Alarms;
+use may::sync::Blocker;
+
+use crate::hut::{Hut, Rooms};
+use crate::peers::say;
+use crate::store::Store;
+
+/// How often slow upkeep is done.
+const UPKEEP: Span = Span::from_millis(500);
+
+/// What is to be written by the disk's thread.
+pub enum Job {
+    Book(u64, Record),
+    Lives(Vec<u8>),
+}
+
+/// The book as agreed on here.
+pub struct Committed {
+    pub book: Book,
+    pub configuration: Option<Configuration>,
+    pub at: Time,
+}
+
+impl Committed {
+    pub fn new(now: Time) -> Committed {
+        Committed { book: Book::default(), configuration: None, at: now }
+    }
+
+    /// Whether it is newer than what stood.
+    fn take(&mut self, now: Time, book: Book) -> bool {
+        if book.number <= self.book.number {
+            return false;
+        }
+        self.configuration = book.configuration();
+        self.book = book;
+        self.at = now;
+        true
+    }
+}
+
+/// A call that waits for the majority.
+pub struct Answer {
+    blocker: Arc<Blocker>,
+    said: Mutex<Option<bool>>,
+}
+
+impl Answer {
+    /// For the coroutine that calls this.
+    pub fn awaited() -> Arc<Answer> {
+        Arc::new(Answer { blocker: Blocker::current(), said: Mutex::new(None) })
+    }
+
+    fn say(&self, yes: bool) {
+        *self.said.lock().unwrap_or_else(|e| e.into_inner()) = Some(yes);
+        self.blocker.unpark();
+    }
+
+    /// What the majority says; None where it says nothing until then.
+    pub fn wait(&self, alarms: &Alarms, until: Time) -> Option<bool> {
+        alarms.wake(until, &self.blocker);
+        let said = || *self.said.lock().unwrap_or_else(|e| e.into_inner());
+        while said().is_none() && alarms.now() < until {
+            let _ = self.blocker.park(None);
+        }
+        said()
+    }
+}
+
+/// Calls that wait, by the number of what they proposed.
+#[derive(Default)]
+pub struct Waiting {
+    pub proposed: HashMap<u64, Arc<Answer>>,
+}
+
+impl Hut {
+    pub fn keep_time(self: &Arc<Self>) {
+        let mut upkeep_at = self.alarms.now();
+        loop {
+            let now = self.alarms.now();
+            let due = {
+                let mut rooms = self.rooms();
+                rooms.cairn.tick(now);
+                self.act(now, &mut rooms);
+                if now >= upkeep_at {
+                    upkeep_at = now + UPKEEP;
+                    self.sweep_lives(now, &mut rooms);
+                }
+                rooms.cairn.next_due().min(upkeep_at)
+            };
+            self.alarms.sleep_until(due.max(now + Span::from_millis(5)));
+        }
+    }
+
+    /// The disk's thread: nothing else waits for the disk.
+    pub fn write(self: &Arc<Self>, mut store: Box<dyn Store>, jobs: &Receiver<Job>) {
+        while let Ok(first) = jobs.recv() {
+            // Only the newest of what piled up has to be on the disk, and the book goes first.
+            let (mut book, mut lives) = (None, None);
+            for job in std::iter::once(first).chain(jobs.try_iter()) {
+                match job {
+                    Job::Book(number, record) => book = Some((number, record)),
+                    Job::Lives(held) => lives = Some(held),
+                }
+            }
+            if let Some((number, record)) = book {
+                while let Err(e) = store.save(&record) {
+                    warn!(error = e; "the disk refuses the book");
+                    thread::sleep(std::time::Duration::from_millis(50));
+                }
+                let now = self.alarms.now();
+                let mut rooms = self.rooms();
+                rooms.cairn.saved(now, number);
+                self.act(now, &mut rooms);
+            }
+            if let Some(Err(e)) = lives.map(|held| store.save_lives(&held)) {
+                warn!(error = e; "the disk refuses the workers' lives");
+            }
+        }
+    }
+
+    /// Does what the agreement asks for.
+    pub fn act(self: &Arc<Self>, now: Time, rooms: &mut Rooms) {
+        loop {
+            let todo = rooms.cairn.todo();
+            if todo.is_empty() {
+                let members = rooms.cairn.members().to_vec();
+                return self.meet(rooms, &members);
+            }
+            for item in todo {
+                match item {
+                    Do::Save(number, record) => {
+                        let _ = self.disk.send(Job::Book(number, record));
+                    }
+                    Do::Say(to, word) => {
+                        if let Some(conn) = rooms.peers.open.get(&to) {
+                            say(conn, &Up::Vote(word));
+                        }
+                    }
+                    Do::Agreed(stamp, state) => {
+                        let Some(book) = Book::read(&state.0) else {
+                            warn!(index = stamp.index; "a book that can't be read");
+                            continue;
+                        };
+                        let (number, generation) = (book.number, book.generation);
+                        if rooms.committed.take(now, book) {
+                            info!(number = number, generation = generation, term = stamp.term; "agreed on");
+                            rooms.tell_book();
+                        }
+                    }
+                    Do::Settled(number, agreed) => {
+                        if let Some(answer) = rooms.waiting.proposed.remove(&number) {
+                            answer.say(agreed);
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hut/src/feed.rs
@@ -0,0 +1,142 @@
+//! The gatekeepers of the road that follow the feed here: what they are told, and the purse of the quotas.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use log::info;
+use lynxstair::types::{Span, Time};
+use lynxstair_lines as lines;
+use lynxstair_ridge::feed::Sent;
+use lynxstair_ridge::purse::{Grant, Purse};
+use lynxstair_trailbook::settings::Bounds;
+use lynxstair_trailbook::words::{Bytes, Down, Edge, Ping};
+use lynxstair_wire::conn::Conn;
+
+use crate::hut::{Hut, MOST_UNSENT, Rooms};
+use crate::peers::say;
+
+/// A gatekeeper that said nothing for so long is left out of the directory's answers.
+const ABSENT: Span = Span::from_millis(2_500);
+
+/// A gatekeeper that follows the feed here.
+struct Follower {
+    conn: Arc<Conn>,
+    edge: Edge,
+    ready: bool,
+    heard_at: Time,
+    /// What it was told last of how many gatekeepers there are.
+    zones: Vec<(String, u32)>,
+    sent: Sent,
+}
+
+pub struct Feed {
+    followers: HashMap<u64, Follower>,
+    last_follower: u64,
+    purse: Purse,
+}
+
+impl Feed {
+    pub fn new(bounds: &Bounds) -> Feed {
+        let purse = Purse::new(Grant {
+            window: bounds.quota_window,
+            requests: bounds.quota_slack,
+            over: bounds.quota_overshoot,
+        });
+        Feed { followers: HashMap::new(), last_follower: 0, purse }
+    }
+
+    /// To every gatekeeper that follows the feed here.
+    pub fn tell(&self, word: &Down) {
+        if self.followers.is_empty() {
+            return;
+        }
+        let frame = lines::frame(word);
+        self.followers.values().for_each(|f| lines::write(&f.conn, &frame, MOST_UNSENT));
+    }
+
+    /// Its line has ended.
+    pub fn let_go(&mut self, number: u64) {
+        self.followers.remove(&number);
+    }
+
+    /// Those that clients may come to.
+    pub fn ready(&self, now: Time) -> Vec<&Edge> {
+        let here = self.followers.values().filter(|f| f.ready && now - f.heard_at < ABSENT);
+        here.map(|f| &f.edge).collect()
+    }
+}
+
+impl Rooms {
+    /// A book was agreed on: the leader tells all.
+    pub fn tell_book(&mut self) {
+        let Rooms { cairn, committed, feed, .. } = self;
+        if let Some(configuration) = &committed.configuration {
+            feed.purse.keep(&configuration.tenants);
+        }
+        if cairn.leads() {
+            let state = Bytes(Arc::new(committed.book.for_the_road()));
+            let index = committed.book.number;
+            feed.tell(&Down::Book { index, state });
+            feed.followers.values_mut().for_each(|f| f.sent.all(index));
+        }
+    }
+
+    /// A gatekeeper says how it is; false where it is none that follows.
+    pub fn hear_ping(&mut self, now: Time, number: u64, ping: &Ping) -> bool {
+        let Rooms { cairn, committed, feed, .. } = self;
+        let Some(f) = feed.followers.get_mut(&number) else { return false };
+        f.ready = ping.ready;
+        f.heard_at = now;
+        let (book, leads) = (&committed.book, cairn.leads());
+        if f.sent.due(ping.have, book.number, leads, now - committed.at) {
+            let state = Bytes(Arc::new(book.for_the_road()));
+            say(&f.conn, &Down::Book { index: book.number, state });
+        }
+        let fresh = cairn.sure_at().map(|at| (now - at).nanos().div_ceil(1_000_000));
+        say(&f.conn, &Down::Pong { clock: ping.clock, index: book.number, fresh, leads });
+        let purse = &mut feed.purse;
+        let node = &f.edge.node;
+        purse.meet(now, node, &f.edge.zone, leads);
+        let Some(c) = committed.configuration.as_ref().filter(|_| leads) else { return true };
+        if let Some(holds) = &ping.holds {
+            purse.holds(node, holds);
+        }
+        let closed = purse.hear(now, node, &f.edge.zone, (&ping.counts, ping.got), &c.tenants);
+        let zones = purse.gatekeepers();
+        if zones != f.zones {
+            say(&f.conn, &Down::Zones(zones.clone()));
+            f.zones = zones;
+        }
+        if let Some((number, shares)) = purse.shares(now, node, &c.tenants) {
+            say(&f.conn, &Down::Shares { number, shares });
+        }
+        if !closed.is_empty() {
+            info!(tenants = closed.len(); "quotas are reached: closed everywhere");
+            feed.tell(&Down::Shares { number: 0, shares: closed });
+        }
+        true
+    }
+}
+
+impl Hut {
+    /// A gatekeeper begins to follow; its number here.
+    pub fn welcome(&self, now: Time, rooms: &mut Rooms, conn: &Arc<Conn>, edge: Edge, lives: bool) -> u64 {
+        say(conn, &Down::Huts(self.all_huts(rooms)));
+        if lives {
+            say(conn, &Down::Lives { lives: rooms.lives.all(now), whole: true });
+        }
+        let feed = &mut rooms.feed;
+        feed.followers.retain(|_, f| f.edge.node != edge.node);
+        feed.last_follower += 1;
+        let new = Follower {
+            conn: conn.clone(),
+            edge,
+            ready: false,
+            heard_at: now,
+            zones: Vec::new(),
+            sent: Sent::default(),
+        };
+        feed.followers.insert(feed.last_follower, new);
+        feed.last_follower
+    }
+}
--- a/crates/hut/src/main.rs
+++ b/crates/hut/src/main.rs
@@ -1,7 +1,15 @@
 //! The hut: one core of the system.
 #![deny(unsafe_code)]
 
+mod agreement;
+mod control;
+mod directory;
+mod feed;
 mod hut;
+mod inner;
+mod lives;
+mod orders;
+mod peers;
 mod store;
 
 use std::process::ExitCode;
--- a/crates/pass/src/feed.rs
+++ b/crates/pass/src/feed.rs
@@ -7,7 +7,7 @@
 use log::info;
 use lynxstair::types::{Span, Time};
 use lynxstair_lines as lines;
-use lynxstair_trailbook::words::{Down, Up};
+use lynxstair_trailbook::words::{Down, Ping, Up};
 use lynxstair_wire::conn::Conn;
 use lynxstair_wire::coroutine::go;
 
@@ -161,8 +161,8 @@
             let counts = if line.leads { std::mem::take(&mut counts) } else { Vec::new() };
             let holds = if line.leads && !line.knows { held.clone() } else { None };
             line.knows |= holds.is_some();
-            let ping = Up::Ping { clock: now.nanos(), have, ready, got: line.got, counts, holds };
-            lines::write(&line.conn, &lines::frame(&ping), MOST_UNSENT);
+            let ping = Ping { clock: now.nanos(), have, ready, got: line.got, counts, holds };
+            lines::write(&line.conn, &lines::frame(&Up::Ping(ping)), MOST_UNSENT);
         }
     }
 }
--- a/crates/trailbook/src/words.rs
+++ b/crates/trailbook/src/words.rs
@@ -147,6 +147,22 @@
     pub tight_ms: u32,
 }
 
+/// How a gatekeeper is. To the core that leads it also says what it counted and, where that one has just begun to
+/// lead, which parts of quotas it holds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ping {
+    /// Its own clock, in nanoseconds; comes back in the answer.
+    pub clock: u64,
+    /// The number of the book that it has.
+    pub have: u64,
+    /// Whether clients may come.
+    pub ready: bool,
+    /// The number of the shares that it got last.
+    pub got: u64,
+    pub counts: Vec<Count>,
+    pub holds: Option<Vec<(String, f32)>>,
+}
+
 /// From one who follows the feed: a gatekeeper, or a core another core.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Up {
@@ -155,17 +171,8 @@
         edge: Edge,
         lives: bool,
     },
-    /// Every second and when something changed: its own clock, what it has, whether clients may come, which of the
-    /// shares it got last; to the core that leads also what it counted and, where that one has just begun to lead,
-    /// which parts of quotas it holds.
-    Ping {
-        clock: u64,
-        have: u64,
-        ready: bool,
-        got: u64,
-        counts: Vec<Count>,
-        holds: Option<Vec<(String, f32)>>,
-    },
+    /// Every second and when something changed.
+    Ping(Ping),
     /// Begins a line between cores, by the control address of the one who speaks.
     Core {
         from: SocketAddr,
