--- a/crates/trailbook/src/program.rs
+++ b/crates/trailbook/src/program.rs
@@ -41,12 +41,8 @@
     if let Some(more) = arguments.finish().first() {
         return bad(format!("{}: not understood", more.to_string_lossy()));
     }
-    let text = match std::fs::read_to_string(&file) {
-        Ok(text) => text,
-        Err(e) => return bad(format!("{file}: {e}")),
-    };
-    match Settings::read(&text) {
-        Err(fault) => bad(format!("{file}: {fault}")),
+    match Settings::from_file(&file) {
+        Err(what) => bad(what),
         Ok(_) if is_check => {
             println!("{file}: good");
             Asked::End(ExitCode::SUCCESS)
--- a/crates/trailbook/src/settings.rs
+++ b/crates/trailbook/src/settings.rs
@@ -29,6 +29,10 @@
     pub cold_slack: f64,
     pub evacuate: Span,
     pub ttl_max: Span,
+    /// How long a machine still counts as lost after it is back, or after its start where it is new.
+    pub catch_up: Span,
+    /// How long a proper order of the operator may go without an acknowledgement.
+    pub ack: Span,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -55,10 +59,23 @@
     pub limits: Limits,
     pub data_dir: Option<String>,
     pub beat_period: Span,
+    /// How many machines may be lost at once with all rules kept.
+    pub tolerated: usize,
     pub bounds: Bounds,
 }
 
 impl Settings {
+    /// Reads the file that the environment names; what is wrong is named by file and key.
+    pub fn from_environment() -> Result<Settings, String> {
+        let file = std::env::var(VARIABLE).map_err(|_| format!("{VARIABLE} names no settings file"))?;
+        Settings::from_file(&file)
+    }
+
+    pub fn from_file(file: &str) -> Result<Settings, String> {
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
+        Settings::read(&text).map_err(|fault| format!("{file}: {fault}"))
+    }
+
     /// Where this process listens for the others of the system.
     pub fn inner(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.ports.0)
@@ -102,6 +119,12 @@
             zones.push((zone.clone(), values::text(region, "zones")?.to_string()));
         }
         zones.sort();
+        let budget = part("fault-budget")?;
+        let tolerated =
+            at(budget, "machines").map_or(Ok(1.0), |v| values::number(v, "fault-budget.machines"))?;
+        if !(0.0..=8.0).contains(&tolerated) || tolerated.fract() != 0.0 {
+            return fault("fault-budget.machines", "a whole number from 0 to 8 is wanted");
+        }
         let period = at(all, "beat-period-s").map_or(Ok(1.5), |v| values::number(v, "beat-period-s"))?;
         Ok(Settings {
             node: own("node-name")?,
@@ -124,6 +147,7 @@
                 .map(|v| values::text(v, "data-dir").map(str::to_string))
                 .transpose()?,
             beat_period: Span::from_secs(period),
+            tolerated: tolerated as usize,
             bounds: bounds(all)?,
         })
     }
@@ -172,6 +196,8 @@
         cold_slack: figure("cold-slack", 5.0)?,
         evacuate: span("evacuate-s", 5.0)?,
         ttl_max: span("ttl_max_s", 5.0)?,
+        catch_up: span("catch-up-s", 4.0)?,
+        ack: span("ack-s", 8.0)?,
     })
 }
 
@@ -190,40 +216,3 @@
         _ => Value::Null,
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use lynxstair::types::Span;
-
-    use super::Settings;
-
-    const GOOD: &str = "node-name: \"e1\"\nrole: \"x\"\nip: \"10.1.0.23\"\nzone: \"a\"\nregion: \"r\"\n\
-        zones:\n  a: \"r\"\n  b: \"s\"\nbind:\n  front: \"10.1.0.23:80\"\nport-range:\n  - 7460\n  - 7475\n\
-        seeds:\n  - \"10.1.0.25:83\"\nbootstrap: true\ndata-dir: null\nbeat-period-s: 1.5\nmore: [1, {x: 2}]\n\
-        limits:\n  memory-mb: 260\n  max-fds: 4100\nbounds:\n  - \"drain-s=2.5\"\n  - \"revoke-final=true\"\n";
-
-    /// What is good is read, lists of bounds on one line too; what is bad is named by its key.
-    #[test]
-    fn good_and_bad_files() {
-        let good = Settings::read(GOOD).expect("good");
-        assert_eq!((good.bounds.drain, good.bounds.revoke_final), (Span::from_millis(2500), true));
-        assert_eq!((good.region_of("b"), good.limits.max_fds, good.bootstrap), (Some("s"), 4100, true));
-        let line =
-            GOOD.split("bounds:").next().expect("some").to_string() + "bounds: \"drain-s=3,grace-s=4\"\n";
-        assert_eq!(Settings::read(&line).expect("good").bounds.grace, Span::from_millis(4000));
-        let cases = [
-            (GOOD.replace("node-name", "name"), "node-name: missing"),
-            (GOOD.replace("10.1.0.25:83", "nowhere"), "seeds: nowhere is no address"),
-            (GOOD.replace("10.1.0.23:80", "80"), "bind.front: "),
-            (GOOD.replace("drain-s=2.5", "drain-s=x"), "bounds.drain-s: a number"),
-            (GOOD.replace("  - 7475\n", ""), "port-range: two ports"),
-            (GOOD.replace("true\ndata", "maybe\ndata"), "bootstrap: true or false"),
-            (String::new(), "settings: empty"),
-            ("a: [".to_string(), "settings: not YAML"),
-        ];
-        for (text, wanted) in cases {
-            let got = Settings::read(&text).expect_err(wanted).to_string();
-            assert!(got.starts_with(wanted), "{got}, not {wanted}");
-        }
-    }
-}
--- /dev/null
+++ b/crates/trailbook/tests/settings.rs
@@ -0,0 +1,40 @@
+//! Settings files: what is good is read, what is bad is named by its key.
+
+use lynxstair::types::Span;
+use lynxstair_trailbook::settings::Settings;
+
+const GOOD: &str = "node-name: \"e1\"\nrole: \"x\"\nip: \"10.1.0.23\"\nzone: \"a\"\nregion: \"r\"\n\
+    zones:\n  a: \"r\"\n  b: \"s\"\nbind:\n  front: \"10.1.0.23:80\"\nport-range:\n  - 7460\n  - 7475\n\
+    seeds:\n  - \"10.1.0.25:83\"\nbootstrap: true\ndata-dir: null\nbeat-period-s: 1.5\nmore: [1, {x: 2}]\n\
+    limits:\n  memory-mb: 260\n  max-fds: 4100\nfault-budget:\n  machines: 2\n  zones: 1\nbounds:\n  - \"drain-s=2.5\"\n  - \"revoke-final=true\"\n";
+
+/// What is good is read, lists of bounds on one line too; what is bad is named by its key.
+#[test]
+fn good_and_bad_files() {
+    let good = Settings::read(GOOD).expect("good");
+    assert_eq!((good.bounds.drain, good.bounds.revoke_final), (Span::from_millis(2500), true));
+    assert_eq!((good.region_of("b"), good.limits.max_fds, good.bootstrap), (Some("s"), 4100, true));
+    assert_eq!((good.tolerated, good.bounds.catch_up), (2, Span::from_millis(4000)));
+    let without = GOOD.replace("fault-budget:\n  machines: 2\n  zones: 1\n", "");
+    assert_eq!(Settings::read(&without).expect("good").tolerated, 1);
+    let line = GOOD.split("bounds:").next().expect("some").to_string() + "bounds: \"drain-s=3,grace-s=4\"\n";
+    assert_eq!(Settings::read(&line).expect("good").bounds.grace, Span::from_millis(4000));
+    let cases = [
+        (GOOD.replace("node-name", "name"), "node-name: missing"),
+        (GOOD.replace("10.1.0.25:83", "nowhere"), "seeds: nowhere is no address"),
+        (GOOD.replace("10.1.0.23:80", "80"), "bind.front: "),
+        (GOOD.replace("drain-s=2.5", "drain-s=x"), "bounds.drain-s: a number"),
+        (GOOD.replace("drain-s=2.5", "catch-up-s=-1"), "bounds.catch-up-s: a number"),
+        (GOOD.replace("drain-s=2.5", "ack-s=soon"), "bounds.ack-s: a number"),
+        (GOOD.replace("machines: 2", "machines: 1.5"), "fault-budget.machines: a whole number"),
+        (GOOD.replace("machines: 2", "machines: few"), "fault-budget.machines: "),
+        (GOOD.replace("  - 7475\n", ""), "port-range: two ports"),
+        (GOOD.replace("true\ndata", "maybe\ndata"), "bootstrap: true or false"),
+        (String::new(), "settings: empty"),
+        ("a: [".to_string(), "settings: not YAML"),
+    ];
+    for (text, wanted) in cases {
+        let got = Settings::read(&text).expect_err(wanted).to_string();
+        assert!(got.starts_with(wanted), "{got}, not {wanted}");
+    }
+}
