--- a/crates/hut/src/agreement.rs
+++ b/crates/hut/src/agreement.rs
@@ -7,15 +7,15 @@
 
 use log::{info, warn};
 use lynxstair::types::{Span, Time};
-use lynxstair_cairn::{Do, Record};
+use lynxstair_cairn::{Do, Node, Record};
 use lynxstair_ridge::book::Book;
+use lynxstair_trailbook::agreement::Member;
 use lynxstair_trailbook::configuration::Configuration;
 use lynxstair_trailbook::words::Up;
 use lynxstair_wire::alarms::Alarms;
 use may::sync::Blocker;
 
 use crate::hut::{Hut, Rooms};
-use crate::peers::say;
 use crate::store::Store;
 
 /// How often slow upkeep is done.
@@ -27,7 +27,7 @@
     Lives(Vec<u8>),
 }
 
-/// The book as agreed on here.
+/// The book as committed, as far as it is known here.
 pub struct Committed {
     pub book: Book,
     pub configuration: Option<Configuration>,
@@ -79,10 +79,72 @@
     }
 }
 
-/// Calls that wait, by the number of what they proposed.
-#[derive(Default)]
-pub struct Waiting {
-    pub proposed: HashMap<u64, Arc<Answer>>,
+/// Calls that wait, by the number of what they proposed or asked.
+pub type Waiting = HashMap<u64, Arc<Answer>>;
+
+/// How this hut stands in the agreement, as logged last.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Noted {
+    role: &'static str,
+    term: u64,
+    leader: Option<Node>,
+    voters: Vec<Member>,
+    outgoing: Option<Member>,
+    learners: Vec<Member>,
+    in_touch: bool,
+}
+
+impl Rooms {
+    /// What it is called in logs and in the status.
+    pub fn role(&self) -> &'static str {
+        match (self.cairn.leader(), self.cairn.leads(), self.cairn.is_voter()) {
+            (_, true, _) => "leader",
+            (_, _, false) => "learner",
+            (Some(_), ..) => "follower",
+            (None, ..) => "candidate",
+        }
+    }
+
+    /// The voters, and whoever else the agreement speaks to.
+    pub fn members(&self) -> Vec<Node> {
+        let outgoing = self.cairn.outgoing();
+        let learners = self.cairn.learners();
+        self.cairn.voters().iter().chain(&outgoing).chain(&learners).map(|m| m.node).collect()
+    }
+
+    /// Logs what changed in how this hut stands.
+    fn note(&mut self, now: Time) {
+        let cairn = &self.cairn;
+        let new = Noted {
+            role: self.role(),
+            term: cairn.term(),
+            leader: cairn.leader(),
+            voters: cairn.voters().to_vec(),
+            outgoing: cairn.outgoing(),
+            learners: cairn.learners(),
+            in_touch: cairn.is_in_touch(now),
+        };
+        let old = std::mem::replace(&mut self.noted, new);
+        let new = &self.noted;
+        let names = |all: &[Member]| {
+            let names: Vec<String> = all.iter().map(|m| format!("{}/{:x}", m.node, m.disk)).collect();
+            names.join(" ")
+        };
+        if (old.role, old.term, old.leader) != (new.role, new.term, new.leader) {
+            let leader = new.leader.map_or("none".to_string(), |l| l.to_string());
+            info!(role = new.role, term = new.term, leader = leader; "role");
+        }
+        if (&old.voters, old.outgoing) != (&new.voters, new.outgoing) {
+            let outgoing = new.outgoing.map_or("none".to_string(), |m| names(&[m]));
+            info!(voters = names(&new.voters), outgoing = outgoing, term = new.term; "voters");
+        }
+        if old.learners != new.learners {
+            info!(learners = names(&new.learners), term = new.term; "learners");
+        }
+        if old.in_touch != new.in_touch {
+            info!(in_touch = new.in_touch, term = new.term; "touch with a majority");
+        }
+    }
 }
 
 impl Hut {
@@ -97,6 +159,10 @@
                 if now >= upkeep_at {
                     upkeep_at = now + UPKEEP;
                     self.sweep_lives(now, &mut rooms);
+                    self.keep_peers(now, &mut rooms);
+                    let Rooms { directory, peers, .. } = &mut *rooms;
+                    self.tell_sightings(now, directory, peers);
+                    rooms.note(now);
                 }
                 rooms.cairn.next_due().min(upkeep_at)
             };
@@ -136,8 +202,9 @@
         loop {
             let todo = rooms.cairn.todo();
             if todo.is_empty() {
-                let members = rooms.cairn.members().to_vec();
-                return self.meet(rooms, &members);
+                let members = rooms.members();
+                self.meet(now, rooms, &members);
+                return rooms.note(now);
             }
             for item in todo {
                 match item {
@@ -145,24 +212,22 @@
                         let _ = self.disk.send(Job::Book(number, record));
                     }
                     Do::Say(to, word) => {
-                        if let Some(conn) = rooms.peers.open.get(&to) {
-                            say(conn, &Up::Vote(word));
-                        }
+                        rooms.peers.say(to, &Up::Agreement(word));
                     }
-                    Do::Agreed(stamp, state) => {
+                    Do::Committed(at, state) => {
                         let Some(book) = Book::read(&state.0) else {
-                            warn!(index = stamp.index; "a book that can't be read");
+                            warn!(index = at.index; "a book that can't be read");
                             continue;
                         };
                         let (number, generation) = (book.number, book.generation);
                         if rooms.committed.take(now, book) {
-                            info!(number = number, generation = generation, term = stamp.term; "agreed on");
+                            info!(number = number, generation = generation, term = at.term; "committed");
                             rooms.tell_book();
                         }
                     }
-                    Do::Settled(number, agreed) => {
-                        if let Some(answer) = rooms.waiting.proposed.remove(&number) {
-                            answer.say(agreed);
+                    Do::Settled(number, is_sure) | Do::Read(number, is_sure) => {
+                        if let Some(answer) = rooms.waiting.remove(&number) {
+                            answer.say(is_sure);
                         }
                     }
                 }
--- a/crates/hut/src/control.rs
+++ b/crates/hut/src/control.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use lynxstair_ridge::book::Change;
-use lynxstair_trailbook::values;
+use lynxstair_trailbook::agreement::Member;
+use lynxstair_trailbook::values::{self, Value};
 use lynxstair_wire::calls::{Call, Reply};
 
 use crate::hut::Hut;
@@ -14,13 +15,13 @@
             ("PUT", ["instances", id]) => self.beat(id, call.body),
             ("DELETE", ["instances", id]) => self.leave(id),
             ("GET", ["config"]) => self.read_book(),
-            ("PUT", ["config"]) => self.change("/config", Change::Put(call.body.to_vec())),
-            ("PATCH", ["config"]) => self.change("/config", Change::Patch(call.body.to_vec())),
+            ("PUT", ["config"]) => self.change(call, "/config", Change::Put(call.body.to_vec())),
+            ("PATCH", ["config"]) => self.change(call, "/config", Change::Patch(call.body.to_vec())),
             ("POST", ["evacuation", zone]) => {
-                self.change(&format!("/evacuation/{zone}"), Change::Evacuate(zone.to_string()))
+                self.change(call, &format!("/evacuation/{zone}"), Change::Evacuate(zone.to_string()))
             }
             ("DELETE", ["evacuation", zone]) => {
-                self.change(&format!("/evacuation/{zone}"), Change::Return(zone.to_string()))
+                self.change(call, &format!("/evacuation/{zone}"), Change::Return(zone.to_string()))
             }
             ("GET", ["status"]) => self.status(),
             (_, ["instances", _] | ["config"] | ["evacuation", _] | ["status"]) => Reply::new(405),
@@ -31,20 +32,29 @@
     fn status(&self) -> Reply {
         let now = self.alarms.now();
         let rooms = self.rooms();
-        let leader = rooms.cairn.leader().map_or("null".to_string(), |l| format!("\"{l}\""));
-        let workers = rooms.lives.ready();
-        let edges = rooms.feed.ready(now).len();
-        let sure = rooms.cairn.sure_at().map_or("null".to_string(), |at| format!("{:.3}", (now - at).secs()));
-        Reply::json(
-            200,
-            format!(
-                r#"{{"node":"{}","leader":{leader},"term":{},"number":{},"generation":"{:08x}","sure-s":{sure},"workers":{workers},"gatekeepers":{edges}}}"#,
-                self.settings.node,
-                rooms.cairn.term(),
-                rooms.committed.book.number,
-                rooms.committed.book.generation
-            ),
-        )
+        let cairn = &rooms.cairn;
+        let text = |text: String| Value::String(text);
+        let number = |n: f64| Value::Number(n);
+        let members = |all: Vec<Member>| {
+            Value::Array(all.iter().map(|m| text(format!("{}/{:016x}", m.node, m.disk))).collect())
+        };
+        let book = &rooms.committed.book;
+        let all = [
+            ("node", text(self.settings.node.clone())),
+            ("role", text(rooms.role().to_string())),
+            ("leader", cairn.leader().map_or(Value::Null, |l| text(l.to_string()))),
+            ("in-touch", Value::Boolean(cairn.is_in_touch(now))),
+            ("sure-s", cairn.sure_at().map_or(Value::Null, |at| number((now - at).secs()))),
+            ("term", number(cairn.term() as f64)),
+            ("voters", members(cairn.voters().to_vec())),
+            ("learners", members(cairn.learners())),
+            ("number", number(book.number as f64)),
+            ("generation", text(format!("{:08x}", book.generation))),
+            ("workers", number(rooms.lives.ready() as f64)),
+            ("gatekeepers", number(rooms.directory.open(now).len() as f64)),
+        ];
+        let all = all.into_iter().map(|(key, value)| (key.to_string(), value)).collect();
+        Reply::json(200, Value::Object(all).stringify().unwrap_or_default())
     }
 }
 
--- a/crates/hut/src/feed.rs
+++ b/crates/hut/src/feed.rs
@@ -4,26 +4,21 @@
 use std::sync::Arc;
 
 use log::info;
-use lynxstair::types::{Span, Time};
+use lynxstair::types::Time;
 use lynxstair_lines as lines;
 use lynxstair_ridge::feed::Sent;
 use lynxstair_ridge::purse::{Grant, Purse};
 use lynxstair_trailbook::settings::Bounds;
-use lynxstair_trailbook::words::{Bytes, Down, Edge, Ping};
+use lynxstair_trailbook::words::{Bytes, Down, Edge, Ping, Readiness};
 use lynxstair_wire::conn::Conn;
 
 use crate::hut::{Hut, MOST_UNSENT, Rooms};
 use crate::peers::say;
 
-/// A gatekeeper that said nothing for so long is left out of the directory's answers.
-const ABSENT: Span = Span::from_millis(2_500);
-
 /// A gatekeeper that follows the feed here.
 struct Follower {
     conn: Arc<Conn>,
     edge: Edge,
-    ready: bool,
-    heard_at: Time,
     /// What it was told last of how many gatekeepers there are.
     zones: Vec<(String, u32)>,
     sent: Sent,
@@ -33,6 +28,8 @@
     followers: HashMap<u64, Follower>,
     last_follower: u64,
     purse: Purse,
+    /// How many huts they were told of.
+    pub told_huts: usize,
 }
 
 impl Feed {
@@ -42,7 +39,7 @@
             requests: bounds.quota_slack,
             over: bounds.quota_overshoot,
         });
-        Feed { followers: HashMap::new(), last_follower: 0, purse }
+        Feed { followers: HashMap::new(), last_follower: 0, purse, told_huts: 0 }
     }
 
     /// To every gatekeeper that follows the feed here.
@@ -53,20 +50,16 @@
         let frame = lines::frame(word);
         self.followers.values().for_each(|f| lines::write(&f.conn, &frame, MOST_UNSENT));
     }
+}
 
-    /// Its line has ended.
+impl Rooms {
+    /// A gatekeeper's line has ended.
     pub fn let_go(&mut self, number: u64) {
-        self.followers.remove(&number);
-    }
-
-    /// Those that clients may come to.
-    pub fn ready(&self, now: Time) -> Vec<&Edge> {
-        let here = self.followers.values().filter(|f| f.ready && now - f.heard_at < ABSENT);
-        here.map(|f| &f.edge).collect()
+        if let Some(follower) = self.feed.followers.remove(&number) {
+            self.directory.end(&follower.edge.node, follower.edge.life);
+        }
     }
-}
 
-impl Rooms {
     /// A book was agreed on: the leader tells all.
     pub fn tell_book(&mut self) {
         let Rooms { cairn, committed, feed, .. } = self;
@@ -80,14 +73,33 @@
             feed.followers.values_mut().for_each(|f| f.sent.all(index));
         }
     }
+}
 
-    /// A gatekeeper says how it is; false where it is none that follows.
-    pub fn hear_ping(&mut self, now: Time, number: u64, ping: &Ping) -> bool {
-        let Rooms { cairn, committed, feed, .. } = self;
+impl Hut {
+    /// A gatekeeper begins to follow; its number here.
+    pub fn welcome(&self, now: Time, rooms: &mut Rooms, conn: &Arc<Conn>, edge: Edge, lives: bool) -> u64 {
+        say(conn, &self.huts(now, rooms));
+        if lives {
+            say(conn, &Down::Lives { lives: rooms.lives.all(now), whole: true });
+        }
+        let feed = &mut rooms.feed;
+        feed.followers.retain(|_, f| f.edge.node != edge.node);
+        feed.last_follower += 1;
+        let new = Follower { conn: conn.clone(), edge, zones: Vec::new(), sent: Sent::default() };
+        feed.followers.insert(feed.last_follower, new);
+        feed.last_follower
+    }
+
+    /// A gatekeeper says how it is; false where it is none that follows. What the leader alone says (parts of quotas, how
+    /// many gatekeepers there are) it says only while it is in touch: else another may lead by now.
+    pub fn hear_ping(&self, now: Time, rooms: &mut Rooms, number: u64, ping: &Ping) -> bool {
+        let leads = rooms.leads(now);
+        let Rooms { cairn, committed, feed, directory, peers, .. } = rooms;
         let Some(f) = feed.followers.get_mut(&number) else { return false };
-        f.ready = ping.ready;
-        f.heard_at = now;
-        let (book, leads) = (&committed.book, cairn.leads());
+        if directory.hear(now, &f.edge, ping.readiness) && ping.readiness == Readiness::Leaving {
+            self.tell_sightings(now, directory, peers);
+        }
+        let book = &committed.book;
         if f.sent.due(ping.have, book.number, leads, now - committed.at) {
             let state = Bytes(Arc::new(book.for_the_road()));
             say(&f.conn, &Down::Book { index: book.number, state });
@@ -117,26 +129,3 @@
         true
     }
 }
-
-impl Hut {
-    /// A gatekeeper begins to follow; its number here.
-    pub fn welcome(&self, now: Time, rooms: &mut Rooms, conn: &Arc<Conn>, edge: Edge, lives: bool) -> u64 {
-        say(conn, &Down::Huts(self.all_huts(rooms)));
-        if lives {
-            say(conn, &Down::Lives { lives: rooms.lives.all(now), whole: true });
-        }
-        let feed = &mut rooms.feed;
-        feed.followers.retain(|_, f| f.edge.node != edge.node);
-        feed.last_follower += 1;
-        let new = Follower {
-            conn: conn.clone(),
-            edge,
-            ready: false,
-            heard_at: now,
-            zones: Vec::new(),
-            sent: Sent::default(),
-        };
-        feed.followers.insert(feed.last_follower, new);
-        feed.last_follower
-    }
-}
--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -5,9 +5,10 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 
-use log::info;
-use lynxstair::types::Time;
-use lynxstair_cairn::{Cairn, Node};
+use log::{info, warn};
+use lynxstair::types::{Span, Time};
+use lynxstair_cairn::{Boot, Cairn, Node};
+use lynxstair_ridge::directory::Directory;
 use lynxstair_trailbook::settings::Settings;
 use lynxstair_trailbook::words::Life;
 use lynxstair_wire::alarms::Alarms;
@@ -17,7 +18,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use crate::agreement::{Committed, Job, Waiting};
+use crate::agreement::{Committed, Job, Noted, Waiting};
 use crate::feed::Feed;
 use crate::lives::Lives;
 use crate::peers::Peers;
@@ -26,6 +27,8 @@
 /// What a caller may send, and how many callers there may be at once.
 const CALLERS: Most = Most { body: 8 << 20, connections: 2000 };
 const LOOKUPS: Most = Most { body: 1024, connections: 1500 };
+/// How often one that is to end looks whether it may.
+const LOOKS: Span = Span::from_millis(20);
 /// A line that holds so many unsent bytes leads nowhere.
 pub const MOST_UNSENT: usize = 8 << 20;
 
@@ -37,6 +40,8 @@
     pub lives: Lives,
     pub feed: Feed,
     pub peers: Peers,
+    pub directory: Directory,
+    pub noted: Noted,
 }
 
 pub struct Hut {
@@ -72,7 +77,16 @@
     let now = alarms.now();
     let seed = now.nanos() ^ u64::from(me.port()) << 48 ^ hash(&settings.node);
     let is_found = found.is_some();
-    let cairn = Cairn::start(now, me, &settings.seeds, seed, found, settings.bootstrap);
+    let boot = Boot {
+        me,
+        seeds: &settings.seeds,
+        seed,
+        found,
+        bootstrap: settings.bootstrap,
+        tolerated: settings.tolerated,
+        catch_up: settings.bounds.catch_up,
+    };
+    let cairn = Cairn::start(now, boot);
     info!(node = settings.node, found = is_found, bootstrap = settings.bootstrap; "the hut opens");
     let (disk, jobs) = channel();
     let rooms = Rooms {
@@ -81,7 +95,9 @@
         waiting: Waiting::default(),
         lives: Lives::new(now, &lives, settings.beat_period),
         feed: Feed::new(&settings.bounds),
-        peers: Peers::default(),
+        peers: Peers::new(now),
+        directory: Directory::default(),
+        noted: Noted::default(),
     };
     let inner = calls::listen(settings.inner())?;
     let control = calls::listen(me)?;
@@ -99,8 +115,9 @@
     go("time", move || h.keep_time());
     {
         let mut rooms = hut.rooms();
-        let members = rooms.cairn.members().to_vec();
-        hut.meet(&mut rooms, &members);
+        let members = rooms.members();
+        hut.meet(now, &mut rooms, &members);
+        hut.meet(now, &mut rooms, &hut.settings.seeds);
     }
     let h = hut.clone();
     go("the feed", move || calls::accept(&inner, |stream| h.admit(stream)));
@@ -115,12 +132,57 @@
         go("the board", move || calls::serve(&board, &alarms, LOOKUPS, handler));
     }
     while signals.forever().next() == Some(SIGHUP) {
-        info!("settings are read at the start only");
+        hut.read_settings("told to");
     }
+    // The main thread only waits; whoever sleeps is a coroutine.
+    let (ended, end) = channel();
+    go("the end", move || {
+        hut.step_down();
+        let _ = ended.send(());
+    });
+    let _ = end.recv();
     info!("the hut closes");
     Ok(())
 }
 
+impl Hut {
+    /// Reads the settings file again and meets the seeds that it names. A file that can't be used changes nothing.
+    pub fn read_settings(self: &Arc<Self>, why: &str) {
+        match Settings::from_environment() {
+            Ok(settings) => {
+                info!(why = why, seeds = settings.seeds.len(); "the settings are read again: seeds only");
+                let now = self.alarms.now();
+                let mut rooms = self.rooms();
+                rooms.peers.looked(now);
+                self.meet(now, &mut rooms, &settings.seeds);
+            }
+            Err(error) => {
+                warn!(error = error; "the settings can't be read again: the old ones stay");
+                let now = self.alarms.now();
+                self.rooms().peers.looked(now);
+            }
+        }
+    }
+
+    /// Told to end: leads no more, and gives its place to one that waits for it, if there is one. It serves on
+    /// meanwhile.
+    fn step_down(self: &Arc<Self>) {
+        info!("told to end");
+        loop {
+            let now = self.alarms.now();
+            {
+                let mut rooms = self.rooms();
+                rooms.cairn.leave(now);
+                self.act(now, &mut rooms);
+                if rooms.cairn.may_end(now) {
+                    return;
+                }
+            }
+            self.alarms.sleep_until(now + LOOKS);
+        }
+    }
+}
+
 fn hash(text: &str) -> u64 {
     text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
--- a/crates/hut/src/inner.rs
+++ b/crates/hut/src/inner.rs
@@ -24,35 +24,36 @@
         lines::read(conn, |word: Up| {
             let now = self.alarms.now();
             let mut rooms = self.rooms();
-            match word {
-                Up::Core { from } => {
+            match (word, core, follower) {
+                (Up::Core { from }, ..) => {
                     core = Some(from);
-                    self.meet(&mut rooms, &[from]);
+                    self.meet(now, &mut rooms, &[from]);
+                    rooms.heard_hut(now, from);
                 }
-                Up::Vote(vote) => {
-                    let Some(from) = core else { return false };
-                    self.hear_vote(now, &mut rooms, from, vote);
+                (Up::Agreement(message), Some(from), _) => {
+                    rooms.cairn.hear(now, from, message);
+                    self.act(now, &mut rooms);
                 }
-                Up::Heard(lives) => {
-                    rooms.hear_lives(now, &lives);
-                    if let Some(from) = core {
-                        rooms.cairn.knock(now, from);
-                        self.act(now, &mut rooms);
-                    }
+                (Up::Heard(lives), Some(_), _) => rooms.hear_lives(now, &lives),
+                (Up::Sightings { sightings, whole, has_gathered }, Some(from), _) => {
+                    rooms.directory.take(now, from, sightings, whole, has_gathered);
                 }
-                Up::Hello { edge, lives } => {
+                (Up::Hello { edge, lives }, ..) => {
                     follower = Some(self.welcome(now, &mut rooms, conn, edge, lives));
                 }
-                Up::Ping(ping) => {
-                    let Some(number) = follower else { return false };
-                    return rooms.hear_ping(now, number, &ping);
-                }
+                (Up::Ping(ping), _, Some(number)) => return self.hear_ping(now, &mut rooms, number, &ping),
+                // Whoever has not said who it is.
+                _ => return false,
             }
             true
         });
         conn.close();
+        let mut rooms = self.rooms();
         if let Some(number) = follower {
-            self.rooms().feed.let_go(number);
+            rooms.let_go(number);
+        }
+        if let Some(core) = core {
+            rooms.directory.end_hut(core);
         }
     }
 }
--- a/crates/hut/src/lives.rs
+++ b/crates/hut/src/lives.rs
@@ -12,8 +12,6 @@
 use crate::control::error;
 use crate::hut::{Hut, Rooms};
 
-/// A hut that was sure of the leader within this long is in touch with the majority.
-const TOUCH: Span = Span::from_millis(500);
 /// How often the workers' lives are written, where they changed: known at once after a loss of power, they are served
 /// before each has beaten again.
 const KEEP: Span = Span::from_millis(1_000);
@@ -42,14 +40,22 @@
 }
 
 impl Rooms {
-    /// How this hut stands to the majority now. Sure by an echo, both ways: what is said here reaches the leader.
-    fn stand(&mut self, now: Time) {
-        let in_touch = self.cairn.sure_at().is_some_and(|at| now - at < TOUCH);
-        let contact = match (in_touch, self.cairn.leads()) {
+    /// How this hut stands to the majority now.
+    fn contact(&self, now: Time) -> Contact {
+        match (self.cairn.is_in_touch(now), self.cairn.leads()) {
             (false, _) => Contact::Out,
             (true, false) => Contact::Follows,
             (true, true) => Contact::Leads,
-        };
+        }
+    }
+
+    /// Whether what only the leader may say may be said here now.
+    pub fn leads(&self, now: Time) -> bool {
+        self.contact(now) == Contact::Leads
+    }
+
+    fn stand(&mut self, now: Time) {
+        let contact = self.contact(now);
         self.lives.watch.stand(now, contact);
     }
 
@@ -82,11 +88,13 @@
 
 impl Hut {
     pub fn beat(&self, id: &str, body: &[u8]) -> Reply {
-        let life = match read_life(id, body) {
+        let mut life = match read_life(id, body) {
             Ok(life) => life,
             Err(fault) => return error(400, &fault.to_string()),
         };
         let now = self.alarms.now();
+        // Where this process stood still the worker may be long gone.
+        life.heard_ms = (now - self.alarms.came_at(now)).nanos() / 1_000_000;
         let mut rooms = self.rooms();
         rooms.stand(now);
         let answer = rooms.lives.watch.beat(now, &life);
--- a/crates/hut/src/orders.rs
+++ b/crates/hut/src/orders.rs
@@ -1,11 +1,13 @@
-//! The operator's orders on the book, and reading it: the leader's, in touch with a majority.
+//! The operator's orders on the book, and reading it. Only the leader answers them, and what it says of the book is
+//! true at some moment of the call: a majority has answered a round that began after the call came (read index), or
+//! has stored what is acknowledged.
 
 use std::sync::Arc;
 
 use log::info;
 use lynxstair::types::{Span, Time};
 use lynxstair_ridge::book::{Change, Ruling};
-use lynxstair_wire::calls::Reply;
+use lynxstair_wire::calls::{Call, Reply};
 
 use crate::agreement::Answer;
 use crate::control::{error, unsettled};
@@ -13,13 +15,14 @@
 
 /// How long a call of the operator may wait for the majority; after that the caller moves on anyway.
 const PATIENCE: Span = Span::from_millis(850);
-/// A leader that a majority answered within this long answers for the newest book.
-const SURE: Span = Span::from_millis(400);
+/// While another change is open.
+const LOOKS: Span = Span::from_millis(4);
 
 impl Hut {
-    /// Elsewhere: the hut that leads, or nobody knows who does.
-    fn elsewhere(&self, rooms: &Rooms, path: &str) -> Reply {
-        match rooms.cairn.leader().filter(|l| *l != self.me) {
+    /// Elsewhere: the hut that leads, as far as this one is in touch with it; else nobody knows who does.
+    fn elsewhere(&self, now: Time, rooms: &Rooms, path: &str) -> Reply {
+        let leader = rooms.cairn.leader().filter(|l| *l != self.me && rooms.cairn.is_in_touch(now));
+        match leader {
             Some(leader) => {
                 let headers = format!("Location: http://{leader}{path}\r\n");
                 Reply { status: 307, headers, body: Vec::new() }
@@ -28,60 +31,84 @@
         }
     }
 
-    /// Whether this hut may answer for the book now.
-    fn is_sure(&self, now: Time, rooms: &Rooms) -> bool {
-        rooms.cairn.leads() && rooms.cairn.sure_at().is_some_and(|at| now - at < SURE)
+    /// Until when the caller of what is read now waits: where this process stood still, the call may be old.
+    fn patience(&self) -> Time {
+        self.alarms.came_at(self.alarms.now()) + PATIENCE
     }
 
-    pub fn read_book(&self) -> Reply {
-        let rooms = self.rooms();
-        if !rooms.cairn.leads() {
-            return self.elsewhere(&rooms, "/config");
-        }
-        if !self.is_sure(self.alarms.now(), &rooms) {
-            return unsettled();
+    /// Whether what is committed here is the newest, as a majority says that is asked now; else the answer to give.
+    fn confirm(self: &Arc<Self>, until: Time, path: &str) -> Result<(), Reply> {
+        let answer = Answer::awaited();
+        let number = {
+            let now = self.alarms.now();
+            let mut rooms = self.rooms();
+            let Some(number) = rooms.cairn.read(now) else { return Err(self.elsewhere(now, &rooms, path)) };
+            rooms.waiting.insert(number, answer.clone());
+            self.act(now, &mut rooms);
+            number
+        };
+        let said = answer.wait(&self.alarms, until);
+        self.rooms().waiting.remove(&number);
+        if said == Some(true) { Ok(()) } else { Err(unsettled()) }
+    }
+
+    pub fn read_book(self: &Arc<Self>) -> Reply {
+        if let Err(reply) = self.confirm(self.patience(), "/config") {
+            return reply;
         }
+        let rooms = self.rooms();
         if rooms.committed.book.text.is_empty() {
             return error(404, "no configuration yet");
         }
         Reply::json(200, rooms.committed.book.text.as_bytes())
     }
 
-    pub fn change(self: &Arc<Self>, path: &str, change: Change) -> Reply {
-        let until = self.alarms.now() + PATIENCE;
-        let waiting = Answer::awaited();
+    pub fn change(self: &Arc<Self>, call: &Call, path: &str, change: Change) -> Reply {
+        let until = self.patience();
+        let mut is_confirmed = false;
+        let answer = Answer::awaited();
         let number = loop {
             let now = self.alarms.now();
-            if now >= until {
+            // Whoever has gone sends it again, elsewhere perhaps: taken late, it would undo what came after it.
+            if now >= until || call.has_hung_up() {
                 return unsettled();
             }
             {
                 let mut rooms = self.rooms();
                 if !rooms.cairn.leads() && rooms.cairn.leader() != Some(self.me) {
-                    return self.elsewhere(&rooms, path);
+                    return self.elsewhere(now, &rooms, path);
                 }
-                if self.is_sure(now, &rooms) && !rooms.cairn.is_open() {
+                if rooms.cairn.leads() && !rooms.cairn.is_open() {
                     match rooms.committed.book.rule(&change, &self.settings.zones) {
-                        Ruling::Taken => return Reply::json(200, "{}"),
-                        Ruling::Refuse(status, why) => {
-                            info!(status = status, why = why; "a change is refused");
-                            return error(status, &why);
-                        }
                         Ruling::Take(book) => {
                             if let Some(number) = rooms.cairn.propose(now, book.written()) {
-                                rooms.waiting.proposed.insert(number, waiting.clone());
+                                rooms.waiting.insert(number, answer.clone());
                                 self.act(now, &mut rooms);
                                 break number;
                             }
                         }
+                        Ruling::Taken if is_confirmed => return Reply::json(200, "{}"),
+                        Ruling::Refuse(status, why) if is_confirmed => {
+                            info!(status = status, why = why; "a change is refused");
+                            return error(status, &why);
+                        }
+                        Ruling::Taken | Ruling::Refuse(..) => {
+                            drop(rooms);
+                            if let Err(reply) = self.confirm(until, path) {
+                                return reply;
+                            }
+                            // Ruled on again by the book as it is now.
+                            is_confirmed = true;
+                            continue;
+                        }
                     }
                 }
             }
-            // Another change is open, or the majority has not answered yet.
-            self.alarms.sleep_until(now + Span::from_millis(4));
+            // Another change is open, or what the leader began with is not committed yet.
+            self.alarms.sleep_until(now + LOOKS);
         };
-        let settled = waiting.wait(&self.alarms, until);
-        self.rooms().waiting.proposed.remove(&number);
+        let settled = answer.wait(&self.alarms, until);
+        self.rooms().waiting.remove(&number);
         match settled {
             Some(true) => Reply::json(200, "{}"),
             // It may still come into force, or not: the same bytes sent again find out.
--- a/crates/ridge/src/lib.rs
+++ b/crates/ridge/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod buckets;
 pub mod budget;
 pub mod cold;
+pub mod directory;
 pub mod feed;
 pub mod ladder;
 pub mod purse;
--- /dev/null
+++ b/crates/ridge/tests/directory.rs
@@ -0,0 +1,93 @@
+//! The directory: which gatekeepers a hut names, whoever of the huts has heard them.
+
+use std::net::SocketAddr;
+
+use lynxstair::types::Time;
+use lynxstair_ridge::directory::Directory;
+use lynxstair_trailbook::words::{Edge, Readiness, Sighting};
+
+fn at(ms: u64) -> Time {
+    Time::from_nanos((100_000 + ms) * 1_000_000)
+}
+
+fn edge(number: u8, region: &str, life: u64) -> Edge {
+    Edge { node: format!("e{number}"), zone: "z".into(), region: region.into(), front: front(number), life }
+}
+
+fn front(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 80))
+}
+
+const HUT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::new(10, 1, 0, 1)), 83);
+
+/// A hut that no gatekeeper has found yet answers by what another hut told it, and only while that one is there.
+#[test]
+fn a_hut_answers_by_what_others_heard() {
+    let (mut old, mut new) = (Directory::default(), Directory::default());
+    old.hear(at(0), &edge(1, "r", 1), Readiness::Ready);
+    old.hear(at(0), &edge(2, "s", 1), Readiness::Ready);
+    assert!(new.answer(at(100), "r").is_empty() && !new.knows_all(at(100)));
+    new.take(at(100), HUT, old.all(at(100)), true, true);
+    assert!(new.knows_all(at(100)));
+    assert_eq!(new.answer(at(100), "r"), [front(1)], "those of the region first");
+    assert_eq!(new.answer(at(100), "elsewhere").len(), 2, "all where it has none");
+    new.hear_hut(at(2_000), HUT);
+    assert_eq!(new.answer(at(4_000), "r"), [front(1)]);
+    assert!(new.answer(at(4_600), "r").is_empty(), "that hut fell silent");
+    new.hear_hut(at(5_000), HUT);
+    new.end_hut(HUT);
+    assert!(new.answer(at(5_000), "r").is_empty());
+}
+
+/// What changed is told once, and an end as well.
+#[test]
+fn news_are_told_once() {
+    let mut directory = Directory::default();
+    assert!(directory.hear(at(0), &edge(1, "r", 1), Readiness::Starting));
+    assert!(!directory.hear(at(100), &edge(1, "r", 1), Readiness::Starting));
+    let readiness = |news: Vec<Sighting>| news.iter().map(|s| s.readiness).collect::<Vec<_>>();
+    assert_eq!(readiness(directory.news(at(100))), [Readiness::Starting]);
+    assert_eq!(readiness(directory.news(at(200))), []);
+    assert!(directory.hear(at(300), &edge(1, "r", 1), Readiness::Ready));
+    assert_eq!(readiness(directory.news(at(300))), [Readiness::Ready]);
+    assert_eq!(readiness(directory.news(at(2_900))), [Readiness::Gone], "it fell silent");
+    directory.hear(at(3_000), &edge(1, "r", 2), Readiness::Ready);
+    assert_eq!(readiness(directory.news(at(3_000))), [Readiness::Ready]);
+    directory.end("e1", 1);
+    assert_eq!(
+        readiness(directory.news(at(3_100))),
+        [],
+        "the end of an earlier life's line ends no later one"
+    );
+    directory.end("e1", 2);
+    assert_eq!(readiness(directory.news(at(3_200))), [Readiness::Gone]);
+    assert_eq!(readiness(directory.news(at(3_300))), []);
+}
+
+/// Who has said to any hut that it leaves is not named, whatever others have of that life; its next life is.
+#[test]
+fn who_leaves_is_not_named() {
+    let mut directory = Directory::default();
+    let told = |life, readiness| vec![Sighting { edge: edge(1, "r", life), readiness }];
+    directory.hear(at(0), &edge(1, "r", 1), Readiness::Ready);
+    directory.take(at(0), HUT, told(1, Readiness::Ready), true, true);
+    directory.take(at(500), HUT, told(1, Readiness::Leaving), false, true);
+    assert!(directory.answer(at(500), "r").is_empty(), "here it is still heard as ready");
+    directory.end("e1", 1);
+    directory.take(at(900), HUT, told(1, Readiness::Ready), false, true);
+    assert!(directory.answer(at(900), "r").is_empty(), "an old word about an old life");
+    directory.take(at(1_000), HUT, told(2, Readiness::Ready), false, true);
+    assert_eq!(directory.answer(at(1_000), "r"), [front(1)]);
+}
+
+/// While the core can't be sure of its book no gatekeeper is: those that serve on are named all the same.
+#[test]
+fn stale_ones_are_named_where_none_is_ready() {
+    let mut directory = Directory::default();
+    directory.hear(at(0), &edge(1, "r", 1), Readiness::Stale);
+    directory.hear(at(0), &edge(2, "r", 1), Readiness::Starting);
+    directory.hear(at(0), &edge(3, "s", 1), Readiness::Stale);
+    assert_eq!(directory.answer(at(0), "r"), [front(1)]);
+    directory.hear(at(100), &edge(3, "s", 1), Readiness::Ready);
+    assert_eq!(directory.answer(at(100), "r"), [front(3)]);
+}
--- a/crates/trailbook/src/words.rs
+++ b/crates/trailbook/src/words.rs
@@ -147,6 +147,27 @@
     pub tight_ms: u32,
 }
 
+/// Whether clients may come to a gatekeeper.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Readiness {
+    Ready,
+    /// It is not sure of its book, and serves on by what it has.
+    Stale,
+    /// It can't serve yet, or no more until it is sure again.
+    Starting,
+    /// It was told to end.
+    Leaving,
+    /// Its line has ended, or is silent.
+    Gone,
+}
+
+/// How a gatekeeper was last heard by one hut.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sighting {
+    pub edge: Edge,
+    pub readiness: Readiness,
+}
+
 /// How a gatekeeper is. To the core that leads it also says what it counted and, where that one has just begun to
 /// lead, which parts of quotas it holds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -155,8 +176,7 @@
     pub clock: u64,
     /// The number of the book that it has.
     pub have: u64,
-    /// Whether clients may come.
-    pub ready: bool,
+    pub readiness: Readiness,
     /// The number of the shares that it got last.
     pub got: u64,
     pub counts: Vec<Count>,
@@ -173,10 +193,18 @@
     },
     /// Every second and when something changed.
     Ping(Ping),
-    /// Begins a line between cores, by the control address of the one who speaks.
+    /// Begins a line between cores, by the control address of the one who speaks; and says again and again that it is
+    /// there.
     Core {
         from: SocketAddr,
     },
+    /// Which gatekeepers follow the core that speaks: all where `whole`, else what changed. `has_gathered`: it has
+    /// been up for long enough that all of them have found it.
+    Sightings {
+        sightings: Vec<Sighting>,
+        whole: bool,
+        has_gathered: bool,
+    },
     Vote(Vote),
     /// A worker said something to the core that speaks.
     Heard(Vec<Life>),
@@ -195,6 +223,6 @@
     Shares { number: u64, shares: Vec<Share> },
     /// How many gatekeepers there are in each zone.
     Zones(Vec<(String, u32)>),
-    /// The control addresses of all cores.
-    Huts(Vec<SocketAddr>),
+    /// The control addresses of cores: all there are where `whole`, as the leader says, else some.
+    Huts { huts: Vec<SocketAddr>, whole: bool },
 }
--- a/crates/wire/src/alarms.rs
+++ b/crates/wire/src/alarms.rs
@@ -75,6 +75,11 @@
         self.clock.now()
     }
 
+    /// When what is read now may have come at the earliest: now, or, where the program stood still, when it last ran.
+    pub fn came_at(&self, now: Time) -> Time {
+        self.ticker.came_at(now)
+    }
+
     /// Nudges the connection then, if it still stands: its reader looks at its time limit.
     pub fn nudge(&self, at: Time, conn: &Arc<Conn>) {
         self.put(at, Sleeper::Conn(Arc::downgrade(conn)));
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -25,9 +25,15 @@
     pub segments: Vec<&'a str>,
     pub query: &'a str,
     pub body: &'a [u8],
+    caller: &'a Conn,
 }
 
 impl Call<'_> {
+    /// Whether the caller has ended its connection, and so waits for no answer.
+    pub fn has_hung_up(&self) -> bool {
+        self.caller.has_ended()
+    }
+
     /// The value of a name in the query, as it stands there.
     pub fn asked(&self, name: &str) -> Option<&str> {
         self.query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
@@ -138,7 +144,8 @@
             Ok(Some((call, _))) => {
                 let (path, query) = call.target.split_once('?').unwrap_or((call.target, ""));
                 let segments = path.split('/').filter(|s| !s.is_empty()).collect();
-                handler(&Call { method: call.method, segments, query, body: &message[extent.body.clone()] })
+                let body = &message[extent.body.clone()];
+                handler(&Call { method: call.method, segments, query, body, caller: conn })
             }
             _ => Reply::new(400),
         };
--- a/crates/wire/src/conn.rs
+++ b/crates/wire/src/conn.rs
@@ -345,6 +345,15 @@
         self.is_closed() || !matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Whether the other side has ended it, without waiting. What it sent besides is no end.
+    pub fn has_ended(&self) -> bool {
+        let ended = match self.io.inner().peek(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock && e.kind() != io::ErrorKind::Interrupted,
+        };
+        self.is_closed() || ended
+    }
+
     pub fn is_closed(&self) -> bool {
         self.closed.load(Ordering::Relaxed)
     }
