--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -9,7 +9,7 @@
 use lynxstair::types::{Span, Time};
 use lynxstair_cairn::{Boot, Cairn, Node};
 use lynxstair_ridge::directory::Directory;
-use lynxstair_trailbook::settings::Settings;
+use lynxstair_trailbook::settings::{Reload, Settings};
 use lynxstair_trailbook::words::Life;
 use lynxstair_wire::alarms::Alarms;
 use lynxstair_wire::calls::{self, Call, Most};
@@ -27,6 +27,8 @@
 /// What a caller may send, and how many callers there may be at once.
 const CALLERS: Most = Most { body: 8 << 20, connections: 2000 };
 const LOOKUPS: Most = Most { body: 1024, connections: 1500 };
+/// How often the settings file is looked at.
+const SETTINGS: Span = Span::from_millis(1_000);
 /// How often one that is to end looks whether it may.
 const LOOKS: Span = Span::from_millis(20);
 /// A line that holds so many unsent bytes leads nowhere.
@@ -50,6 +52,7 @@
     pub started_at: Time,
     pub alarms: Arc<Alarms>,
     rooms: Mutex<Rooms>,
+    reload: Mutex<Reload>,
     /// To the disk's thread.
     pub disk: Sender<Job>,
 }
@@ -102,7 +105,8 @@
     let inner = calls::listen(settings.inner())?;
     let control = calls::listen(me)?;
     let board = directory.map(calls::listen).transpose()?;
-    let hut = Arc::new(Hut { settings, me, started_at: now, alarms, rooms: Mutex::new(rooms), disk });
+    let reload = Mutex::new(Reload::from_environment());
+    let hut = Arc::new(Hut { settings, me, started_at: now, alarms, rooms: Mutex::new(rooms), reload, disk });
     let writing = hut.clone();
     thread::Builder::new()
         .name("disk".to_string())
@@ -113,6 +117,8 @@
     go("alarms", move || h.alarms.run());
     let h = hut.clone();
     go("time", move || h.keep_time());
+    let h = hut.clone();
+    go("settings", move || h.keep_settings());
     {
         let mut rooms = hut.rooms();
         let members = rooms.members();
@@ -132,7 +138,7 @@
         go("the board", move || calls::serve(&board, &alarms, LOOKUPS, handler));
     }
     while signals.forever().next() == Some(SIGHUP) {
-        hut.read_settings("told to");
+        hut.look_at_settings(true);
     }
     // The main thread only waits; whoever sleeps is a coroutine.
     let (ended, end) = channel();
@@ -146,21 +152,32 @@
 }
 
 impl Hut {
-    /// Reads the settings file again and meets the seeds that it names. A file that can't be used changes nothing.
-    pub fn read_settings(self: &Arc<Self>, why: &str) {
-        match Settings::from_environment() {
-            Ok(settings) => {
-                info!(why = why, seeds = settings.seeds.len(); "the settings are read again: seeds only");
-                let now = self.alarms.now();
+    /// Looks at the settings file, which may change with a signal or without one, and is asked as well while this hut
+    /// reaches no other: the seeds that it names are met. A file that can't be used changes nothing.
+    fn look_at_settings(self: &Arc<Self>, is_told: bool) {
+        let now = self.alarms.now();
+        let is_alone = self.rooms().peers.is_alone(now);
+        let looked = self.reload.lock().unwrap_or_else(|e| e.into_inner()).look(is_told || is_alone);
+        match looked {
+            None => {}
+            Some(Ok(seeds)) => {
                 let mut rooms = self.rooms();
-                rooms.peers.looked(now);
-                self.meet(now, &mut rooms, &settings.seeds);
-            }
-            Err(error) => {
-                warn!(error = error; "the settings can't be read again: the old ones stay");
-                let now = self.alarms.now();
-                self.rooms().peers.looked(now);
+                if is_alone {
+                    rooms.peers.looked(now);
+                }
+                let known = rooms.peers.known();
+                if self.meet(now, &mut rooms, &seeds) || is_told {
+                    info!(seeds = seeds.len(), known = known, alone = is_alone; "the settings are read again: seeds only");
+                }
             }
+            Some(Err(error)) => warn!(error = error; "the settings can't be read again: the old ones stay"),
+        }
+    }
+
+    fn keep_settings(self: &Arc<Self>) {
+        loop {
+            self.look_at_settings(false);
+            self.alarms.sleep_until(self.alarms.now() + SETTINGS);
         }
     }
 
--- a/crates/hut/src/peers.rs
+++ b/crates/hut/src/peers.rs
@@ -67,6 +67,23 @@
         }
     }
 
+    /// Whether one more may be known; where there are too many, the one that was not heard for longest gives way.
+    fn has_room(&mut self) -> bool {
+        if self.known.len() < MOST_HUTS {
+            return true;
+        }
+        let closed = self.known.iter().filter(|(node, _)| !self.open.contains_key(*node));
+        let Some(oldest) = closed.min_by_key(|(_, peer)| peer.heard_at).map(|(node, _)| *node) else {
+            return false;
+        };
+        self.known.shift_remove(&oldest);
+        true
+    }
+
+    pub fn known(&self) -> usize {
+        self.known.len()
+    }
+
     /// Whether it is time to look who else there may be.
     pub fn is_alone(&self, now: Time) -> bool {
         self.open.is_empty() && now - self.reached_at > ALONE
@@ -98,12 +115,12 @@
 }
 
 impl Hut {
-    /// Keeps a line to each of these huts from now on.
-    pub fn meet(self: &Arc<Self>, now: Time, rooms: &mut Rooms, huts: &[Node]) {
+    /// Keeps a line to each of these huts from now on; whether one of them was not known.
+    pub fn meet(self: &Arc<Self>, now: Time, rooms: &mut Rooms, huts: &[Node]) -> bool {
         let mut is_news = false;
         for hut in huts {
             let peers = &mut rooms.peers;
-            if *hut == self.me || peers.known.contains_key(hut) || peers.known.len() >= MOST_HUTS {
+            if *hut == self.me || peers.known.contains_key(hut) || !peers.has_room() {
                 continue;
             }
             is_news = true;
@@ -115,6 +132,7 @@
         if is_news {
             self.tell_huts(now, rooms);
         }
+        is_news
     }
 
     /// Those that are here say so again; who is long gone is let go of. While no majority is in touch nobody is: who
--- a/crates/pass/src/feed.rs
+++ b/crates/pass/src/feed.rs
@@ -4,14 +4,16 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use log::info;
+use log::{info, warn};
 use lynxstair::types::{Span, Time};
 use lynxstair_lines as lines;
-use lynxstair_trailbook::words::{Down, Ping, Up};
+use lynxstair_trailbook::settings::Reload;
+use lynxstair_trailbook::words::{Down, Ping, Readiness, Up};
 use lynxstair_wire::conn::Conn;
 use lynxstair_wire::coroutine::go;
 
 use crate::road::Road;
+use crate::rooms::Rooms;
 
 /// How often it speaks, and what it takes a hut for that answered none of that for so long.
 const PING: Span = Span::from_millis(1_000);
@@ -19,10 +21,16 @@
 /// A hut may be a region away.
 const OPENING: Span = Span::from_millis(350);
 const AGAIN: Span = Span::from_millis(150);
+const AGAIN_AT_MOST: Span = Span::from_millis(400);
 const MOST_UNSENT: usize = 1 << 20;
 /// No system has more huts than this.
 const MOST_HUTS: usize = 16;
 
+/// A hut that could not be reached for so long, while another is, is let go of, unless the leader still names it.
+const UNREACHED: Span = Span::from_millis(30_000);
+/// Who has no line to any hut for so long looks whether the settings name others.
+const ALONE: Span = Span::from_millis(2_000);
+
 /// A line to one hut.
 struct Line {
     hut: SocketAddr,
@@ -34,16 +42,28 @@
     knows: bool,
 }
 
+/// A hut that is followed, by its control address.
+struct Followed {
+    hut: SocketAddr,
+    /// The leader named it in its last list of all huts.
+    is_named: bool,
+    /// When it was first named, or its line last stood.
+    reached_at: Time,
+}
+
 #[derive(Default)]
 struct Lines {
-    /// The huts that are followed, by their control addresses.
-    huts: Vec<SocketAddr>,
+    huts: Vec<Followed>,
     open: Vec<Line>,
+    /// When a line last stood to any of them.
+    reached_at: Time,
 }
 
 #[derive(Default)]
 pub struct Feed {
     lines: Mutex<Lines>,
+    /// The settings file, as it was looked at last.
+    reload: Mutex<Option<Reload>>,
 }
 
 impl Feed {
@@ -53,22 +73,76 @@
 
     /// Follows each of these huts from now on.
     pub fn meet(road: &Arc<Road>, huts: &[SocketAddr]) {
+        let now = road.alarms.now();
         let mut lines = road.feed.lines();
         for hut in huts {
-            if !lines.huts.contains(hut) && lines.huts.len() < MOST_HUTS {
-                lines.huts.push(*hut);
+            if lines.huts.iter().all(|f| f.hut != *hut) && lines.huts.len() < MOST_HUTS {
+                lines.huts.push(Followed { hut: *hut, is_named: false, reached_at: now });
                 let (r, hut) = (road.clone(), *hut);
                 go("the feed", move || Feed::follow(&r, hut));
             }
         }
     }
 
-    /// Keeps a line to one hut, for ever.
+    /// The leader names all huts that there are.
+    fn take_all(road: &Arc<Road>, huts: &[SocketAddr]) {
+        for followed in &mut road.feed.lines().huts {
+            followed.is_named = huts.contains(&followed.hut);
+        }
+    }
+
+    /// Whether a hut is followed on, as its line does not stand.
+    fn goes_on(&self, now: Time, hut: SocketAddr) -> bool {
+        let mut lines = self.lines();
+        let others = !lines.open.is_empty();
+        let Some(place) = lines.huts.iter().position(|f| f.hut == hut) else { return false };
+        let followed = &lines.huts[place];
+        let goes_on = followed.is_named || !others || now - followed.reached_at < UNREACHED;
+        if !goes_on {
+            lines.huts.remove(place);
+        }
+        goes_on
+    }
+
+    /// Looks at the settings file, which may change with a signal or without one, and is asked as well while no hut
+    /// is in reach: the seeds that it names are followed. A file that can't be used changes nothing.
+    pub fn look_at_settings(road: &Arc<Road>, is_told: bool) {
+        let now = road.alarms.now();
+        let (is_alone, known) = {
+            let mut lines = road.feed.lines();
+            if !lines.open.is_empty() || lines.reached_at == Time::default() {
+                lines.reached_at = now;
+            }
+            let is_alone = now - lines.reached_at > ALONE;
+            if is_alone {
+                lines.reached_at = now;
+            }
+            (is_alone, lines.huts.len())
+        };
+        let looked = {
+            let mut reload = road.feed.reload.lock().unwrap_or_else(|e| e.into_inner());
+            reload.get_or_insert_with(Reload::from_environment).look(is_told || is_alone)
+        };
+        match looked {
+            None => {}
+            Some(Ok(seeds)) => {
+                Feed::meet(road, &seeds);
+                if is_told || road.feed.lines().huts.len() > known {
+                    info!(seeds = seeds.len(), alone = is_alone; "the settings are read again: seeds only");
+                }
+            }
+            Some(Err(error)) => warn!(error = error; "the settings can't be read again: the old ones stay"),
+        }
+    }
+
+    /// Keeps a line to one hut, for as long as it is followed.
     fn follow(road: &Arc<Road>, hut: SocketAddr) {
         let inner = SocketAddr::new(hut.ip(), road.settings.ports.0);
         let mut is_first = true;
-        loop {
+        let mut again = AGAIN;
+        while road.feed.goes_on(road.alarms.now(), hut) {
             if let Some(conn) = lines::open(&road.alarms, inner, OPENING) {
+                again = AGAIN;
                 // Who begins needs to know all lives once; who was away from one hut, what that one heard.
                 let lives = !is_first || !road.rooms().has_lives;
                 is_first = false;
@@ -84,11 +158,22 @@
                 Feed::speak_to(road, Some(&conn));
                 Feed::listen(road, &conn);
                 conn.close();
-                road.feed.lines().open.retain(|l| !Arc::ptr_eq(&l.conn, &conn));
+                {
+                    let now = road.alarms.now();
+                    let mut lines = road.feed.lines();
+                    lines.open.retain(|l| !Arc::ptr_eq(&l.conn, &conn));
+                    lines.reached_at = now;
+                    if let Some(followed) = lines.huts.iter_mut().find(|f| f.hut == hut) {
+                        followed.reached_at = now;
+                    }
+                }
                 info!(hut = hut.to_string(); "a line of the feed has ended");
+            } else {
+                again = again.times(1.25).min(AGAIN_AT_MOST);
             }
-            road.alarms.sleep_until(road.alarms.now() + AGAIN);
+            road.alarms.sleep_until(road.alarms.now() + again);
         }
+        info!(hut = hut.to_string(); "a hut is followed no more");
     }
 
     fn listen(road: &Arc<Road>, conn: &Arc<Conn>) {
@@ -122,7 +207,12 @@
                     Feed::heard(road, conn, |line| line.got = line.got.max(number));
                 }
                 Down::Zones(zones) => road.rooms().take_zones(now, &zones),
-                Down::Huts(huts) => Feed::meet(road, &huts),
+                Down::Huts { huts, whole } => {
+                    Feed::meet(road, &huts);
+                    if whole {
+                        Feed::take_all(road, &huts);
+                    }
+                }
             }
             true
         });
@@ -141,6 +231,7 @@
             road.alarms.sleep_until(at);
             at = at + PING;
             Feed::speak_to(road, None);
+            Feed::look_at_settings(road, false);
         }
     }
 
@@ -148,12 +239,12 @@
     pub fn speak_to(road: &Road, only: Option<&Arc<Conn>>) {
         let now = road.alarms.now();
         let mut lines = road.feed.lines();
-        let (have, ready, mut counts, held) = {
+        let (have, readiness, mut counts, held) = {
             let mut rooms = road.rooms();
             let leads = lines.open.iter().any(|l| l.leads) && only.is_none();
             let counts = if leads { rooms.buckets.counts() } else { Vec::new() };
             let held = lines.open.iter().any(|l| l.leads && !l.knows).then(|| rooms.buckets.holds(now));
-            (rooms.mirror.number(), rooms.is_ready(now), counts, held)
+            (rooms.mirror.number(), readiness(road, &rooms, now), counts, held)
         };
         // Of two that say that they lead, one has not heard yet that it does no more.
         lines.open.sort_by_key(|l| (!l.leads, l.hut));
@@ -161,8 +252,23 @@
             let counts = if line.leads { std::mem::take(&mut counts) } else { Vec::new() };
             let holds = if line.leads && !line.knows { held.clone() } else { None };
             line.knows |= holds.is_some();
-            let ping = Ping { clock: now.nanos(), have, ready, got: line.got, counts, holds };
+            let ping = Ping { clock: now.nanos(), have, readiness, got: line.got, counts, holds };
             lines::write(&line.conn, &lines::frame(&Up::Ping(ping)), MOST_UNSENT);
         }
     }
 }
+
+/// Whether clients may come, as the directory is told.
+fn readiness(road: &Road, rooms: &Rooms, now: Time) -> Readiness {
+    let bounds = &road.settings.bounds;
+    let can_serve = rooms.has_lives && rooms.mirror.version().is_some();
+    if rooms.is_leaving {
+        Readiness::Leaving
+    } else if rooms.is_ready(now) {
+        Readiness::Ready
+    } else if can_serve && rooms.trust.holds(now, bounds.revoke_final.then_some(bounds.revoke)) {
+        Readiness::Stale
+    } else {
+        Readiness::Starting
+    }
+}
--- a/crates/trailbook/src/settings.rs
+++ b/crates/trailbook/src/settings.rs
@@ -2,6 +2,8 @@
 //! what is wrong is named by its key.
 
 use std::net::{IpAddr, SocketAddr};
+use std::os::unix::fs::MetadataExt;
+use std::time::SystemTime;
 
 use lynxstair::types::Span;
 use yaml_rust2::{Yaml, YamlLoader};
@@ -65,12 +67,7 @@
 }
 
 impl Settings {
-    /// Reads the file that the environment names; what is wrong is named by file and key.
-    pub fn from_environment() -> Result<Settings, String> {
-        let file = std::env::var(VARIABLE).map_err(|_| format!("{VARIABLE} names no settings file"))?;
-        Settings::from_file(&file)
-    }
-
+    /// Reads a file; what is wrong is named by file and key.
     pub fn from_file(file: &str) -> Result<Settings, String> {
         let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
         Settings::read(&text).map_err(|fault| format!("{file}: {fault}"))
@@ -153,6 +150,43 @@
     }
 }
 
+/// The settings file while a program runs: it may change with a signal or without one. What may change in it is where
+/// other machines of the core are.
+#[derive(Debug, Default)]
+pub struct Reload {
+    file: String,
+    seen: Option<(SystemTime, u64, u64)>,
+}
+
+impl Reload {
+    /// The file that the environment names, as it was read at the start.
+    pub fn from_environment() -> Reload {
+        Reload::new(std::env::var(VARIABLE).unwrap_or_default())
+    }
+
+    pub fn new(file: String) -> Reload {
+        let mut reload = Reload { file, seen: None };
+        reload.seen = reload.stamp();
+        reload
+    }
+
+    /// The seeds that the file names now, where it has changed since it was looked at; or in any case, where `anyway`.
+    /// What can't be read changes nothing.
+    pub fn look(&mut self, anyway: bool) -> Option<Result<Vec<SocketAddr>, String>> {
+        let stamp = self.stamp();
+        if stamp == self.seen && !anyway {
+            return None;
+        }
+        self.seen = stamp;
+        Some(Settings::from_file(&self.file).map(|settings| settings.seeds))
+    }
+
+    fn stamp(&self) -> Option<(SystemTime, u64, u64)> {
+        let about = std::fs::metadata(&self.file).ok()?;
+        Some((about.modified().ok()?, about.len(), about.ino()))
+    }
+}
+
 fn address(value: &Value, at: &str) -> Result<SocketAddr, Fault> {
     let text = values::text(value, at)?;
     text.parse().or_else(|_| fault(at, format!("{text} is no address with a port")))
--- a/crates/trailbook/tests/settings.rs
+++ b/crates/trailbook/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Settings files: what is good is read, what is bad is named by its key.
 
 use lynxstair::types::Span;
-use lynxstair_trailbook::settings::Settings;
+use lynxstair_trailbook::settings::{Reload, Settings};
 
 const GOOD: &str = "node-name: \"e1\"\nrole: \"x\"\nip: \"10.1.0.23\"\nzone: \"a\"\nregion: \"r\"\n\
     zones:\n  a: \"r\"\n  b: \"s\"\nbind:\n  front: \"10.1.0.23:80\"\nport-range:\n  - 7460\n  - 7475\n\
@@ -38,3 +38,29 @@
         assert!(got.starts_with(wanted), "{got}, not {wanted}");
     }
 }
+
+/// A file that changes while a program runs is read once for each change, or when asked to; one that can't be used is
+/// named.
+#[test]
+fn files_that_change() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("local.yaml");
+    let write = |text: &str| {
+        // Put in place whole, as an operator's tools do.
+        let new = folder.path().join("new");
+        std::fs::write(&new, text).expect("written");
+        std::fs::rename(&new, &path).expect("renamed");
+    };
+    write(GOOD);
+    let mut reload = Reload::new(path.display().to_string());
+    assert_eq!(reload.look(false), None);
+    write(&GOOD.replace("10.1.0.25:83", "10.1.0.26:83"));
+    let seeds = vec!["10.1.0.26:83".parse().expect("one")];
+    assert_eq!(reload.look(false), Some(Ok(seeds.clone())));
+    assert_eq!((reload.look(false), reload.look(true)), (None, Some(Ok(seeds))));
+    write(&GOOD.replace("10.1.0.25:83", "nowhere"));
+    let error = reload.look(false).expect("changed").expect_err("bad");
+    assert!(error.contains("local.yaml: seeds: nowhere"), "{error}");
+    std::fs::remove_file(&path).expect("removed");
+    assert!(reload.look(false).is_some_and(|r| r.is_err()) && reload.look(false).is_none());
+}
