--- a/crates/cairn/src/lib.rs
+++ b/crates/cairn/src/lib.rs
@@ -80,6 +80,7 @@
 }
 
 /// A write that is not known to be on the disk, and the messages that wait for it.
+#[derive(Clone, Debug)]
 struct Write {
     number: u64,
     last: LogId,
@@ -87,6 +88,7 @@
     messages: Vec<(Node, Message)>,
 }
 
+#[derive(Clone, Debug)]
 pub struct Cairn {
     me: Node,
     rng: Rng,
