--- a/crates/cairn/src/lib.rs
+++ b/crates/cairn/src/lib.rs
@@ -91,7 +91,9 @@
 #[derive(Clone, Debug)]
 pub struct Cairn {
     me: Node,
-    rng: Rng,
+    /// Chance, by its seed and how often it was asked for: so that the room can be copied.
+    seed: u64,
+    drawn: u64,
     /// How many voters there are to be, how many disks hold what is committed, and when a silent one is taken for
     /// gone where another waits for its place.
     wanted: usize,
@@ -145,7 +147,8 @@
         });
         let mut cairn = Cairn {
             me: boot.me,
-            rng,
+            seed: boot.seed,
+            drawn: 0,
             wanted: 2 * boot.tolerated + 1,
             tolerated: boot.tolerated,
             silent: boot.catch_up.times(membership::SILENT_PART),
@@ -298,6 +301,12 @@
 
     // ---- what its parts share ----
 
+    /// From 0 to 1.
+    fn draw(&mut self) -> f64 {
+        self.drawn += 1;
+        Rng::new(self.seed ^ self.drawn.wrapping_mul(0x9e37_79b9_7f4a_7c15)).unit()
+    }
+
     fn own(&self) -> Member {
         Member { node: self.me, disk: self.record.disk }
     }
--- a/crates/cairn/src/role.rs
+++ b/crates/cairn/src/role.rs
@@ -118,7 +118,7 @@
     pub(crate) fn rest(&mut self) {
         let (silent, drawn) =
             if self.has_heard { (SILENT, DRAWN) } else { (SILENT_AT_START, DRAWN.times(0.6)) };
-        self.patience = silent + drawn.times(self.rng.unit());
+        self.patience = silent + drawn.times(self.draw());
     }
 
     pub(crate) fn stand_as(&mut self, role: Role) {
