--- a/crates/pass/src/clients.rs
+++ b/crates/pass/src/clients.rs
@@ -6,8 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use lynxstair::types::{Outcome, Span, Time};
-use lynxstair_trailbook::verdict::Verdict;
+use lynxstair::types::{Span, Time};
 use lynxstair_wire::calls;
 use lynxstair_wire::conn::{Conn, Got, Ring};
 use lynxstair_wire::coroutine::go_then;
@@ -387,16 +386,19 @@
             return road.workers.done(answer);
         }
         if answer.rest > 0 {
-            let whole =
-                answer.more(&road.alarms, admitted.until + Span::from_millis(500), carrier, |piece| {
-                    while self.conn.unsent() > MOST_UNREAD {
-                        if self.conn.is_closed() || carrier.is_gone() || road.alarms.now() >= admitted.until {
-                            return false;
-                        }
-                        road.alarms.sleep_until(road.alarms.now() + Span::from_millis(5));
+            let has_room = || {
+                while self.conn.unsent() > MOST_UNREAD {
+                    if self.conn.is_closed() || carrier.is_gone() || road.alarms.now() >= admitted.until {
+                        return false;
                     }
-                    self.conn.write(|out| out.write_all(piece)).is_ok()
-                });
+                    road.alarms.sleep_until(road.alarms.now() + Span::from_millis(5));
+                }
+                true
+            };
+            let by = admitted.until + Span::from_millis(500);
+            let whole = answer.more(&road.alarms, by, carrier, has_room, |piece| {
+                self.conn.write(|out| out.write_all(piece)).is_ok()
+            });
             if !whole {
                 // Cut short of its length: the client can tell.
                 self.conn.close();
@@ -452,6 +454,7 @@
         let host = headers.only("host").map_err(bad)?.unwrap_or("");
         let key = headers.only("authorization").map_err(bad)?;
         let key = key.and_then(|k| k.split_once(' ')).filter(|(s, _)| s.eq_ignore_ascii_case("bearer"));
+        headers.only("attempt-id").map_err(bad)?;
         let left = headers.only("time-left-ms").map_err(bad)?;
         let patience = left.and_then(|l| l.parse::<f64>().ok()).map(|ms| Span::from_secs(ms / 1000.0));
         if attempt.is_empty() || attempt.len() > 128 {
@@ -459,7 +462,8 @@
         }
         let asked = Asked { host, path, key: key.map(|(_, k)| k.trim()), patience };
         let mut request = self.rooms().admit(read_at, &asked)?;
-        let until = request.until.saturating_sub(MARGIN);
+        request.until = request.until.saturating_sub(MARGIN);
+        let until = request.until;
         // A worker's own failure of what may be repeated: the client's answer where no other worker takes it.
         let mut failed: Option<Answer> = None;
         loop {
@@ -473,21 +477,16 @@
                 (Err(_), Some(answer)) => return Ok((request, answer)),
                 (Err(own), None) => return Err(own),
             };
-            let tenant = request.tenant.clone();
-            let out = Outgoing { call, body, tenant: tenant.as_deref(), attempt };
+            let may_go = |now| self.rooms().may_go(now, &request, &sent.worker);
+            let out =
+                Outgoing { call, body, tenant: request.tenant.as_deref(), attempt, may_go: &may_go };
             let tried = self.workers.send(&self.alarms, &sent.worker, &out, until, carrier);
             let now = self.alarms.now();
             self.rooms().ended(now, &mut request, &sent, tried.outcome, tried.verdict);
             match tried.answer {
-                Some(answer) if tried.outcome == Outcome::Errored && request.kind.is_repeatable() => {
-                    request.verdict = Verdict::MayHaveRun;
-                    failed = Some(answer);
-                }
+                Some(answer) if tried.verdict.may_go_again(request.kind.is_repeatable()) => failed = Some(answer),
                 Some(answer) => return Ok((request, answer)),
                 None if carrier.is_gone() => return Err(Own::new(502, "the client has left")),
-                None if now >= until && tried.verdict != Verdict::NeverRan => {
-                    return Err(Own::new(504, "the time is up"));
-                }
                 None => {}
             }
         }
--- a/crates/pass/src/main.rs
+++ b/crates/pass/src/main.rs
@@ -1,14 +1,9 @@
 //! The pass: one gatekeeper of the system's road.
 #![deny(unsafe_code)]
 
-mod clients;
-mod feed;
-mod road;
-mod rooms;
-mod workers;
-
 use std::process::ExitCode;
 
+use lynxstair_pass::road;
 use lynxstair_trailbook::program::{Asked, ask, log_json};
 use lynxstair_trailbook::settings::Settings;
 
--- a/crates/pass/src/rooms.rs
+++ b/crates/pass/src/rooms.rs
@@ -216,21 +216,17 @@
     /// The worker that a request goes to now, the first time or again; else the final answer, at once.
     pub fn pick(&mut self, now: Time, request: &mut Admitted) -> Result<Box<Sent>, Own> {
         let is_first = request.tried.is_empty();
-        if !is_first {
-            let may = request.verdict.may_go_again(request.kind.is_repeatable())
-                && request.tried.len() < request.max_attempts
-                && now < request.until;
-            if !may || !self.budget.spend(&request.service) {
-                return Err(self.give_up(request, request.target.times(0.25)));
-            }
+        let soon = request.target.times(0.25);
+        let may = request.verdict.may_go_again(request.kind.is_repeatable())
+            && request.tried.len() < request.max_attempts
+            && now < request.until
+            && self.may_serve(now, request);
+        if !may || !is_first && !self.budget.spend(&request.service) {
+            return Err(self.give_up(now, request, soon));
         }
-        // What binds at the moment of sending on is taken from the newest version, not from the request's.
-        let version = self.mirror.version().unwrap_or_else(|| request.version.clone());
-        let (settings, homes) = (&self.settings, &request.homes);
-        let allows = |zone: &str| {
-            let region = settings.region_of(zone).unwrap_or("");
-            !version.evacuated.contains(zone) && homes.iter().all(|h| h.iter().any(|r| r == region))
-        };
+        let version = self.newest(request);
+        let settings = &self.settings;
+        let allows = |zone: &str| allows(settings, &version, request, zone);
         let mirror = &self.mirror;
         let unsaid_for = Cold::unsaid(settings.beat_period);
         let unsaid = |zone: &str| mirror.returned_at(zone).is_some_and(|at| now - at < unsaid_for);
@@ -251,10 +247,26 @@
                 request.spent = true;
                 Ok(sent)
             }
-            Pick::Full(wait) => Err(self.give_up(request, wait)),
+            Pick::Full(wait) => Err(self.give_up(now, request, wait)),
         }
     }
 
+    /// What binds at the moment of sending on is taken from the newest version, not from the request's.
+    fn newest(&self, request: &Admitted) -> Arc<Version> {
+        self.mirror.version().unwrap_or_else(|| request.version.clone())
+    }
+
+    /// Whether requests like this one may go to workers at all: for tenants only while the book is surely new enough.
+    fn may_serve(&self, now: Time, request: &Admitted) -> bool {
+        let revoke = self.settings.bounds.revoke_final.then_some(self.settings.bounds.revoke);
+        request.tenant.is_none() || self.trust.holds(now, revoke)
+    }
+
+    /// Whether a request that was picked a worker for may still go there, right before it is handed over.
+    pub fn may_go(&self, now: Time, request: &Admitted, worker: &Worker) -> bool {
+        self.may_serve(now, request) && allows(&self.settings, &self.newest(request), request, &worker.zone)
+    }
+
     /// How a try ended; what is known of the request after it.
     pub fn ended(
         &mut self,
@@ -269,14 +281,22 @@
     }
 
     /// The final answer to a request that goes to no worker any more.
-    fn give_up(&mut self, request: &Admitted, wait: Span) -> Own {
+    fn give_up(&mut self, now: Time, request: &Admitted, wait: Span) -> Own {
         if request.verdict.may_promise() {
             if let Some(tenant) = &request.tenant {
                 self.buckets.give_back(tenant);
             }
             Own::later(503, "no worker takes it now", wait)
+        } else if now >= request.until {
+            Own::new(504, "the time is up")
         } else {
             Own::new(502, "no worker's answer came")
         }
     }
 }
+
+/// Whether workers of a zone may serve a request: by evacuations and by homes.
+fn allows(settings: &Settings, version: &Version, request: &Admitted, zone: &str) -> bool {
+    let region = settings.region_of(zone).unwrap_or("");
+    !version.evacuated.contains(zone) && request.homes.iter().all(|h| h.iter().any(|r| r == region))
+}
--- a/crates/pass/src/workers.rs
+++ b/crates/pass/src/workers.rs
@@ -7,15 +7,16 @@
 
 use lynxstair::types::{Outcome, Span, Time};
 use lynxstair_ridge::ladder::Worker;
+use lynxstair_ridge::tries::{End, Heard, Met, State, Step, Stop as Why, Try, Whose};
 use lynxstair_trailbook::verdict::Verdict;
 use lynxstair_wire::alarms::Alarms;
 use lynxstair_wire::conn::{Conn, Got, Ring};
-use lynxstair_wire::http::{self, Extent, MOST_HEAD, Stop};
+use lynxstair_wire::http::{self, Bad, Extent, MOST_HEAD, Stop};
 
 /// An answer up to this long is held until it is whole; a longer one is passed on as it comes.
 const HELD: usize = 64 << 10;
-/// What a connection holds of an answer that is not whole.
-const MOST: usize = (1 << 20) + MOST_HEAD;
+/// What a connection holds of an answer that is not whole, and of a request that the kernel has not taken.
+const MOST: usize = (2 << 20) + 2 * MOST_HEAD;
 /// A connection to a worker that takes longer leads to none that is there.
 const CONNECTING: Span = Span::from_millis(400);
 /// An idle connection is used no longer than this, or than the worker says, less a margin.
@@ -40,6 +41,8 @@
     pub body: &'a [u8],
     pub tenant: Option<&'a str>,
     pub attempt: &'a str,
+    /// Asked right before the request is handed over: whether it may still go to this worker.
+    pub may_go: &'a dyn Fn(Time) -> bool,
 }
 
 /// What a try came to.
@@ -144,6 +147,34 @@
         true
     }
 
+    /// A connection to the worker: an idle one, or a new one; with whether it is new.
+    fn connect(
+        &self,
+        alarms: &Alarms,
+        worker: &Worker,
+        until: Time,
+        carrier: &Carrier,
+    ) -> Option<(Arc<Conn>, bool)> {
+        let now = alarms.now();
+        if let Some(conn) = self.find(now, worker) {
+            carrier.carries(&conn);
+            return Some((conn, false));
+        }
+        if !self.make_room() {
+            return None;
+        }
+        let conn = Arc::new(Conn::open(worker.address, MOST).ok()?);
+        self.open.fetch_add(1, Ordering::Relaxed);
+        carrier.carries(&conn);
+        let by = (now + CONNECTING).min(until);
+        alarms.nudge(by, &conn);
+        if conn.connected_by(|| alarms.now() >= by || carrier.is_gone()).is_err() {
+            self.end(&conn);
+            return None;
+        }
+        Some((conn, true))
+    }
+
     /// One try of a request at a worker. It is given up when `until` comes.
     pub fn send(
         &self,
@@ -153,57 +184,47 @@
         until: Time,
         carrier: &Carrier,
     ) -> Tried {
-        let tried = |verdict, outcome| Tried { verdict, outcome, answer: None };
-        let never = |outcome| tried(Verdict::NeverRan, outcome);
-        let now = alarms.now();
-        let found = self.find(now, worker);
-        let is_new = found.is_none();
-        let conn = match found {
-            Some(conn) => conn,
-            None => {
-                if !self.make_room() {
-                    return never(Outcome::ConnectFailed);
-                }
-                let Ok(conn) = Conn::open(worker.address, MOST) else { return never(Outcome::ConnectFailed) };
-                self.open.fetch_add(1, Ordering::Relaxed);
-                Arc::new(conn)
-            }
-        };
-        carrier.carries(&conn);
-        if is_new {
-            let by = (now + CONNECTING).min(until);
-            alarms.nudge(by, &conn);
-            if conn.connected_by(|| alarms.now() >= by || carrier.is_gone()).is_err() {
-                self.end(&conn);
-                let gone = carrier.is_gone();
-                return never(if gone { Outcome::Cancelled } else { Outcome::ConnectFailed });
-            }
+        if carrier.is_gone() {
+            return unsent(Met::Stopped { why: Why::ClientGone, in_part: false });
         }
-        let left = (until - alarms.now()).nanos() / 1_000_000;
-        let written = conn.write(|ring| put_request(ring, out, worker, left));
-        if written.is_err() {
-            // What the kernel did not take whole, the worker can't have begun.
-            let verdict = if conn.unsent() > 0 { Verdict::NeverRan } else { Verdict::MayHaveRun };
+        let Some((conn, is_first)) = self.connect(alarms, worker, until, carrier) else {
+            let gone = carrier.is_gone();
+            return unsent(if gone {
+                Met::Stopped { why: Why::ClientGone, in_part: false }
+            } else {
+                Met::NoConnection
+            });
+        };
+        // It may have taken its time to come up, and the gatekeeper may have stood still.
+        let now = alarms.now();
+        if now >= until || carrier.is_gone() || !(out.may_go)(now) {
             self.end(&conn);
-            let never = verdict == Verdict::NeverRan;
-            return tried(verdict, if never { Outcome::ConnectFailed } else { Outcome::Reset });
+            return unsent(Met::Withheld);
         }
-        alarms.nudge(until, &conn);
-        let ended = self.hear(alarms, worker, &conn, out.attempt, until, carrier);
-        match ended {
-            Ok(answer) => answer,
-            Err(outcome) => {
-                let never = conn.unsent() > 0;
-                self.end(&conn);
-                match outcome {
-                    _ if never => tried(Verdict::NeverRan, Outcome::ConnectFailed),
-                    outcome => tried(Verdict::MayHaveRun, outcome),
-                }
+        let mut this = Try::begin(is_first);
+        let left = (until - now).nanos() / 1_000_000;
+        let mut is_put = false;
+        let written = conn.write(|ring| {
+            put_request(ring, out, worker, left)?;
+            is_put = true;
+            Ok(())
+        });
+        let end = if written.is_err() && !is_put {
+            // Too large for what may be held: nothing of it went out.
+            this.step(Met::NoConnection)
+        } else {
+            alarms.nudge(until, &conn);
+            match self.hear(alarms, worker, &conn, out.attempt, until, carrier, &mut this) {
+                Ok(tried) => return tried,
+                Err(met) => this.step(met),
             }
-        }
+        };
+        self.end(&conn);
+        ended(end)
     }
 
-    /// Waits for the answer that carries the request's id.
+    /// Waits for the request's own answer. `Err`: what ended the try without one.
+    #[allow(clippy::too_many_arguments)]
     fn hear(
         &self,
         alarms: &Alarms,
@@ -212,107 +233,66 @@
         attempt: &str,
         until: Time,
         carrier: &Carrier,
-    ) -> Result<Tried, Outcome> {
+        this: &mut Try,
+    ) -> Result<Tried, Met> {
         loop {
-            let stop = match conn.read() {
+            let mut stop = match conn.read() {
                 Got::Bytes => Stop::Open,
                 Got::End => Stop::Orderly,
                 Got::Broken => Stop::Broken,
             };
-            loop {
-                let mut inbound = conn.inbound();
-                if inbound.is_empty() {
+            let why = match stop {
+                Stop::Open if carrier.is_gone() => Some(Why::ClientGone),
+                Stop::Open if alarms.now() >= until => Some(Why::TimeUp),
+                Stop::Open => None,
+                Stop::Orderly | Stop::Broken => Some(Why::Lost),
+            };
+            if why.is_some() {
+                // Who stood still is woken by the time that is up before the answer that came in time: what the
+                // kernel holds is read before anything is said.
+                while let Some(got) = conn.look() {
+                    match got {
+                        Got::Bytes => continue,
+                        Got::End => stop = Stop::Orderly,
+                        Got::Broken => stop = Stop::Broken,
+                    }
                     break;
                 }
-                let bytes = inbound.bytes();
-                let (head, status, has_id, not_run, is_good, length, keep, coded) = match http::answer(bytes)
-                {
-                    Ok(None) => break,
-                    Err(_) => return Err(Outcome::Errored),
-                    Ok(Some((answer, head))) => {
-                        let headers = &answer.headers;
-                        let id = headers.get("attempt-id");
-                        let coded = headers.get("content-encoding").is_some();
-                        let seal = headers.get("server-seal").is_some();
-                        let is_good = !coded && (seal || !(200..300).contains(&answer.status));
-                        (
-                            head,
-                            answer.status,
-                            id == Some(attempt),
-                            headers.get("not-run").is_some() || answer.status == 421,
-                            is_good,
-                            headers.get("content-length").and_then(|l| l.parse::<usize>().ok()),
-                            headers.get("keep-alive").and_then(idle_of),
-                            headers.get("transfer-encoding").is_some(),
-                        )
+            }
+            if this.state() < State::Sent {
+                this.step(Met::Taken { all: conn.unsent() == 0 });
+            }
+            loop {
+                let found = look_at(&mut conn.inbound(), attempt, stop)?;
+                let Some(found) = found else { break };
+                let end = match this.step(Met::Answer(found.heard)) {
+                    Step::Over(end) => end,
+                    Step::GoOn | Step::PassOver if found.rest > 0 => break,
+                    Step::GoOn | Step::PassOver => {
+                        conn.inbound().consume(found.extent.all);
+                        continue;
                     }
                 };
-                let extent = match http::answer_extent(bytes, stop, MOST) {
-                    Ok(Some(extent)) => extent,
-                    Ok(None) => {
-                        // A long one is passed on as it comes, once it is known to be the right one.
-                        if let Some(length) = length
-                            && length > HELD
-                            && !coded
-                            && has_id
-                            && is_good
-                            && !not_run
-                            && stop == Stop::Open
-                        {
-                            let here = bytes.len() - head;
-                            let extent =
-                                Extent { head, body: head..head + here, all: head + here, keep_alive: false };
-                            let answer = Answer {
-                                conn: conn.clone(),
-                                status,
-                                extent,
-                                rest: length - here,
-                                keep: None,
-                                worker: worker.clone(),
-                            };
-                            return Ok(answered(status, answer));
-                        }
-                        break;
-                    }
-                    Err(_) => return Err(Outcome::Errored),
+                let until = end.keep.then(|| alarms.now() + idle_for(found.keep));
+                let answer = Answer {
+                    conn: conn.clone(),
+                    status: found.heard.status,
+                    extent: found.extent,
+                    rest: found.rest,
+                    keep: until,
+                    worker: worker.clone(),
                 };
-                if (100..200).contains(&status) {
-                    inbound.consume(extent.all);
-                    continue;
-                }
-                if !has_id && !not_run {
-                    // A surplus one, for a request before: the right one may still come.
-                    inbound.consume(extent.all);
-                    continue;
-                }
-                if not_run {
-                    let keep = extent.keep_alive && inbound.len() == extent.all;
-                    inbound.consume(extent.all);
-                    drop(inbound);
-                    let until = alarms.now() + idle_for(None);
-                    if keep && stop == Stop::Open {
-                        self.rest(worker, conn.clone(), until)
-                    } else {
-                        self.end(conn)
+                let tried = ended(Step::Over(end));
+                return Ok(match end.verdict {
+                    Verdict::Ran | Verdict::Failed => Tried { answer: Some(answer), ..tried },
+                    Verdict::NeverRan | Verdict::MayHaveRun => {
+                        self.done(answer);
+                        tried
                     }
-                    return Ok(Tried { verdict: Verdict::NeverRan, outcome: Outcome::Full, answer: None });
-                }
-                if !is_good {
-                    return Err(Outcome::Errored);
-                }
-                let reuse = extent.keep_alive && inbound.len() == extent.all && stop == Stop::Open;
-                let keep = reuse.then(|| alarms.now() + idle_for(keep));
-                let (conn, worker) = (conn.clone(), worker.clone());
-                return Ok(answered(status, Answer { conn, status, extent, rest: 0, keep, worker }));
-            }
-            if stop != Stop::Open {
-                return Err(Outcome::Reset);
-            }
-            if carrier.is_gone() {
-                return Err(Outcome::Cancelled);
+                });
             }
-            if alarms.now() >= until {
-                return Err(Outcome::TimedOut);
+            if let Some(why) = why {
+                return Err(Met::Stopped { why, in_part: !conn.inbound().is_empty() });
             }
         }
     }
@@ -329,9 +309,76 @@
     }
 }
 
-fn answered(status: u16, answer: Answer) -> Tried {
-    let outcome = if status < 500 { Outcome::Succeeded } else { Outcome::Errored };
-    Tried { verdict: Verdict::Ran, outcome, answer: Some(answer) }
+/// A try that ended without an answer to pass on.
+fn ended(step: Step) -> Tried {
+    let (verdict, outcome) = match step {
+        Step::Over(End { verdict, outcome, .. }) => (verdict, outcome),
+        // A try whose connection is let go has ended.
+        Step::GoOn | Step::PassOver => (Verdict::MayHaveRun, Outcome::Errored),
+    };
+    Tried { verdict, outcome, answer: None }
+}
+
+/// A try of which nothing went out.
+fn unsent(met: Met) -> Tried {
+    ended(Try::begin(true).step(met))
+}
+
+/// An answer at the front of what came in.
+struct Found {
+    heard: Heard,
+    extent: Extent,
+    /// Only its beginning is here; so many bytes of the body are to come.
+    rest: usize,
+    /// How long the worker keeps the connection, where it says so.
+    keep: Option<Span>,
+}
+
+/// The answer at the front, once it is whole, or, where it is long, once its head is.
+fn look_at(inbound: &mut Ring, attempt: &str, stop: Stop) -> Result<Option<Found>, Met> {
+    if inbound.is_empty() {
+        return Ok(None);
+    }
+    let bytes = inbound.bytes();
+    let (head, mut heard, long, keep) = match http::answer(bytes) {
+        Ok(None) => return Ok(None),
+        Err(_) => return Err(Met::Garbled),
+        Ok(Some((answer, head))) => {
+            let headers = &answer.headers;
+            let has = |name| headers.get(name).is_some();
+            let whose = match headers.only("attempt-id") {
+                Ok(Some(id)) if id == attempt => Whose::Ours,
+                Ok(Some(_)) => Whose::Anothers,
+                Ok(None) => Whose::Nobodys,
+                Err(_) => Whose::Unclear,
+            };
+            let heard = Heard {
+                whose,
+                status: answer.status,
+                says_not_run: has("not-run"),
+                is_sealed: has("server-seal"),
+                is_encoded: has("content-encoding"),
+                is_clean: false,
+            };
+            let length = headers.get("content-length").and_then(|l| l.parse::<usize>().ok());
+            let long = length.filter(|l| *l > HELD && !has("transfer-encoding"));
+            (head, heard, long, headers.get("keep-alive").and_then(idle_of))
+        }
+    };
+    let here = bytes.len() - head;
+    match (http::answer_extent(bytes, stop, MOST), long) {
+        (Ok(Some(extent)), _) => {
+            heard.is_clean = extent.keep_alive && extent.all == inbound.len() && stop == Stop::Open;
+            Ok(Some(Found { heard, extent, rest: 0, keep }))
+        }
+        // A long one is passed on as it comes, once it is known to be the right one.
+        (Ok(None) | Err(Bad(413, _)), Some(length)) if stop == Stop::Open && length > here => {
+            let extent = Extent { head, body: head..head + here, all: head + here, keep_alive: false };
+            Ok(Some(Found { heard, extent, rest: length - here, keep }))
+        }
+        (Ok(None), _) => Ok(None),
+        (Err(_), _) => Err(Met::Garbled),
+    }
 }
 
 /// How long a worker keeps an idle connection, by its own word.
@@ -391,17 +438,23 @@
         out.write_all(body)
     }
 
-    /// Takes the next piece of a long body; false where it broke off.
+    /// Takes the rest of a long body, a piece whenever there is room for it; false where it broke off.
     pub fn more(
         &mut self,
         alarms: &Alarms,
         until: Time,
         carrier: &Carrier,
+        mut has_room: impl FnMut() -> bool,
         mut put: impl FnMut(&[u8]) -> bool,
     ) -> bool {
         self.conn.inbound().consume(self.extent.all);
         self.extent = Extent::default();
+        alarms.nudge(until, &self.conn);
         while self.rest > 0 {
+            // Waited for with no lock held.
+            if !has_room() {
+                return false;
+            }
             {
                 let mut inbound = self.conn.inbound();
                 let n = inbound.len().min(self.rest);
@@ -414,11 +467,11 @@
                     continue;
                 }
             }
-            if carrier.is_gone() || alarms.now() >= until || self.conn.read() != Got::Bytes {
-                let here = self.conn.inbound().len();
-                if here == 0 {
-                    return false;
-                }
+            // What the kernel holds already counts, however late we look.
+            let is_over = carrier.is_gone() || alarms.now() >= until;
+            let got = if is_over { self.conn.look().unwrap_or(Got::Broken) } else { self.conn.read() };
+            if got != Got::Bytes && self.conn.inbound().is_empty() {
+                return false;
             }
         }
         true
--- a/crates/ridge/src/ladder.rs
+++ b/crates/ridge/src/ladder.rs
@@ -34,7 +34,8 @@
     pub address: SocketAddr,
     pub service: String,
     pub zone: String,
-    number: WorkerId,
+    /// As the module knows it.
+    pub number: WorkerId,
 }
 
 struct Held {
--- a/crates/ridge/src/lib.rs
+++ b/crates/ridge/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod ladder;
 pub mod purse;
 pub mod register;
+pub mod tries;
 pub mod trust;
--- a/crates/trailbook/src/verdict.rs
+++ b/crates/trailbook/src/verdict.rs
@@ -1,12 +1,14 @@
 //! Whether a request may have run: what an answer to its client may promise, and whether it may be sent again.
 
-/// What is known of one try at a worker.
+/// What is known of one try at a worker, or of all tries of a request together; in the order of what outweighs what.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
-    /// It has not run and never will: no byte of it left, or the worker itself said so.
+    /// It has not run and never will: its last byte never left, or the worker itself said so.
     NeverRan,
     /// It was handed over, and nothing certain came back.
     MayHaveRun,
+    /// The worker ran it and answered with a failure.
+    Failed,
     /// The worker answered it.
     Ran,
 }
@@ -14,7 +16,11 @@
 impl Verdict {
     /// Whether the request may go to a worker once more.
     pub fn may_go_again(self, is_repeatable: bool) -> bool {
-        self == Verdict::NeverRan || is_repeatable && self == Verdict::MayHaveRun
+        match self {
+            Verdict::NeverRan => true,
+            Verdict::MayHaveRun | Verdict::Failed => is_repeatable,
+            Verdict::Ran => false,
+        }
     }
 
     /// Whether the client may be told that it has not run (429, 503, 408, 421). What is repeatable may be told so
--- a/crates/wire/src/conn.rs
+++ b/crates/wire/src/conn.rs
@@ -275,6 +275,15 @@
         }
     }
 
+    /// Reads what the kernel holds by now, without waiting. None: nothing more, for now.
+    pub fn look(&self) -> Option<Got> {
+        match self.read_now() {
+            Ok(0) => None,
+            Ok(_) => Some(Got::Bytes),
+            Err(_) => Some(self.end()),
+        }
+    }
+
     /// How it ended: in order only where nothing broke and nobody closed it here. A reset is no end.
     fn end(&self) -> Got {
         let broke = self.broken.load(Ordering::Relaxed) || self.is_closed();
