--- a/crates/pass/src/clients.rs
+++ b/crates/pass/src/clients.rs
@@ -478,13 +478,14 @@
                 (Err(own), None) => return Err(own),
             };
             let may_go = |now| self.rooms().may_go(now, &request, &sent.worker);
-            let out =
-                Outgoing { call, body, tenant: request.tenant.as_deref(), attempt, may_go: &may_go };
+            let out = Outgoing { call, body, tenant: request.tenant.as_deref(), attempt, may_go: &may_go };
             let tried = self.workers.send(&self.alarms, &sent.worker, &out, until, carrier);
             let now = self.alarms.now();
             self.rooms().ended(now, &mut request, &sent, tried.outcome, tried.verdict);
             match tried.answer {
-                Some(answer) if tried.verdict.may_go_again(request.kind.is_repeatable()) => failed = Some(answer),
+                Some(answer) if tried.verdict.may_go_again(request.kind.is_repeatable()) => {
+                    failed = Some(answer)
+                }
                 Some(answer) => return Ok((request, answer)),
                 None if carrier.is_gone() => return Err(Own::new(502, "the client has left")),
                 None => {}
--- a/crates/pass/tests/tries.rs
+++ b/crates/pass/tests/tries.rs
@@ -7,7 +7,7 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
-use lynxstair::types::Outcome::{self, Cancelled, ConnectFailed, Errored, Full, Reset, Succeeded, TimedOut};
+use lynxstair::types::Outcome::{self, Cancelled, Errored, Full, Reset, Succeeded, TimedOut};
 use lynxstair::types::{Span, Time, WorkerId};
 use lynxstair_pass::workers::{Carrier, Outgoing, Workers};
 use lynxstair_ridge::ladder::Worker;
@@ -63,10 +63,16 @@
                 answer.put(&mut ring, "").expect("put");
                 let head = ring.bytes().windows(4).position(|w| w == b"\r\n\r\n").expect("a head") + 4;
                 let mut text = ring.bytes()[head..].to_vec();
-                let whole = answer.more(&alarms, until, &carrier, || true, |piece| {
-                    text.extend_from_slice(piece);
-                    true
-                });
+                let whole = answer.more(
+                    &alarms,
+                    until,
+                    &carrier,
+                    || true,
+                    |piece| {
+                        text.extend_from_slice(piece);
+                        true
+                    },
+                );
                 workers.done(answer);
                 (status, String::from_utf8_lossy(&text).into_owned() + if whole { "" } else { " CUT" })
             });
@@ -140,7 +146,9 @@
 /// `ME` stands for the request's id.
 #[test]
 fn ends_of_a_try() {
-    let ours = |status: u16, headers: &str, body: &str| answer(status, &format!("Attempt-Id: ME\r\n{headers}"), body);
+    let ours = |status: u16, headers: &str, body: &str| {
+        answer(status, &format!("Attempt-Id: ME\r\n{headers}"), body)
+    };
     let full = |id: &str| answer(503, &format!("Attempt-Id: {id}\r\nNot-Run: 1\r\n"), "");
     let bare_full = answer(503, "Not-Run: 1\r\n", "");
     let bare_400 = answer(400, "Not-Run: 1\r\n", "");
@@ -148,7 +156,7 @@
     let long = "x".repeat(100_000);
     let cut_at = good("ME", &long).len() - 100_000;
     let cut = "x".repeat(70_000 - cut_at) + " CUT";
-        let is = |v: Verdict, o: Outcome| (v, o, None);
+    let is = |v: Verdict, o: Outcome| (v, o, None);
     let served = || (Ran, Succeeded, got_body(200, "yes"));
     // What, on a kept connection too (or only there, or only on a new one), the pieces, then, came to, kept.
     type Row = (&'static str, &'static [bool], Vec<String>, Then, Came, bool);
@@ -162,48 +170,209 @@
         ("answered in two reads, in the body", BOTH, half(&yes, yes.len() - 1), Waits, served(), true),
         ("answered, and closed", BOTH, vec![yes.clone()], Closes, served(), false),
         ("failed", BOTH, vec![ours(500, "", "no")], Waits, (Failed, Errored, got_body(500, "no")), true),
-        ("not found there", BOTH, vec![ours(404, "", "no")], Waits, (Ran, Succeeded, got_body(404, "no")), true),
+        (
+            "not found there",
+            BOTH,
+            vec![ours(404, "", "no")],
+            Waits,
+            (Ran, Succeeded, got_body(404, "no")),
+            true,
+        ),
         ("not run", BOTH, vec![full("ME")], Waits, is(NeverRan, Full), true),
         ("not this worker", BOTH, vec![ours(421, "", "")], Waits, is(NeverRan, Full), true),
-        ("not run, another's; then our answer", BOTH, vec![full("other"), yes.clone()], Waits, served(), false),
-        ("not run, another's; then ours", BOTH, vec![full("other") + &full("ME")], Waits, is(NeverRan, Full), false),
+        (
+            "not run, another's; then our answer",
+            BOTH,
+            vec![full("other"), yes.clone()],
+            Waits,
+            served(),
+            false,
+        ),
+        (
+            "not run, another's; then ours",
+            BOTH,
+            vec![full("other") + &full("ME")],
+            Waits,
+            is(NeverRan, Full),
+            false,
+        ),
         ("not run, another's; silence", BOTH, vec![full("other")], TimeIsUp, is(MayHaveRun, TimedOut), false),
         ("not run, another's; reset", BOTH, vec![full("other")], Resets, is(MayHaveRun, Reset), false),
-        ("not run, nobody's; then our answer", BOTH, vec![bare_full.clone(), yes.clone()], Waits, served(), false),
+        (
+            "not run, nobody's; then our answer",
+            BOTH,
+            vec![bare_full.clone(), yes.clone()],
+            Waits,
+            served(),
+            false,
+        ),
         ("not run, nobody's; closed", BOTH, vec![bare_full], Closes, is(MayHaveRun, Reset), false),
         ("no id: 400 on a new connection", NEW, vec![bare_400.clone()], Waits, is(NeverRan, Full), false),
         ("no id: 400 on a kept one", KEPT, vec![bare_400.clone()], TimeIsUp, is(MayHaveRun, TimedOut), false),
-        ("no id: 400 behind another's", NEW, vec![full("other") + &bare_400], TimeIsUp, is(MayHaveRun, TimedOut), false),
+        (
+            "no id: 400 behind another's",
+            NEW,
+            vec![full("other") + &bare_400],
+            TimeIsUp,
+            is(MayHaveRun, TimedOut),
+            false,
+        ),
         ("no id: 421 on a kept one", KEPT, vec![answer(421, "", ""), yes.clone()], Waits, served(), false),
-        ("no id: a success", BOTH, vec![answer(200, "Server-Seal: s\r\n", "bad"), yes.clone()], Waits, served(), false),
+        (
+            "no id: a success",
+            BOTH,
+            vec![answer(200, "Server-Seal: s\r\n", "bad"), yes.clone()],
+            Waits,
+            served(),
+            false,
+        ),
         ("surplus first", BOTH, vec![good("other", "bad") + &yes], Waits, served(), false),
         ("surplus behind", BOTH, vec![yes.clone() + &good("ME", "bad")], Waits, served(), false),
         ("surplus behind, in part", BOTH, vec![yes.clone() + "HTT"], Waits, served(), false),
-        ("surplus, then silence", BOTH, vec![good("other", "bad")], TimeIsUp, is(MayHaveRun, TimedOut), false),
-        ("two ids", BOTH, vec![answer(200, "Attempt-Id: ME\r\nAttempt-Id: other\r\nServer-Seal: s\r\n", "bad")], Waits, is(MayHaveRun, Errored), false),
-        ("not run, two ids", BOTH, vec![answer(503, "Attempt-Id: ME\r\nAttempt-Id: other\r\nNot-Run: 1\r\n", "")], Waits, is(MayHaveRun, Errored), false),
-        ("a success that says not run", BOTH, vec![ours(200, "Server-Seal: s\r\nNot-Run: 1\r\n", "bad")], Waits, is(MayHaveRun, Errored), false),
-        ("503 that does not say not run", BOTH, vec![ours(503, "", "")], Waits, is(MayHaveRun, Errored), false),
-        ("429 that does not say not run", BOTH, vec![ours(429, "", "")], Waits, is(MayHaveRun, Errored), false),
-        ("408 that does not say not run", BOTH, vec![ours(408, "", "")], Waits, is(MayHaveRun, Errored), false),
+        (
+            "surplus, then silence",
+            BOTH,
+            vec![good("other", "bad")],
+            TimeIsUp,
+            is(MayHaveRun, TimedOut),
+            false,
+        ),
+        (
+            "two ids",
+            BOTH,
+            vec![answer(200, "Attempt-Id: ME\r\nAttempt-Id: other\r\nServer-Seal: s\r\n", "bad")],
+            Waits,
+            is(MayHaveRun, Errored),
+            false,
+        ),
+        (
+            "not run, two ids",
+            BOTH,
+            vec![answer(503, "Attempt-Id: ME\r\nAttempt-Id: other\r\nNot-Run: 1\r\n", "")],
+            Waits,
+            is(MayHaveRun, Errored),
+            false,
+        ),
+        (
+            "a success that says not run",
+            BOTH,
+            vec![ours(200, "Server-Seal: s\r\nNot-Run: 1\r\n", "bad")],
+            Waits,
+            is(MayHaveRun, Errored),
+            false,
+        ),
+        (
+            "503 that does not say not run",
+            BOTH,
+            vec![ours(503, "", "")],
+            Waits,
+            is(MayHaveRun, Errored),
+            false,
+        ),
+        (
+            "429 that does not say not run",
+            BOTH,
+            vec![ours(429, "", "")],
+            Waits,
+            is(MayHaveRun, Errored),
+            false,
+        ),
+        (
+            "408 that does not say not run",
+            BOTH,
+            vec![ours(408, "", "")],
+            Waits,
+            is(MayHaveRun, Errored),
+            false,
+        ),
         ("no seal", BOTH, vec![ours(200, "", "bad")], Waits, is(MayHaveRun, Errored), false),
-        ("encoded", BOTH, vec![ours(200, "Server-Seal: s\r\nContent-Encoding: br\r\n", "bad")], Waits, is(MayHaveRun, Errored), false),
+        (
+            "encoded",
+            BOTH,
+            vec![ours(200, "Server-Seal: s\r\nContent-Encoding: br\r\n", "bad")],
+            Waits,
+            is(MayHaveRun, Errored),
+            false,
+        ),
         ("no answer at all", BOTH, vec!["what?\r\n\r\n".to_string()], Waits, is(MayHaveRun, Errored), false),
-        ("go on, and answered", BOTH, vec!["HTTP/1.1 100 Go\r\n\r\n".to_string(), yes.clone()], Waits, served(), true),
+        (
+            "go on, and answered",
+            BOTH,
+            vec!["HTTP/1.1 100 Go\r\n\r\n".to_string(), yes.clone()],
+            Waits,
+            served(),
+            true,
+        ),
         ("silence", BOTH, vec![], TimeIsUp, is(MayHaveRun, TimedOut), false),
         ("closed", BOTH, vec![], Closes, is(MayHaveRun, Reset), false),
         ("reset", BOTH, vec![], Resets, is(MayHaveRun, Reset), false),
         ("closed in the head", BOTH, vec![yes[..30].to_string()], Closes, is(MayHaveRun, Reset), false),
-        ("closed in the body", BOTH, vec![yes[..yes.len() - 1].to_string()], Closes, is(MayHaveRun, Reset), false),
-        ("reset in the body", BOTH, vec![yes[..yes.len() - 1].to_string()], Resets, is(MayHaveRun, Reset), false),
-        ("silent in the body", BOTH, vec![yes[..yes.len() - 1].to_string()], TimeIsUp, is(MayHaveRun, TimedOut), false),
-        ("no length, closed", BOTH, vec!["HTTP/1.1 200 X\r\nAttempt-Id: ME\r\nServer-Seal: s\r\n\r\nyes".to_string()], Closes, served(), false),
-        ("no length, reset", BOTH, vec!["HTTP/1.1 200 X\r\nAttempt-Id: ME\r\nServer-Seal: s\r\n\r\nyes".to_string()], Resets, is(MayHaveRun, Reset), false),
+        (
+            "closed in the body",
+            BOTH,
+            vec![yes[..yes.len() - 1].to_string()],
+            Closes,
+            is(MayHaveRun, Reset),
+            false,
+        ),
+        (
+            "reset in the body",
+            BOTH,
+            vec![yes[..yes.len() - 1].to_string()],
+            Resets,
+            is(MayHaveRun, Reset),
+            false,
+        ),
+        (
+            "silent in the body",
+            BOTH,
+            vec![yes[..yes.len() - 1].to_string()],
+            TimeIsUp,
+            is(MayHaveRun, TimedOut),
+            false,
+        ),
+        (
+            "no length, closed",
+            BOTH,
+            vec!["HTTP/1.1 200 X\r\nAttempt-Id: ME\r\nServer-Seal: s\r\n\r\nyes".to_string()],
+            Closes,
+            served(),
+            false,
+        ),
+        (
+            "no length, reset",
+            BOTH,
+            vec!["HTTP/1.1 200 X\r\nAttempt-Id: ME\r\nServer-Seal: s\r\n\r\nyes".to_string()],
+            Resets,
+            is(MayHaveRun, Reset),
+            false,
+        ),
         ("client gone", BOTH, vec![], ClientLeaves, is(MayHaveRun, Cancelled), false),
-        ("client gone in the body", BOTH, vec![yes[..yes.len() - 1].to_string()], ClientLeaves, is(MayHaveRun, Cancelled), false),
-        ("long", BOTH, half(&good("ME", &long), 70_000), Waits, (Ran, Succeeded, got_body(200, &long)), false),
+        (
+            "client gone in the body",
+            BOTH,
+            vec![yes[..yes.len() - 1].to_string()],
+            ClientLeaves,
+            is(MayHaveRun, Cancelled),
+            false,
+        ),
+        (
+            "long",
+            BOTH,
+            half(&good("ME", &long), 70_000),
+            Waits,
+            (Ran, Succeeded, got_body(200, &long)),
+            false,
+        ),
         ("long, another's, then ours", BOTH, vec![good("other", &long), yes.clone()], Waits, served(), false),
-        ("long, closed midway", BOTH, vec![good("ME", &long)[..70_000].to_string()], Closes, (Ran, Succeeded, got_body(200, &cut)), false),
+        (
+            "long, closed midway",
+            BOTH,
+            vec![good("ME", &long)[..70_000].to_string()],
+            Closes,
+            (Ran, Succeeded, got_body(200, &cut)),
+            false,
+        ),
     ];
     let rig = Rig::new();
     let mut wrong = Vec::new();
--- a/crates/pass/tests/whole_path.rs
+++ b/crates/pass/tests/whole_path.rs
@@ -65,13 +65,18 @@
                 while let Some(m) = Message::read(&mut reader) {
                     let attempt = m.header("attempt-id").to_string();
                     if m.header("target-instance") != own {
-                        let _ =
-                            write!(out, "HTTP/1.1 421 No\r\nInstance-Id: {own}\r\nContent-Length: 0\r\n\r\n");
+                        let _ = write!(
+                            out,
+                            "HTTP/1.1 421 No\r\nAttempt-Id: {attempt}\r\nInstance-Id: {own}\r\nContent-Length: 0\r\n\r\n"
+                        );
                         continue;
                     }
                     let what = does(&m.first);
                     if what == "full" {
-                        let _ = write!(out, "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+                        let _ = write!(
+                            out,
+                            "HTTP/1.1 503 No\r\nAttempt-Id: {attempt}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                        );
                         continue;
                     }
                     ran.lock().expect("ran").push((attempt.clone(), m.header("tenant").to_string()));
--- a/crates/ridge/src/tries.rs
+++ b/crates/ridge/src/tries.rs
@@ -58,12 +58,17 @@
     /// The request may not be sent any more: its time is up, its zone evacuated, the book too old.
     Withheld,
     /// The kernel has taken some of the request; whether all of it.
-    Taken { all: bool },
+    Taken {
+        all: bool,
+    },
     Answer(Heard),
     /// Bytes that form no answer.
     Garbled,
     /// All that the kernel held was read, and none of it was the answer; whether an unfinished one is there.
-    Stopped { why: Stop, in_part: bool },
+    Stopped {
+        why: Stop,
+        in_part: bool,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
