--- a/crates/pass/src/clients.rs
+++ b/crates/pass/src/clients.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use lynxstair::types::{Span, Time};
@@ -16,6 +16,7 @@
 
 use crate::road::Road;
 use crate::rooms::{Admitted, Asked, Own};
+use crate::turns::{Then, Turn, Turns};
 use crate::workers::{Answer, Carrier, Outgoing};
 
 /// So many requests of one connection are at work at once; the rest waits unread.
@@ -34,21 +35,13 @@
 pub struct Clients {
     most: usize,
     open: AtomicUsize,
-    /// No more requests are read; connections end with their last answer.
-    pub closing: AtomicBool,
     all: Mutex<HashMap<usize, Arc<Client>>>,
     last: AtomicUsize,
 }
 
 impl Clients {
     pub fn new(most: usize) -> Clients {
-        Clients {
-            most,
-            open: AtomicUsize::new(0),
-            closing: AtomicBool::new(false),
-            all: Mutex::default(),
-            last: AtomicUsize::new(0),
-        }
+        Clients { most, open: AtomicUsize::new(0), all: Mutex::default(), last: AtomicUsize::new(0) }
     }
 
     fn all(&self) -> MutexGuard<'_, HashMap<usize, Arc<Client>>> {
@@ -62,7 +55,7 @@
     pub fn serve(road: &Arc<Road>, listener: &CoIo<TcpListener>) {
         calls::accept(listener, |stream| {
             let clients = &road.clients;
-            if clients.count() >= clients.most {
+            if clients.count() >= clients.most || road.has_ended() {
                 return;
             }
             let Ok(conn) = Conn::new(stream, MOST) else { return };
@@ -87,7 +80,6 @@
 
     /// Those that rest are ended, the others end with their last answer.
     pub fn finish(&self) {
-        self.closing.store(true, Ordering::Relaxed);
         for client in self.all().values() {
             client.conn.nudge();
         }
@@ -97,13 +89,10 @@
 /// The order of answers on one connection.
 #[derive(Default)]
 struct Order {
-    asked: u64,
-    answered: u64,
+    turns: Turns,
     /// Those that are ready before their turn.
     waiting: HashMap<u64, Arc<Blocker>>,
     at_work: HashMap<u64, Arc<Carrier>>,
-    /// The answer by this number is the last one.
-    last: Option<u64>,
 }
 
 struct Client {
@@ -133,7 +122,7 @@
     fn leave(&self) {
         self.conn.close();
         let mut order = self.order();
-        order.last = Some(0);
+        order.turns.leave();
         order.at_work.values().for_each(|c| c.leave());
         order.waiting.values().for_each(|b| b.unpark());
     }
@@ -159,22 +148,30 @@
                 let now = road.alarms.now();
                 let busy = {
                     let order = self.order();
-                    if order.last.is_some() {
+                    if !order.turns.takes_more() {
                         // The last request is read: its answer ends the connection.
                         drop(order);
                         return self.read_over(road);
                     }
-                    (order.asked - order.answered) as usize
+                    order.turns.at_work() as usize
                 };
+                if road.has_ended() {
+                    // What is read now would be lost: unread, its client knows that it may send it again.
+                    return self.leave();
+                }
                 let mut inbound = self.conn.inbound();
                 if inbound.is_empty() {
                     part_since = None;
                     if busy > 0 {
                         since = now;
                     } else if road.is_closing() || now - since >= idle_time {
+                        // Whoever stood still is late: a request that came meanwhile is there to be read.
+                        drop(inbound);
+                        if self.conn.look() == Some(Got::Bytes) {
+                            continue;
+                        }
                         // At once, and nothing is read any more: a request that crosses this is reset unread, and
                         // its client knows that it may send it again.
-                        drop(inbound);
                         return self.conn.close();
                     }
                     break;
@@ -197,6 +194,9 @@
                         }
                         if now - part >= time {
                             drop(inbound);
+                            if self.conn.look() == Some(Got::Bytes) {
+                                continue;
+                            }
                             return self.refuse(road, Bad(408, "not whole in time"));
                         }
                         if now - part >= header_time {
@@ -218,12 +218,8 @@
                 let carrier = Arc::new(Carrier::default());
                 let number = {
                     let mut order = self.order();
-                    order.asked += 1;
-                    let number = order.asked;
+                    let number = order.turns.ask(!keep);
                     order.at_work.insert(number, carrier.clone());
-                    if !keep {
-                        order.last = Some(number);
-                    }
                     number
                 };
                 let request = Request { number, bytes, extent, read_at: now };
@@ -244,10 +240,7 @@
     fn read_over(&self, road: &Arc<Road>) {
         let mut done_at = None;
         loop {
-            let idle = {
-                let order = self.order();
-                order.answered >= order.last.unwrap_or(order.asked) && self.conn.unsent() == 0
-            };
+            let idle = self.order().turns.is_done() && self.conn.unsent() == 0;
             let now = road.alarms.now();
             if idle {
                 let done = *done_at.get_or_insert(now);
@@ -267,19 +260,16 @@
 
     /// What could not be read: said in its turn, and the connection ends.
     fn refuse(self: &Arc<Self>, road: &Arc<Road>, bad: Bad) {
-        let number = {
-            let mut order = self.order();
-            order.asked += 1;
-            order.last = Some(order.asked);
-            order.asked
-        };
+        let number = self.order().turns.ask(true);
         let (client, ending) = (self.clone(), self.clone());
         let own = Own::new(bad.0, bad.1);
         go_then(
             "a refusal",
             move || {
-                if client.wait_turn(number) {
-                    let _ = client.conn.write(|out| put_own(out, &own, None, "", false));
+                if client.wait_turn(number)
+                    && client.conn.write(|out| put_own(out, &own, None, "", false)).is_ok()
+                {
+                    client.order().turns.answer(number);
                 }
             },
             move |panicked| ending.over(number, panicked),
@@ -292,11 +282,11 @@
         loop {
             let blocker = {
                 let mut order = self.order();
-                if self.conn.is_closed() {
-                    return false;
-                }
-                if order.answered + 1 == number {
-                    return true;
+                match order.turns.turn(number) {
+                    _ if self.conn.is_closed() => return false,
+                    Turn::Never => return false,
+                    Turn::Now => return true,
+                    Turn::Later => {}
                 }
                 let blocker = Blocker::current();
                 order.waiting.insert(number, blocker.clone());
@@ -306,22 +296,27 @@
         }
     }
 
-    /// An answer is written: the next one's turn.
+    /// Whoever worked on a request has ended, or could not begin.
     fn over(&self, number: u64, panicked: bool) {
-        if panicked {
-            self.conn.close();
-        }
         let mut order = self.order();
         order.at_work.remove(&number);
         order.waiting.remove(&number);
-        order.answered = order.answered.max(number);
-        let is_last = order.last.is_some_and(|l| l <= number);
-        if let Some(next) = order.waiting.remove(&(number + 1)) {
+        if panicked {
+            order.turns.leave();
+        }
+        let then = order.turns.end(number);
+        if let Then::Next(next) = then
+            && let Some(next) = order.waiting.remove(&next)
+        {
             next.unpark();
         }
         drop(order);
-        if is_last && self.conn.unsent() == 0 && !self.conn.is_closed() {
-            self.conn.finish();
+        match then {
+            Then::Next(_) => {}
+            // What is not sent yet goes out first; the reader ends the connection then.
+            Then::Finish if self.conn.unsent() > 0 || self.conn.is_closed() => {}
+            Then::Finish => self.conn.finish(),
+            Then::Break => self.conn.close(),
         }
         // The reader looks again: at what waits unread, or at its end.
         self.conn.nudge();
@@ -341,21 +336,14 @@
             }
             return;
         }
-        let keep = self.order().last != Some(number) && !road.is_closing();
-        if !keep {
-            let mut order = self.order();
-            // Requests that were read behind this one are answered too; only then does the connection end.
-            order.last = Some(order.asked.max(number));
-        }
-        let keep = keep || self.order().last != Some(number);
+        let keep = !self.order().turns.ends_with(number, road.is_closing());
         let connection = self.connection(road, keep);
-        match answered {
-            Err(own) => {
-                if self.conn.write(|out| put_own(out, &own, Some(attempt), &connection, keep)).is_err() {
-                    self.conn.close();
-                }
-            }
+        let is_whole = match answered {
+            Err(own) => self.conn.write(|out| put_own(out, &own, Some(attempt), &connection, keep)).is_ok(),
             Ok((admitted, answer)) => self.pass_on(road, &admitted, answer, carrier, &connection),
+        };
+        if is_whole {
+            self.order().turns.answer(number);
         }
     }
 
@@ -373,6 +361,7 @@
         format!("Keep-Alive: timeout={}\r\n", told.floor())
     }
 
+    /// Passes a worker's answer on; false where it did not go out whole.
     fn pass_on(
         &self,
         road: &Arc<Road>,
@@ -380,12 +369,9 @@
         mut answer: Answer,
         carrier: &Carrier,
         connection: &str,
-    ) {
-        if self.conn.write(|out| answer.put(out, connection)).is_err() {
-            self.conn.close();
-            return road.workers.done(answer);
-        }
-        if answer.rest > 0 {
+    ) -> bool {
+        let mut is_whole = self.conn.write(|out| answer.put(out, connection)).is_ok();
+        if is_whole && answer.rest > 0 {
             let has_room = || {
                 while self.conn.unsent() > MOST_UNREAD {
                     if self.conn.is_closed() || carrier.is_gone() || road.alarms.now() >= admitted.until {
@@ -396,15 +382,13 @@
                 true
             };
             let by = admitted.until + Span::from_millis(500);
-            let whole = answer.more(&road.alarms, by, carrier, has_room, |piece| {
+            // Cut short of its length, the client can tell.
+            is_whole = answer.more(&road.alarms, by, carrier, has_room, |piece| {
                 self.conn.write(|out| out.write_all(piece)).is_ok()
             });
-            if !whole {
-                // Cut short of its length: the client can tell.
-                self.conn.close();
-            }
         }
         road.workers.done(answer);
+        is_whole
     }
 }
 
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -5,4 +5,5 @@
 mod feed;
 pub mod road;
 mod rooms;
+pub mod turns;
 pub mod workers;
--- a/crates/pass/src/road.rs
+++ b/crates/pass/src/road.rs
@@ -40,6 +40,8 @@
     Leaving,
     /// Every connection ends with its last answer.
     Closing,
+    /// The process ends: nothing more is read.
+    Ended,
 }
 
 pub struct Road {
@@ -62,6 +64,10 @@
         self.phase.load(Ordering::Relaxed) >= Phase::Closing as u8
     }
 
+    pub fn has_ended(&self) -> bool {
+        self.phase.load(Ordering::Relaxed) >= Phase::Ended as u8
+    }
+
     /// Every change of phase goes through here.
     fn enter(&self, phase: Phase) {
         info!(phase = format!("{phase:?}"); "the road");
@@ -105,6 +111,8 @@
         while self.clients.count() > 0 && self.alarms.now() < end {
             self.alarms.sleep_until(self.alarms.now() + Span::from_millis(20));
         }
+        // No other coroutine runs between the last look and this: what comes now stays unread.
+        self.enter(Phase::Ended);
         info!(connections = self.clients.count(); "the road ends");
     }
 }
