--- a/crates/pass/tests/tries.rs
+++ b/crates/pass/tests/tries.rs
@@ -1,13 +1,16 @@
 //! One try at a worker through real sockets: `docs/design/tries.md` has the same rows. The worker is played here,
 //! byte by byte. Nothing sleeps: both sides wait in reads that end with what the other does.
 
+use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
 use std::time::Duration;
 
-use lynxstair::types::Outcome::{self, Cancelled, Errored, Full, Reset, Succeeded, TimedOut};
+use lynxstair::rng::Rng;
+use lynxstair::types::Outcome::{self, Cancelled, ConnectFailed, Errored, Full, Reset, Succeeded, TimedOut};
 use lynxstair::types::{Span, Time, WorkerId};
 use lynxstair_pass::workers::{Carrier, Outgoing, Workers};
 use lynxstair_ridge::ladder::Worker;
@@ -26,7 +29,11 @@
 /// What a try came to, as the road sees it: the verdict, the outcome, the answer's status and whole body.
 type Came = (Verdict, Outcome, Option<(u16, String)>);
 
+/// All coroutines share one thread, and one test stops it: the tests come one after another.
+static ALONE: Mutex<()> = Mutex::new(());
+
 struct Rig {
+    _alone: MutexGuard<'static, ()>,
     alarms: Arc<Alarms>,
     workers: Arc<Workers>,
     listener: TcpListener,
@@ -35,6 +42,7 @@
 
 impl Rig {
     fn new() -> Rig {
+        let alone = ALONE.lock().unwrap_or_else(|e| e.into_inner());
         prepare();
         let alarms = Arc::new(Alarms::new(Clock::start()).expect("alarms"));
         let a = alarms.clone();
@@ -43,11 +51,23 @@
         let address = listener.local_addr().expect("bound");
         let [id, service, zone] = ["i-1", "s", "z"].map(str::to_string);
         let worker = Arc::new(Worker { id, address, service, zone, number: WorkerId(1) });
-        Rig { alarms, workers: Arc::new(Workers::new(100)), listener, worker }
+        Rig { _alone: alone, alarms, workers: Arc::new(Workers::new(100)), listener, worker }
     }
 
     /// Begins a try; what it comes to is said once.
     fn send(&self, id: &str, body: usize, until: Time, carrier: &Arc<Carrier>) -> Receiver<Came> {
+        self.send_if(true, id, body, until, carrier)
+    }
+
+    /// The same, where it may or may not go when it comes to it.
+    fn send_if(
+        &self,
+        may_go: bool,
+        id: &str,
+        body: usize,
+        until: Time,
+        carrier: &Arc<Carrier>,
+    ) -> Receiver<Came> {
         let (said, heard) = channel();
         let (alarms, workers, worker) = (self.alarms.clone(), self.workers.clone(), self.worker.clone());
         let (id, carrier) = (id.to_string(), carrier.clone());
@@ -55,7 +75,7 @@
             let head = format!("POST /a HTTP/1.1\r\nHost: h\r\nAttempt-Id: {id}\r\n\r\n");
             let (call, _) = http::call(head.as_bytes()).expect("good").expect("whole");
             let body = vec![b'b'; body];
-            let out = Outgoing { call: &call, body: &body, tenant: None, attempt: &id, may_go: &|_| true };
+            let out = Outgoing { call: &call, body: &body, tenant: None, attempt: &id, may_go: &|_| may_go };
             let tried = workers.send(&alarms, &worker, &out, until, &carrier);
             let answer = tried.answer.map(|mut answer| {
                 let status = answer.status;
@@ -93,6 +113,7 @@
     fn accept(&self) -> TcpStream {
         let (stream, _) = self.listener.accept().expect("a connection");
         stream.set_read_timeout(Some(PATIENCE)).expect("set");
+        stream.set_nodelay(true).expect("set");
         stream
     }
 }
@@ -421,3 +442,216 @@
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
+
+/// More than the kernel takes while the worker reads nothing, and its segments are small.
+const TOO_MUCH: usize = 2 << 20;
+
+/// How much of a request was handed over decides, where no answer came; and what goes out is all that may.
+#[test]
+fn what_was_handed_over() {
+    let mut rig = Rig::new();
+    let [gone, there] = [Arc::new(Carrier::default()), Arc::default()];
+    gone.leave();
+    let (late, soon) = (rig.alarms.now(), rig.alarms.now() + LONG);
+    // Nothing of it: the connection comes up and brings no byte, or does not come up.
+    for (may_go, until, carrier, outcome) in [
+        (false, soon, &there, Cancelled),
+        (true, late, &there, ConnectFailed),
+        (true, soon, &gone, Cancelled),
+    ] {
+        let heard = rig.send_if(may_go, "unsent", 0, until, carrier);
+        assert_eq!(heard.recv_timeout(PATIENCE), Ok((NeverRan, outcome, None)));
+    }
+    let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port");
+    let there_is_none = Worker {
+        address: free,
+        id: "i-2".to_string(),
+        service: String::new(),
+        zone: String::new(),
+        number: WorkerId(2),
+    };
+    let there_is = std::mem::replace(&mut rig.worker, Arc::new(there_is_none));
+    let heard = rig.send("nobody", 0, soon, &there);
+    assert_eq!(heard.recv_timeout(PATIENCE), Ok((NeverRan, ConnectFailed, None)), "nobody listens");
+    rig.worker = there_is;
+
+    // All of it, whether the worker has read it or not: it was with the kernel.
+    let heard = rig.send("unread", 10, soon, &there);
+    let conn = loop {
+        // The connection of the request that was withheld came up and brought nothing.
+        let conn = rig.accept();
+        if matches!(conn.peek(&mut [0]), Ok(1)) {
+            break conn;
+        }
+    };
+    reset(&conn);
+    drop(conn);
+    assert_eq!(heard.recv_timeout(PATIENCE), Ok((MayHaveRun, Reset, None)), "unread");
+
+    // A part of it: its last byte never left.
+    let socket = socket2::SockRef::from(&rig.listener);
+    socket.set_recv_buffer_size(4096).expect("set");
+    socket.set_tcp_mss(600).expect("set");
+    for (then, came) in [
+        (Resets, (NeverRan, ConnectFailed, None)),
+        (TimeIsUp, (NeverRan, ConnectFailed, None)),
+        (ClientLeaves, (NeverRan, Cancelled, None)),
+        (Waits, (MayHaveRun, Errored, None)),
+        (Closes, (MayHaveRun, Reset, None)),
+    ] {
+        let carrier = Arc::new(Carrier::default());
+        let until = rig.alarms.now() + if then == TimeIsUp { SHORT } else { LONG };
+        let heard = rig.send("part", TOO_MUCH, until, &carrier);
+        let conn = rig.accept();
+        assert!(matches!(conn.peek(&mut [0]), Ok(1)));
+        match then {
+            Resets => reset(&conn),
+            TimeIsUp => {}
+            ClientLeaves => carrier.leave(),
+            // Who answers before the end has not waited for it.
+            Waits => {
+                (&conn).write_all(answer(200, "Attempt-Id: part\r\n", "bad").as_bytes()).expect("written")
+            }
+            Closes => {
+                (&conn).write_all(b"HTTP/1.1 200 X\r\nAttempt-Id: pa").expect("written");
+                conn.shutdown(std::net::Shutdown::Write).expect("closed");
+            }
+        }
+        let conn = (then != Resets).then_some(conn);
+        assert_eq!(heard.recv_timeout(PATIENCE), Ok(came), "{then:?}");
+        drop(conn);
+    }
+}
+
+/// The gatekeeper stands still, the answer comes in time, the time goes by, the gatekeeper goes on: the answer stands.
+#[test]
+fn who_stood_still_reads_what_came() {
+    let rig = Rig::new();
+    let long = good("still", &"x".repeat(100_000));
+    let mut in_time = 0;
+    for (number, text) in [good("still", "yes"), long].iter().cycle().take(40).enumerate() {
+        if in_time == 8 {
+            break;
+        }
+        let until = rig.alarms.now() + Span::from_millis(150);
+        let heard = rig.send("still", 0, until, &Arc::default());
+        let conn = rig.accept();
+        request(&conn);
+        // A long one has begun to be passed on.
+        let (before, after) = text.as_bytes().split_at(text.len() * 7 / 10 * usize::from(number % 2 == 1));
+        (&conn).write_all(before).expect("written");
+        rig.turns();
+        // All coroutines wait for this one, as all would for a process that is stopped.
+        let ((stood, stands), (wake, woken)) = (channel(), channel::<()>());
+        go("stands still", move || {
+            stood.send(()).expect("heard");
+            let _ = woken.recv();
+        });
+        stands.recv_timeout(PATIENCE).expect("it stands");
+        (&conn).write_all(after).expect("written");
+        let is_in_time = rig.alarms.now() < until;
+        while rig.alarms.now() < until + Span::from_millis(5) {
+            thread::yield_now();
+        }
+        wake.send(()).expect("heard");
+        let (verdict, outcome, answer) = heard.recv_timeout(PATIENCE).expect("it ends");
+        // Where this test itself had no core in time, the round says nothing.
+        if !is_in_time {
+            continue;
+        }
+        in_time += 1;
+        let body = answer.map(|(_, body)| body);
+        let wanted = text.split("\r\n\r\n").nth(1).map(str::to_string);
+        let ends = |body: &Option<String>| {
+            body.as_ref().map(|b| (b.len(), b[b.len().saturating_sub(6)..].to_string()))
+        };
+        assert_eq!((verdict, outcome, ends(&body)), (Ran, Succeeded, ends(&wanted)), "{number}");
+    }
+    assert_eq!(in_time, 8);
+}
+
+/// Many tries at once over kept connections, from clients that leave, at a worker that answers too much, too late,
+/// in pieces, with what belongs to others, or breaks off: each gets its own answer or none, and what is said not to
+/// have run has not.
+#[test]
+fn nobody_gets_anothers() {
+    let rig = Rig::new();
+    let ran: Arc<Mutex<Vec<String>>> = Arc::default();
+    let carriers: Arc<Mutex<HashMap<String, Arc<Carrier>>>> = Arc::default();
+    let (listener, r, c) = (rig.listener.try_clone().expect("cloned"), ran.clone(), carriers.clone());
+    thread::spawn(move || {
+        for (number, stream) in listener.incoming().flatten().enumerate() {
+            stream.set_nodelay(true).expect("set");
+            let (ran, carriers) = (r.clone(), c.clone());
+            thread::spawn(move || play(number as u64, &stream, &ran, &carriers));
+        }
+    });
+    let mut rng = Rng::new(7);
+    let mut counts = HashMap::new();
+    for round in 0..150 {
+        let all: Vec<_> = (0..8)
+            .map(|n| {
+                let id = format!("{round}-{n}");
+                let carrier = Arc::new(Carrier::default());
+                carriers.lock().expect("carriers").insert(id.clone(), carrier.clone());
+                let heard = rig.send(&id, rng.draw() as usize % 40, rig.alarms.now() + LONG, &carrier);
+                (id, heard)
+            })
+            .collect();
+        for (id, heard) in all {
+            let (verdict, _, answer) = heard.recv_timeout(PATIENCE).expect("it ends");
+            if let Some((_, body)) = &answer {
+                assert_eq!(body, &format!("for {id}"));
+            }
+            assert_eq!(answer.is_some(), verdict == Ran, "{id}");
+            let has_run = ran.lock().expect("ran").contains(&id);
+            assert!(verdict != NeverRan || !has_run, "{id} has run");
+            *counts.entry(verdict).or_insert(0) += 1;
+        }
+    }
+    assert!([NeverRan, MayHaveRun, Ran].iter().all(|v| counts[v] > 50), "{counts:?}");
+}
+
+/// A worker's connection, with a fault now and then.
+fn play(
+    seed: u64,
+    stream: &TcpStream,
+    ran: &Mutex<Vec<String>>,
+    carriers: &Mutex<HashMap<String, Arc<Carrier>>>,
+) {
+    let mut rng = Rng::new(seed + 1);
+    let mut reader = BufReader::new(stream);
+    let mut before = "none".to_string();
+    let full = |id: &str| answer(503, &format!("Attempt-Id: {id}\r\nNot-Run: 1\r\n"), "");
+    let own = |id: &str| good(id, &format!("for {id}"));
+    while let Some(message) = Message::read(&mut reader) {
+        let id = message.header("attempt-id").to_string();
+        let what = rng.draw() % 12;
+        if what == 0 {
+            let _ = (&mut &*stream).write_all(full(&id).as_bytes());
+            before = id;
+            continue;
+        }
+        ran.lock().expect("ran").push(id.clone());
+        let said = match what {
+            1 => full(&before) + &own(&id),
+            2 => own(&before) + &own(&id),
+            3 => own(&id) + &own(&id),
+            4 => own(&id) + &full(&id),
+            5 => full(&before),
+            6 => "HTTP/1.1 200 X\r\nServer-Seal: s\r\nContent-Length: 1\r\n\r\n".to_string(),
+            _ => own(&id),
+        };
+        if what == 7 {
+            carriers.lock().expect("carriers")[&id].leave();
+        }
+        let (first, rest) = said.split_at(rng.draw() as usize % said.len());
+        let _ = (&mut &*stream).write_all(first.as_bytes());
+        let _ = (&mut &*stream).write_all(rest.as_bytes());
+        if what == 5 || what == 6 {
+            reset(stream);
+            return;
+        }
+        before = id;
+    }
+}
--- /dev/null
+++ b/crates/pass/tests/turns.rs
@@ -0,0 +1,89 @@
+//! Answers on one client's connection, in whatever order they get ready, fail or never begin.
+
+use lynxstair::rng::Rng;
+use lynxstair_pass::turns::{Then, Turn, Turns};
+
+/// One request's way through a story.
+#[derive(Clone, Copy, PartialEq)]
+enum Stand {
+    Working,
+    Written,
+    Ended,
+}
+
+/// Each story: requests are read, get ready in any order, are answered or not; the connection closes or is left at any
+/// moment. What is written must be one answer for each request, in their order, none behind the last, and nothing
+/// after a request that went without.
+#[test]
+fn answers_keep_their_order() {
+    let (mut broken, mut finished) = (0, 0);
+    for seed in 1..4000u64 {
+        let mut rng = Rng::new(seed);
+        let mut turns = Turns::default();
+        let mut stands: Vec<Stand> = Vec::new();
+        let mut written: Vec<u64> = Vec::new();
+        let (mut over, mut is_closing, mut last) = (false, false, None);
+        for _ in 0..60 {
+            let pick = rng.draw() as usize;
+            match pick % 12 {
+                0..=3 if turns.takes_more() => {
+                    let is_last = (pick / 12).is_multiple_of(9);
+                    stands.push(Stand::Working);
+                    assert_eq!(turns.ask(is_last), stands.len() as u64);
+                    if is_last {
+                        last = Some(stands.len() as u64);
+                    }
+                }
+                4..=9 if !stands.is_empty() => {
+                    let at = pick / 12 % stands.len();
+                    let number = at as u64 + 1;
+                    match stands[at] {
+                        Stand::Working if (pick / 1200).is_multiple_of(40) => {
+                            // It ends without an answer: a panic, no room for it, a stream cut short.
+                            stands[at] = Stand::Ended;
+                            assert_eq!(turns.end(number), Then::Break, "seed {seed}");
+                            over = true;
+                        }
+                        Stand::Working if turns.turn(number) == Turn::Now => {
+                            assert!(!over, "seed {seed}: behind the end");
+                            let ends = turns.ends_with(number, is_closing);
+                            assert!(!ends || number == stands.len() as u64 || last == Some(number));
+                            turns.answer(number);
+                            written.push(number);
+                            stands[at] = Stand::Written;
+                            if ends {
+                                last = Some(number);
+                            }
+                        }
+                        Stand::Written => {
+                            stands[at] = Stand::Ended;
+                            match turns.end(number) {
+                                Then::Next(next) => assert_eq!(next, number + 1),
+                                Then::Finish => {
+                                    assert_eq!((last, turns.is_done()), (Some(number), true), "seed {seed}");
+                                    finished += 1;
+                                }
+                                Then::Break => assert!(over, "seed {seed}"),
+                            }
+                        }
+                        _ => {}
+                    }
+                }
+                10 if (pick / 12).is_multiple_of(6) => is_closing = true,
+                11 if (pick / 12).is_multiple_of(30) => {
+                    turns.leave();
+                    over = true;
+                }
+                _ => {}
+            }
+            broken += usize::from(over);
+            let in_order: Vec<u64> = (1..=written.len() as u64).collect();
+            assert_eq!(written, in_order, "seed {seed}");
+            assert!(last.is_none_or(|l| written.len() as u64 <= l), "seed {seed}: behind the last");
+            if !over {
+                assert_eq!(turns.at_work(), (stands.len() - written.len()) as u64);
+            }
+        }
+    }
+    assert!(broken > 1000 && finished > 1000, "{broken} {finished}");
+}
--- a/crates/trailbook/src/verdict.rs
+++ b/crates/trailbook/src/verdict.rs
@@ -1,7 +1,7 @@
 //! Whether a request may have run: what an answer to its client may promise, and whether it may be sent again.
 
 /// What is known of one try at a worker, or of all tries of a request together; in the order of what outweighs what.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Verdict {
     /// It has not run and never will: its last byte never left, or the worker itself said so.
     NeverRan,
