A long last reply comes whole: the configuration is read back also above 64 kB

Cause: the server of calls ended the sending after the last reply with bytes of it still in its own buffer. A configuration of 69 kB was cut short for an operator that closes after each call, and could not be read back.

--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -166,7 +166,10 @@
             return conn.close();
         }
         if !keep {
-            return conn.finish();
+            // A long reply is more than the kernel takes at once, and its end is not to cut it short.
+            let until = alarms.now() + WHOLE;
+            alarms.nudge(until, conn);
+            return if conn.drained(|| alarms.now() >= until) { conn.finish() } else { conn.close() };
         }
         since = alarms.now();
         alarms.nudge(since + IDLE, conn);
--- a/crates/wire/src/conn.rs
+++ b/crates/wire/src/conn.rs
@@ -343,6 +343,18 @@
         }
     }
 
+    /// Waits until the kernel has taken all that was written; false where the connection broke or the time for that is
+    /// up: whoever asks has it nudged then. For the one that reads, when it reads no more.
+    pub fn drained(&self, is_over: impl Fn() -> bool) -> bool {
+        while !self.is_closed() && !is_over() && self.flush().is_ok() {
+            if self.unsent() == 0 {
+                return true;
+            }
+            self.io.wait_io();
+        }
+        false
+    }
+
     /// Bytes that the kernel has not taken.
     pub fn unsent(&self) -> usize {
         lock(&self.outbound).len()
@@ -379,7 +391,8 @@
         self.nudge();
     }
 
-    /// Ends the sending: the other side gets all that was written, and then the end.
+    /// Ends the sending: the other side gets all that the kernel has taken, and then the end. What it has not taken is
+    /// lost: see `drained`.
     pub fn finish(&self) {
         let _ = self.io.inner().shutdown(Shutdown::Write);
     }
