--- a/crates/cairn/src/replication.rs
+++ b/crates/cairn/src/replication.rs
@@ -15,13 +15,15 @@
 pub(crate) const DISK_OWES: Span = Span::from_millis(700);
 /// A state that was sent is sent again where no word of it came for so many rounds.
 const ROUNDS_UNTOLD: u64 = 10;
+/// A leader waits so long for voters before what it acknowledges is on fewer disks than it should be.
+const THIN: Span = Span::from_millis(3_000);
 /// So many rounds are remembered by their beginning: some seconds.
 const MOST_ROUNDS: usize = 64;
 
 impl Cairn {
     /// Proposes the state that is to replace the committed one; its number, or None where it can't.
     pub fn propose(&mut self, now: Time, state: Vec<u8>) -> Option<u64> {
-        if !self.leads() || self.is_open() || self.leaving.is_some() {
+        if !self.leads() || self.is_open() || self.leaving.is_some() || self.is_thin(now) {
             return None;
         }
         let number = self.next_number();
@@ -33,6 +35,16 @@
         Some(number)
     }
 
+    /// Whether a majority is fewer disks than may be lost at once and one more, and voters may be on their way: so it is
+    /// just after the founding, and while emptied disks are taken out and in. Not for long: those that are not there by
+    /// then are lost already.
+    fn is_thin(&mut self, now: Time) -> bool {
+        let is_thin = self.majority() <= self.tolerated;
+        let Role::Leader(l) = &mut self.role else { return false };
+        l.thin_since = is_thin.then(|| l.thin_since.unwrap_or(now));
+        l.thin_since.is_some_and(|since| now - since < THIN)
+    }
+
     /// A leader's next state.
     pub(crate) fn write(&mut self, now: Time, state: State) -> LogId {
         let last = LogId { term: self.record.term, index: self.record.last.index + 1 };
@@ -52,6 +64,7 @@
         if now - l.sure_at > UNHEARD || owes {
             return self.follow(now, None);
         }
+        self.is_thin(now);
         self.hand_over(now);
         self.change_voters(now);
         if is_due {
@@ -171,12 +184,11 @@
         self.change_voters(now);
     }
 
-    /// Whether what a leader wrote last is now on enough disks: on those of a majority of the voters, and on more than
-    /// may be lost at once, as far as there are voters.
+    /// Whether what a leader wrote last is now on the disks of a majority of the voters.
     pub(crate) fn count(&mut self, now: Time) {
         let last = self.record.last;
         let voters = &self.record.state.voters;
-        let needed = self.majority().max((self.tolerated + 1).min(voters.len()));
+        let needed = self.majority();
         let own = usize::from(self.saved >= last);
         let Role::Leader(l) = &mut self.role else { return };
         if last.term != self.record.term || self.committed >= last {
--- a/crates/cairn/src/role.rs
+++ b/crates/cairn/src/role.rs
@@ -50,6 +50,8 @@
     pub progress: BTreeMap<Member, Progress>,
     /// A majority, this hut with it, answered a round begun then.
     pub sure_at: Time,
+    /// Since when a majority is on too few disks to bear what may be lost.
+    pub thin_since: Option<Time>,
     /// What is proposed, by whoever did so.
     pub proposed: Option<(u64, LogId)>,
     /// Reads, and the round that a majority has to answer for each.
@@ -101,6 +103,7 @@
             contacts: others.iter().map(|m| (m.node, Contact::seen(now))).collect(),
             progress: others.iter().map(|m| (*m, Progress::unheard(now))).collect(),
             sure_at: now,
+            thin_since: None,
             proposed: None,
             reads: VecDeque::new(),
         }
--- a/crates/cairn/tests/agreement.rs
+++ b/crates/cairn/tests/agreement.rs
@@ -440,6 +440,34 @@
     }
 }
 
+/// Five, founded by three of them: a disk that is emptied before all five vote is taken out and in as well, and nothing is
+/// acknowledged on fewer disks than the budget asks for.
+#[test]
+fn emptied_before_all_vote() {
+    for seed in 0..24 {
+        let mut world = World::new(seed, 5);
+        world.losses = 0.0;
+        let founded = (0..2000).any(|_| {
+            world.step();
+            world.propose();
+            world.leader().is_some()
+        });
+        assert!(founded, "seed {seed}");
+        let lost = (seed % 3) as usize;
+        world.stop(lost, false, Span::from_millis(400));
+        world.huts[lost].disk = None;
+        for _ in 0..4000 {
+            world.step();
+            world.propose();
+            let holds = |h: &&Hut| h.disk.as_ref().is_some_and(|d| d.state.book.0.len() >= world.acked.len());
+            assert!(world.acked.is_empty() || world.huts.iter().filter(holds).count() > 2, "seed {seed}");
+        }
+        let leader = world.leader().unwrap_or_else(|| panic!("seed {seed}: nobody leads"));
+        assert_eq!(world.huts[leader].room.as_ref().map(|r| r.voters().len()), Some(5), "seed {seed}");
+        assert!(!world.acked.is_empty() && world.is_well(lost), "seed {seed}");
+    }
+}
+
 /// A replacement that was planned: the new one comes first, then the old one is told to end; it leads no more, has
 /// been replaced, and knows that it may end, within the time that the platform grants.
 #[test]
