--- a/crates/ridge/src/lib.rs
+++ b/crates/ridge/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod ladder;
 pub mod purse;
 pub mod register;
+pub mod tries;
 pub mod trust;
 pub mod watch;
