--- a/crates/hut/src/agreement.rs
+++ b/crates/hut/src/agreement.rs
@@ -21,6 +21,9 @@
 /// How often slow upkeep is done.
 const UPKEEP: Span = Span::from_millis(500);
 
+/// The time's keeper looks no more often than this by itself.
+const STEP: Span = Span::from_millis(2);
+
 /// What is to be written by the disk's thread.
 pub enum Job {
     Book(u64, Record),
@@ -148,9 +151,11 @@
 }
 
 impl Hut {
+    /// Calls the rooms when something is due there; for a coroutine of its own.
     pub fn keep_time(self: &Arc<Self>) {
         let mut upkeep_at = self.alarms.now();
         loop {
+            let blocker = Blocker::current();
             let now = self.alarms.now();
             let due = {
                 let mut rooms = self.rooms();
@@ -164,9 +169,23 @@
                     self.tell_sightings(now, directory, peers);
                     rooms.note(now);
                 }
-                rooms.cairn.next_due().min(upkeep_at)
+                let due = rooms.cairn.next_due().min(upkeep_at).max(now + STEP);
+                rooms.keeper = Some((due, blocker.clone()));
+                due
             };
-            self.alarms.sleep_until(due.max(now + Span::from_millis(5)));
+            self.alarms.wake(due, &blocker);
+            let _ = blocker.park(None);
+        }
+    }
+
+    /// What was done since may be due sooner than the time's keeper sleeps.
+    fn wake_keeper(&self, rooms: &mut Rooms) {
+        let due = rooms.cairn.next_due();
+        if let Some((at, blocker)) = &mut rooms.keeper
+            && due < *at
+        {
+            *at = due;
+            self.alarms.wake(due, blocker);
         }
     }
 
@@ -204,6 +223,7 @@
             if todo.is_empty() {
                 let members = rooms.members();
                 self.meet(now, rooms, &members);
+                self.wake_keeper(rooms);
                 return rooms.note(now);
             }
             for item in todo {
--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -15,6 +15,7 @@
 use lynxstair_wire::calls::{self, Call, Most};
 use lynxstair_wire::clock::Clock;
 use lynxstair_wire::coroutine::{go, prepare};
+use may::sync::Blocker;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -44,6 +45,8 @@
     pub peers: Peers,
     pub directory: Directory,
     pub noted: Noted,
+    /// Until when the time's keeper sleeps, and how it is woken sooner.
+    pub keeper: Option<(Time, Arc<Blocker>)>,
 }
 
 pub struct Hut {
@@ -101,6 +104,7 @@
         peers: Peers::new(now),
         directory: Directory::default(),
         noted: Noted::default(),
+        keeper: None,
     };
     let inner = calls::listen(settings.inner())?;
     let control = calls::listen(me)?;
@@ -165,9 +169,13 @@
                 if is_alone {
                     rooms.peers.looked(now);
                 }
-                let known = rooms.peers.known();
-                if self.meet(now, &mut rooms, &seeds) || is_told {
-                    info!(seeds = seeds.len(), known = known, alone = is_alone; "the settings are read again: seeds only");
+                if self.meet(now, &mut rooms, &seeds) || !is_alone || is_told {
+                    let why = match (is_told, is_alone) {
+                        (true, _) => "told to",
+                        (_, true) => "no other hut was reached",
+                        _ => "the file has changed",
+                    };
+                    info!(why = why, seeds = seeds.len(); "the settings are read again: seeds only");
                 }
             }
             Some(Err(error)) => warn!(error = error; "the settings can't be read again: the old ones stay"),
--- a/crates/hut/src/peers.rs
+++ b/crates/hut/src/peers.rs
@@ -80,10 +80,6 @@
         true
     }
 
-    pub fn known(&self) -> usize {
-        self.known.len()
-    }
-
     /// Whether it is time to look who else there may be.
     pub fn is_alone(&self, now: Time) -> bool {
         self.open.is_empty() && now - self.reached_at > ALONE
--- /dev/null
+++ b/crates/hut/tests/core.rs
@@ -0,0 +1,290 @@
+//! A core of huts as programs on loopback, workers, an operator and gatekeepers played here. Nothing waits for a time:
+//! what is to come is asked for until it is there.
+
+use std::collections::HashMap;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use lynxstair_standins::Message;
+use lynxstair_trailbook::frames;
+use lynxstair_trailbook::values::{self, Object, Value};
+use lynxstair_trailbook::words::{Down, Edge, Ping, Readiness, Up};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use tempfile::TempDir;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+/// A process told to end has this long, by the operators' usual grace.
+const GRACE: Duration = Duration::from_secs(6);
+
+fn until<T>(what: &str, mut get: impl FnMut() -> Option<T>) -> T {
+    let began = Instant::now();
+    loop {
+        if let Some(got) = get() {
+            return got;
+        }
+        assert!(began.elapsed() < PATIENCE, "not in time: {what}");
+        thread::yield_now();
+    }
+}
+
+/// One call on a connection of its own, not read yet.
+fn send(to: SocketAddr, head: &str, body: &str) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
+    let n = body.len();
+    write!(stream, "{head} HTTP/1.1\r\nHost: h\r\nContent-Length: {n}\r\nConnection: close\r\n\r\n{body}")
+        .ok()?;
+    Some(stream)
+}
+
+fn call(to: SocketAddr, head: &str, body: &str) -> Option<Message> {
+    Message::read(&mut BufReader::new(send(to, head, body)?))
+}
+
+fn configuration(generation: u32, base: u32) -> String {
+    format!(
+        r#"{{"generation":"{generation:08x}","base-version":"{base:08x}",
+        "routes":{{"columns":["name","host","path-prefix","route-kind","timeout-s","target-s","service","max-attempts"],
+        "rows":[["r","h.example","/","safe",3,0.8,"s",2]]}},
+        "services":{{"columns":["name","health-path","max-conns","cold-s","cold-per-s"],"rows":[["s","/health",100,3,20]]}},
+        "limits":{{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout-s":3,"idle-timeout-s":15}},
+        "tenants":{{"columns":["name","api-keys","rate-per-s","burst"],"rows":[["t",["k"],40,40]]}}}}"#
+    )
+}
+
+fn beat(seq: u32) -> String {
+    format!(
+        r#"{{"service":"s","address":"10.0.0.1:80","zone":"z1","capacity":6,"state":"ready","cold-left-s":0,"call-seq":{seq}}}"#
+    )
+}
+
+/// Huts by their number, each at an address of its own.
+struct Core {
+    folder: TempDir,
+    net: String,
+    huts: HashMap<usize, Child>,
+}
+
+impl Drop for Core {
+    fn drop(&mut self) {
+        for child in self.huts.values_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Core {
+    /// `test`: another number for each, as tests of one process run at once.
+    fn new(test: u32) -> Core {
+        let net = format!("127.{}.{}", 160 + test, std::process::id() % 250);
+        Core { folder: tempfile::tempdir().expect("a folder"), net, huts: HashMap::new() }
+    }
+
+    fn at(&self, n: usize) -> SocketAddr {
+        format!("{}.{n}:8383", self.net).parse().expect("an address")
+    }
+
+    fn board(&self, n: usize) -> SocketAddr {
+        SocketAddr::new(self.at(n).ip(), 8385)
+    }
+
+    /// Puts a hut's settings in place, whole.
+    fn settle(&self, n: usize, seeds: &[usize], bootstrap: bool) -> std::path::PathBuf {
+        let own = self.at(n);
+        let seeds: String = seeds.iter().map(|s| format!("  - \"{}\"\n", self.at(*s))).collect();
+        let data = self.folder.path().join(format!("hut{n}"));
+        let text = format!(
+            "node-name: \"hut{n}\"\nip: \"{}\"\nzone: \"z1\"\nregion: \"r1\"\nzones:\n  z1: \"r1\"\nbind:\n  \
+             control: \"{own}\"\n  directory: \"{}\"\nport-range:\n  - 7460\n  - 7475\nseeds:\n{seeds}\
+             bootstrap: {bootstrap}\nlimits:\n  memory-mb: 64\n  max-fds: 900\nfault-budget:\n  machines: 1\n\
+             data-dir: \"{}\"\nbeat-period-s: 0.3\n",
+            own.ip(),
+            self.board(n),
+            data.display()
+        );
+        let (new, file) = (self.folder.path().join("new"), self.folder.path().join(format!("hut{n}.yaml")));
+        std::fs::write(&new, text).expect("written");
+        std::fs::rename(&new, &file).expect("renamed");
+        file
+    }
+
+    fn start(&mut self, n: usize, seeds: &[usize], bootstrap: bool) {
+        let file = self.settle(n, seeds, bootstrap);
+        let child = Command::new(env!("CARGO_BIN_EXE_lynxstair-hut"))
+            .env("LYNXSTAIR_BOOT", &file)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("started");
+        self.huts.insert(n, child);
+    }
+
+    fn signal(&self, n: usize, signal: Signal) {
+        kill(Pid::from_raw(self.huts[&n].id() as i32), signal).expect("signalled");
+    }
+
+    /// What a hut says of itself.
+    fn status(&self, n: usize) -> Option<Object> {
+        let message = call(self.at(n), "GET /status", "")?;
+        match values::read(&message.body) {
+            Ok(Value::Object(all)) => Some(all),
+            _ => None,
+        }
+    }
+
+    fn says(&self, n: usize, key: &str) -> String {
+        let value = self.status(n).and_then(|all| values::at(&all, key).cloned());
+        value.and_then(|v| v.stringify().ok()).unwrap_or_default()
+    }
+
+    fn leader(&self) -> Option<usize> {
+        self.huts.keys().copied().find(|n| self.says(*n, "role") == "\"leader\"")
+    }
+
+    /// The operator's order, to any hut, where it is sent on and again until it is clear.
+    fn order(&self, head: &str, body: &str) -> u16 {
+        until(head, || {
+            self.huts.keys().find_map(|n| {
+                let status = call(self.at(*n), head, body)?.status();
+                (status != 307 && status != 503).then_some(status)
+            })
+        })
+    }
+}
+
+/// A gatekeeper's line to a hut.
+struct Line(TcpStream, Vec<u8>);
+
+impl Line {
+    fn open(hut: SocketAddr) -> Line {
+        let stream = TcpStream::connect(SocketAddr::new(hut.ip(), 7460)).expect("connected");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
+        Line(stream, Vec::new())
+    }
+
+    fn say(&mut self, word: &Up) {
+        let mut out = Vec::new();
+        frames::put(word, &mut out);
+        self.0.write_all(&out).expect("written");
+    }
+
+    fn ping(&mut self, readiness: Readiness) {
+        self.say(&Up::Ping(Ping { clock: 1, have: 0, readiness, got: 0, counts: Vec::new(), holds: None }));
+    }
+
+    fn hear(&mut self) -> Down {
+        loop {
+            if let Some((word, length)) = frames::take(&self.1).expect("a word") {
+                self.1.drain(..length);
+                return word;
+            }
+            let mut piece = [0; 4096];
+            let n = self.0.read(&mut piece).expect("read");
+            assert!(n > 0, "the hut has ended the line");
+            self.1.extend(&piece[..n]);
+        }
+    }
+}
+
+/// Out of touch with a majority a hut promises workers nothing, sends nobody to a leader and reads nothing out; what it
+/// heard meanwhile the others know as soon as they are there.
+#[test]
+fn a_hut_out_of_touch_promises_nothing() {
+    let mut core = Core::new(1);
+    core.start(1, &[1, 2, 3], true);
+    until("the first hut", || core.status(1));
+    let at = core.at(1);
+    assert_eq!(call(at, "PUT /instances/i-1", &beat(1)).expect("answered").status(), 503);
+    assert_eq!(call(at, "PUT /instances/i-1", "{}").expect("answered").status(), 400);
+    for order in ["GET /config", "POST /evacuation/z1", "DELETE /instances/i-1"] {
+        assert_eq!(call(at, order, "").expect("answered").status(), 503, "{order}");
+    }
+    assert_eq!(call(at, "PUT /instances/i-2", &beat(1)).expect("answered").status(), 503);
+    core.start(2, &[1, 2, 3], true);
+    core.start(3, &[1, 2, 3], true);
+    until("a leader", || core.leader());
+    until("the life is known", || (core.says(2, "workers") == "1").then_some(()));
+    for n in 1..=3 {
+        until("a promise", || {
+            (call(core.at(n), "PUT /instances/i-2", &beat(2))?.status() == 200).then_some(())
+        });
+    }
+}
+
+/// A leader that is told to end hands over, is answered for by the others, and ends in order.
+#[test]
+fn a_leader_told_to_end_hands_over() {
+    let mut core = Core::new(2);
+    (1..=3).for_each(|n| core.start(n, &[1, 2, 3], true));
+    assert_eq!(core.order("PUT /config", &configuration(5, 0)), 200);
+    let old = until("a leader", || core.leader());
+    let told_at = Instant::now();
+    core.signal(old, Signal::SIGTERM);
+    let mut child = core.huts.remove(&old).expect("runs");
+    let ended = child.wait().expect("ended");
+    assert!(ended.success() && told_at.elapsed() < GRACE, "{ended} after {:?}", told_at.elapsed());
+    assert_eq!(core.order("POST /evacuation/z1", ""), 200);
+    assert_eq!(core.order("GET /config", ""), 200);
+    assert_eq!(core.order("PUT /config", &configuration(6, 0)), 412, "by the book that was acknowledged");
+}
+
+/// An order that lay unread while the hut stood still is not taken once its caller has gone: it may have been taken
+/// elsewhere, and taken back.
+#[test]
+fn an_order_whose_caller_has_gone_is_not_taken() {
+    let mut core = Core::new(3);
+    core.start(1, &[1], true);
+    assert_eq!(core.order("PUT /config", &configuration(5, 0)), 200);
+    let before: u64 = core.says(1, "number").parse().expect("a number");
+    core.signal(1, Signal::SIGSTOP);
+    for _ in 0..3 {
+        drop(send(core.at(1), "POST /evacuation/z1", "").expect("sent"));
+    }
+    core.signal(1, Signal::SIGCONT);
+    assert_eq!(core.order("PUT /config", &configuration(6, 5)), 200);
+    assert_eq!(core.says(1, "number"), (before + 1).to_string());
+}
+
+/// A hut whose seeds are all gone reads its settings again without a signal; it is taken in as a learner, knows the book,
+/// and answers look-ups by what the others know of gatekeepers.
+#[test]
+fn a_newcomer_finds_the_core_and_the_road() {
+    let mut core = Core::new(4);
+    core.start(1, &[1], true);
+    assert_eq!(core.order("PUT /config", &configuration(5, 0)), 200);
+    let edge = Edge {
+        node: "e1".into(),
+        zone: "z1".into(),
+        region: "r1".into(),
+        front: "10.0.0.9:80".parse().expect("one"),
+        life: 1,
+    };
+    let mut line = Line::open(core.at(1));
+    line.say(&Up::Hello { edge, lives: true });
+    let Down::Huts { huts, whole } = line.hear() else { panic!("the huts come first") };
+    assert_eq!((huts, whole), (vec![core.at(1)], true), "as the leader says");
+    line.ping(Readiness::Ready);
+    core.start(2, &[7, 8, 9], false);
+    until("the newcomer", || core.status(2));
+    let look_up = || call(core.board(2), "GET /resolve?name=h&region=r1&zone=z1", "").map(|m| m.status());
+    assert_eq!(look_up(), Some(503), "it knows nobody");
+    core.settle(2, &[1], false);
+    until("the book", || {
+        (core.says(2, "in-touch") == "true" && core.says(2, "generation") == "\"00000005\"").then_some(())
+    });
+    until("an answer", || {
+        line.ping(Readiness::Ready);
+        (look_up() == Some(200)).then_some(())
+    });
+    assert_eq!(call(core.at(2), "GET /config", "").expect("answered").status(), 307);
+    until("news of the newcomer", || match line.hear() {
+        Down::Huts { huts, whole: true } => huts.contains(&core.at(2)).then_some(()),
+        _ => None,
+    });
+    line.ping(Readiness::Leaving);
+    until("who leaves is not named", || (look_up() == Some(503)).then_some(()));
+}
--- a/crates/pass/src/feed.rs
+++ b/crates/pass/src/feed.rs
@@ -127,8 +127,14 @@
             None => {}
             Some(Ok(seeds)) => {
                 Feed::meet(road, &seeds);
-                if is_told || road.feed.lines().huts.len() > known {
-                    info!(seeds = seeds.len(), alone = is_alone; "the settings are read again: seeds only");
+                let is_news = road.feed.lines().huts.len() > known;
+                if is_news || !is_alone || is_told {
+                    let why = match (is_told, is_alone) {
+                        (true, _) => "told to",
+                        (_, true) => "no hut was reached",
+                        _ => "the file has changed",
+                    };
+                    info!(why = why, seeds = seeds.len(); "the settings are read again: seeds only");
                 }
             }
             Some(Err(error)) => warn!(error = error; "the settings can't be read again: the old ones stay"),
--- a/crates/ridge/src/watch.rs
+++ b/crates/ridge/src/watch.rs
@@ -70,10 +70,11 @@
         self.answer(now, &life.id, is_news)
     }
 
-    /// A worker says that its life ends.
+    /// A worker says that its life ends. Of a life that is not known here nobody could be told: another hut knows it.
     pub fn leave(&mut self, now: Time, id: &str) -> Answer {
         let is_known = self.register.leave(now, id).is_some();
-        self.answer(now, id, is_known)
+        let answer = self.answer(now, id, is_known);
+        Answer { is_promised: answer.is_promised && is_known, ..answer }
     }
 
     fn answer(&self, now: Time, id: &str, is_news: bool) -> Answer {
--- a/crates/ridge/tests/watch.rs
+++ b/crates/ridge/tests/watch.rs
@@ -156,6 +156,20 @@
     assert_eq!(story.on_the_road(Standing::Draining), 1);
 }
 
+/// An end of a life that a hut has never heard of can't be passed on: it is not acknowledged there.
+#[test]
+fn an_end_is_acknowledged_by_who_knows_the_life() {
+    let mut watch = Watch::new(at(0), Register::default(), BEAT);
+    watch.stand(at(0), Contact::Follows);
+    let answer = watch.leave(at(0), "i-1");
+    assert!(!answer.is_promised && answer.life.is_none());
+    watch.hear(at(100), &[life(1, 4, Standing::Draining)]);
+    for _ in 0..2 {
+        let answer = watch.leave(at(200), "i-1");
+        assert!(answer.is_promised && answer.life.is_some_and(|l| l.standing == Standing::Gone));
+    }
+}
+
 /// A new leader counts silence from when it began to lead: what was said to the one before may not have come here. One
 /// that stood still counts anew.
 #[test]
