--- a/crates/hut/src/directory.rs
+++ b/crates/hut/src/directory.rs
@@ -42,7 +42,8 @@
         if !self.has_gathered(now) && !rooms.directory.knows_all(now) {
             return unsettled();
         }
-        let addresses = rooms.directory.answer(now, call.asked("region").unwrap_or(""));
+        let addresses =
+            rooms.directory.answer(now, call.asked("region").unwrap_or(""), rooms.cairn.is_in_touch(now));
         if addresses.is_empty() {
             return unsettled();
         }
--- a/crates/hut/src/feed.rs
+++ b/crates/hut/src/feed.rs
@@ -92,11 +92,11 @@
 
     /// A gatekeeper says how it is; false where it is none that follows. What the leader alone says (parts of quotas, how
     /// many gatekeepers there are) it says only while it is in touch: else another may lead by now.
-    pub fn hear_ping(&self, now: Time, rooms: &mut Rooms, number: u64, ping: &Ping) -> bool {
+    pub fn hear_ping(&self, (now, came): (Time, Time), rooms: &mut Rooms, number: u64, ping: &Ping) -> bool {
         let leads = rooms.leads(now);
         let Rooms { cairn, committed, feed, directory, peers, .. } = rooms;
         let Some(f) = feed.followers.get_mut(&number) else { return false };
-        if directory.hear(now, &f.edge, ping.readiness) && ping.readiness == Readiness::Leaving {
+        if directory.hear(came, &f.edge, ping.readiness) && ping.readiness == Readiness::Leaving {
             self.tell_sightings(now, directory, peers);
         }
         let book = &committed.book;
--- a/crates/hut/src/inner.rs
+++ b/crates/hut/src/inner.rs
@@ -23,6 +23,8 @@
         let mut follower = None;
         lines::read(conn, |word: Up| {
             let now = self.alarms.now();
+            // Where this process stood still, what is read may be old; the rooms that go by echoes know that themselves.
+            let came = self.alarms.came_at(now);
             let mut rooms = self.rooms();
             match (word, core, follower) {
                 (Up::Core { from }, ..) => {
@@ -34,14 +36,16 @@
                     rooms.cairn.hear(now, from, message);
                     self.act(now, &mut rooms);
                 }
-                (Up::Heard(lives), Some(_), _) => rooms.hear_lives(now, &lives),
+                (Up::Heard(lives), Some(_), _) => rooms.hear_lives(came, &lives),
                 (Up::Sightings { sightings, whole, has_gathered }, Some(from), _) => {
-                    rooms.directory.take(now, from, sightings, whole, has_gathered);
+                    rooms.directory.take(came, from, sightings, whole, has_gathered);
                 }
                 (Up::Hello { edge, lives }, ..) => {
                     follower = Some(self.welcome(now, &mut rooms, conn, edge, lives));
                 }
-                (Up::Ping(ping), _, Some(number)) => return self.hear_ping(now, &mut rooms, number, &ping),
+                (Up::Ping(ping), _, Some(number)) => {
+                    return self.hear_ping((now, came), &mut rooms, number, &ping);
+                }
                 // Whoever has not said who it is.
                 _ => return false,
             }
--- a/crates/hut/src/orders.rs
+++ b/crates/hut/src/orders.rs
@@ -78,6 +78,10 @@
                 if !rooms.cairn.leads() && rooms.cairn.leader() != Some(self.me) {
                     return self.elsewhere(now, &rooms, path);
                 }
+                // Cut off, or just woken: it will not be the leader for long.
+                if rooms.cairn.leads() && !rooms.cairn.is_in_touch(now) {
+                    return unsettled();
+                }
                 if rooms.cairn.leads() && !rooms.cairn.is_open() {
                     match rooms.committed.book.rule(&change, &self.settings.zones) {
                         Ruling::Take(book) => {
--- a/crates/pass/src/feed.rs
+++ b/crates/pass/src/feed.rs
@@ -21,7 +21,7 @@
 /// A hut may be a region away.
 const OPENING: Span = Span::from_millis(350);
 const AGAIN: Span = Span::from_millis(150);
-const AGAIN_AT_MOST: Span = Span::from_millis(400);
+const AGAIN_AT_MOST: Span = Span::from_millis(200);
 const MOST_UNSENT: usize = 1 << 20;
 /// No system has more huts than this.
 const MOST_HUTS: usize = 16;
--- a/crates/ridge/src/directory.rs
+++ b/crates/ridge/src/directory.rs
@@ -37,6 +37,8 @@
     told: HashMap<String, Sighting>,
     /// Lives that leave, and when that was heard.
     left: HashMap<(String, u64), Time>,
+    /// Those that could serve when they were heard last, by whichever hut.
+    last: HashMap<String, (Edge, Time)>,
 }
 
 impl Directory {
@@ -93,8 +95,14 @@
     }
 
     fn note(&mut self, now: Time, edge: &Edge, readiness: Readiness) {
-        if readiness == Readiness::Leaving {
-            self.left.entry((edge.node.clone(), edge.life)).or_insert(now);
+        match readiness {
+            Readiness::Leaving => {
+                self.left.entry((edge.node.clone(), edge.life)).or_insert(now);
+            }
+            Readiness::Ready | Readiness::Stale => {
+                self.last.insert(edge.node.clone(), (edge.clone(), now));
+            }
+            Readiness::Starting | Readiness::Gone => {}
         }
     }
 
@@ -111,6 +119,7 @@
     pub fn news(&mut self, now: Time) -> Vec<Sighting> {
         self.left.retain(|_, at| now - *at < REMEMBERED);
         self.there.retain(|_, t| now - t.heard_at < REMEMBERED);
+        self.last.retain(|_, (_, at)| now - *at < REMEMBERED);
         let present: HashMap<String, Sighting> =
             self.present(now).map(|s| (s.edge.node.clone(), s.clone())).collect();
         let is_news = |s: &&Sighting| self.told.get(&s.edge.node) != Some(*s);
@@ -151,9 +160,15 @@
         if ready.is_empty() { of(Readiness::Stale).collect() } else { ready }
     }
 
-    /// The answer to a client of this region: its own gatekeepers where there are any.
-    pub fn answer(&self, now: Time, region: &str) -> Vec<SocketAddr> {
-        let open = self.open(now);
+    /// The answer to a client of this region: its own gatekeepers where there are any. Where no hut hears any
+    /// gatekeeper, a hut in touch with the others names those that were there last: they may be cut off from the huts
+    /// only. One out of touch names none then, as another hut may know better.
+    pub fn answer(&self, now: Time, region: &str, in_touch: bool) -> Vec<SocketAddr> {
+        let mut open = self.open(now);
+        if open.is_empty() && in_touch {
+            let last = self.last.values().filter(|(_, at)| now - *at < REMEMBERED).map(|(edge, _)| edge);
+            open = last.filter(|e| !self.left.contains_key(&(e.node.clone(), e.life))).collect();
+        }
         let mut near: Vec<&Edge> = open.iter().copied().filter(|e| e.region == region).collect();
         if near.is_empty() {
             near = open;
--- a/crates/ridge/tests/directory.rs
+++ b/crates/ridge/tests/directory.rs
@@ -26,17 +26,17 @@
     let (mut old, mut new) = (Directory::default(), Directory::default());
     old.hear(at(0), &edge(1, "r", 1), Readiness::Ready);
     old.hear(at(0), &edge(2, "s", 1), Readiness::Ready);
-    assert!(new.answer(at(100), "r").is_empty() && !new.knows_all(at(100)));
+    assert!(new.answer(at(100), "r", false).is_empty() && !new.knows_all(at(100)));
     new.take(at(100), HUT, old.all(at(100)), true, true);
     assert!(new.knows_all(at(100)));
-    assert_eq!(new.answer(at(100), "r"), [front(1)], "those of the region first");
-    assert_eq!(new.answer(at(100), "elsewhere").len(), 2, "all where it has none");
+    assert_eq!(new.answer(at(100), "r", false), [front(1)], "those of the region first");
+    assert_eq!(new.answer(at(100), "elsewhere", false).len(), 2, "all where it has none");
     new.hear_hut(at(2_000), HUT);
-    assert_eq!(new.answer(at(4_000), "r"), [front(1)]);
-    assert!(new.answer(at(4_600), "r").is_empty(), "that hut fell silent");
+    assert_eq!(new.answer(at(4_000), "r", false), [front(1)]);
+    assert!(new.answer(at(4_600), "r", false).is_empty(), "that hut fell silent");
     new.hear_hut(at(5_000), HUT);
     new.end_hut(HUT);
-    assert!(new.answer(at(5_000), "r").is_empty());
+    assert!(new.answer(at(5_000), "r", false).is_empty());
 }
 
 /// What changed is told once, and an end as well.
@@ -72,12 +72,12 @@
     directory.hear(at(0), &edge(1, "r", 1), Readiness::Ready);
     directory.take(at(0), HUT, told(1, Readiness::Ready), true, true);
     directory.take(at(500), HUT, told(1, Readiness::Leaving), false, true);
-    assert!(directory.answer(at(500), "r").is_empty(), "here it is still heard as ready");
+    assert!(directory.answer(at(500), "r", false).is_empty(), "here it is still heard as ready");
     directory.end("e1", 1);
     directory.take(at(900), HUT, told(1, Readiness::Ready), false, true);
-    assert!(directory.answer(at(900), "r").is_empty(), "an old word about an old life");
+    assert!(directory.answer(at(900), "r", false).is_empty(), "an old word about an old life");
     directory.take(at(1_000), HUT, told(2, Readiness::Ready), false, true);
-    assert_eq!(directory.answer(at(1_000), "r"), [front(1)]);
+    assert_eq!(directory.answer(at(1_000), "r", false), [front(1)]);
 }
 
 /// While the core can't be sure of its book no gatekeeper is: those that serve on are named all the same.
@@ -87,7 +87,31 @@
     directory.hear(at(0), &edge(1, "r", 1), Readiness::Stale);
     directory.hear(at(0), &edge(2, "r", 1), Readiness::Starting);
     directory.hear(at(0), &edge(3, "s", 1), Readiness::Stale);
-    assert_eq!(directory.answer(at(0), "r"), [front(1)]);
+    assert_eq!(directory.answer(at(0), "r", false), [front(1)]);
     directory.hear(at(100), &edge(3, "s", 1), Readiness::Ready);
-    assert_eq!(directory.answer(at(100), "r"), [front(3)]);
+    assert_eq!(directory.answer(at(100), "r", false), [front(3)]);
+}
+
+/// All gatekeepers are cut off from the huts: those that were there last are named, by a hut that is in touch, for a
+/// while; not those that left.
+#[test]
+fn the_last_ones_are_named_where_none_is_heard() {
+    let mut directory = Directory::default();
+    directory.hear(at(0), &edge(1, "r", 1), Readiness::Ready);
+    directory.hear(at(0), &edge(2, "r", 1), Readiness::Ready);
+    directory.hear(at(500), &edge(2, "r", 1), Readiness::Leaving);
+    directory.end("e1", 1);
+    directory.end("e2", 1);
+    assert!(directory.answer(at(1_000), "r", false).is_empty(), "out of touch");
+    assert_eq!(directory.answer(at(1_000), "r", true), [front(1)]);
+    assert_eq!(directory.answer(at(20_000), "elsewhere", true), [front(1)]);
+    assert!(directory.answer(at(31_000), "r", true).is_empty());
+    directory.take(
+        at(32_000),
+        HUT,
+        vec![Sighting { edge: edge(3, "r", 1), readiness: Readiness::Ready }],
+        true,
+        true,
+    );
+    assert_eq!(directory.answer(at(32_000), "r", true), [front(3)], "who is heard goes first");
 }
