--- a/crates/hut/src/feed.rs
+++ b/crates/hut/src/feed.rs
@@ -12,6 +12,7 @@
 use lynxstair_trailbook::words::{Bytes, Down, Edge, Ping, Readiness};
 use lynxstair_wire::conn::Conn;
 
+use crate::agreement::Committed;
 use crate::hut::{Hut, MOST_UNSENT, Rooms};
 use crate::peers::say;
 
@@ -60,17 +61,25 @@
         }
     }
 
-    /// A book was agreed on: the leader tells all.
-    pub fn tell_book(&mut self) {
+    /// A book was committed: the leader tells every gatekeeper that follows the feed here and has none on its way.
+    pub fn tell_book(&mut self, now: Time) {
         let Rooms { cairn, committed, feed, .. } = self;
         if let Some(configuration) = &committed.configuration {
             feed.purse.keep(&configuration.tenants);
         }
-        if cairn.leads() {
-            let state = Bytes(Arc::new(committed.book.for_the_road()));
-            let index = committed.book.number;
-            feed.tell(&Down::Book { index, state });
-            feed.followers.values_mut().for_each(|f| f.sent.all(index));
+        if !cairn.leads() {
+            return;
+        }
+        let Committed { book, steps, .. } = committed;
+        let mut frames: HashMap<u64, Vec<u8>> = HashMap::new();
+        for f in feed.followers.values_mut() {
+            let Some(over) = f.sent.due(now, book.number, true, book.bytes()) else { continue };
+            let frame = frames.entry(over).or_insert_with(|| {
+                let state = Bytes(Arc::new(steps.page(book, over)));
+                lines::frame(&Down::Book { index: book.number, state })
+            });
+            f.sent.flies(now, book.number, frame.len());
+            lines::write(&f.conn, frame, MOST_UNSENT);
         }
     }
 }
@@ -99,10 +108,12 @@
         if directory.hear(came, &f.edge, ping.readiness) && ping.readiness == Readiness::Leaving {
             self.tell_sightings(now, directory, peers);
         }
-        let book = &committed.book;
-        if f.sent.due(ping.have, book.number, leads, now - committed.at) {
-            let state = Bytes(Arc::new(book.for_the_road()));
-            say(&f.conn, &Down::Book { index: book.number, state });
+        let Committed { book, steps, .. } = committed;
+        f.sent.hear(now, ping.have);
+        if let Some(over) = f.sent.due(now, book.number, leads, book.bytes()) {
+            let page = steps.page(book, over);
+            f.sent.flies(now, book.number, page.len());
+            say(&f.conn, &Down::Book { index: book.number, state: Bytes(Arc::new(page)) });
         }
         let fresh = cairn.sure_at().map(|at| (now - at).nanos().div_ceil(1_000_000));
         say(&f.conn, &Down::Pong { clock: ping.clock, index: book.number, fresh, leads });
--- a/crates/hut/src/orders.rs
+++ b/crates/hut/src/orders.rs
@@ -57,10 +57,10 @@
             return reply;
         }
         let rooms = self.rooms();
-        if rooms.committed.book.text.is_empty() {
-            return error(404, "no configuration yet");
+        match rooms.committed.book.text() {
+            Some(text) => Reply::json(200, text.as_bytes()),
+            None => error(404, "no configuration yet"),
         }
-        Reply::json(200, rooms.committed.book.text.as_bytes())
     }
 
     pub fn change(self: &Arc<Self>, call: &Call, path: &str, change: Change) -> Reply {
@@ -91,6 +91,7 @@
                                 break number;
                             }
                         }
+                        Ruling::Unclear => return unsettled(),
                         Ruling::Taken if is_confirmed => return Reply::json(200, "{}"),
                         Ruling::Refuse(status, why) if is_confirmed => {
                             info!(status = status, why = why; "a change is refused");
