--- a/crates/pass/src/feed.rs
+++ b/crates/pass/src/feed.rs
@@ -1,6 +1,7 @@
 //! The feed on sockets: one line to each hut, by which the book, the workers' lives and the purse's shares come, and
 //! by which this gatekeeper says what it counted and whether clients may come.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -8,7 +9,7 @@
 use lynxstair::types::{Span, Time};
 use lynxstair_lines as lines;
 use lynxstair_trailbook::settings::Reload;
-use lynxstair_trailbook::words::{Down, Ping, Readiness, Up};
+use lynxstair_trailbook::words::{Count, Down, Ping, Readiness, Up};
 use lynxstair_wire::conn::Conn;
 use lynxstair_wire::coroutine::go;
 
@@ -57,6 +58,25 @@
     open: Vec<Line>,
     /// When a line last stood to any of them.
     reached_at: Time,
+    /// What was counted, and when, and not told yet: no hut that leads is in reach.
+    untold: VecDeque<(Time, Vec<Count>)>,
+}
+
+impl Lines {
+    /// What was counted since the last time goes behind what is not told yet, as far back as a window of the quotas.
+    fn keep(&mut self, now: Time, counts: Vec<Count>, window: Span) {
+        self.untold.push_back((now, counts));
+        self.untold.retain(|(at, _)| now - *at < window);
+    }
+
+    /// All that is not told yet, each with its age.
+    fn counts(&mut self, now: Time) -> Vec<Count> {
+        let aged = |(at, counts): (Time, Vec<Count>)| {
+            let ago_ms = ((now - at).nanos() / 1_000_000) as u32;
+            counts.into_iter().map(move |count| Count { ago_ms, ..count })
+        };
+        self.untold.drain(..).flat_map(aged).collect()
+    }
 }
 
 #[derive(Default)]
@@ -245,13 +265,18 @@
     pub fn speak_to(road: &Road, only: Option<&Arc<Conn>>) {
         let now = road.alarms.now();
         let mut lines = road.feed.lines();
-        let (have, readiness, mut counts, held) = {
+        let (have, readiness, counts, held) = {
             let mut rooms = road.rooms();
-            let leads = lines.open.iter().any(|l| l.leads) && only.is_none();
-            let counts = if leads { rooms.buckets.counts() } else { Vec::new() };
+            let counts = if only.is_none() { rooms.buckets.counts() } else { Vec::new() };
             let held = lines.open.iter().any(|l| l.leads && !l.knows).then(|| rooms.buckets.holds(now));
             (rooms.mirror.number(), readiness(road, &rooms, now), counts, held)
         };
+        let mut counts = if only.is_none() {
+            lines.keep(now, counts, road.settings.bounds.quota_window);
+            if lines.open.iter().any(|l| l.leads) { lines.counts(now) } else { Vec::new() }
+        } else {
+            Vec::new()
+        };
         // Of two that say that they lead, one has not heard yet that it does no more.
         lines.open.sort_by_key(|l| (!l.leads, l.hut));
         for line in lines.open.iter_mut().filter(|l| only.is_none_or(|c| Arc::ptr_eq(c, &l.conn))) {
--- a/crates/ridge/src/buckets.rs
+++ b/crates/ridge/src/buckets.rs
@@ -122,6 +122,7 @@
                 tenant: tenant.clone(),
                 passed: std::mem::take(&mut b.passed),
                 refused: std::mem::take(&mut b.refused),
+                ago_ms: 0,
             })
             .collect()
     }
--- a/crates/ridge/src/purse.rs
+++ b/crates/ridge/src/purse.rs
@@ -78,6 +78,12 @@
 }
 
 impl Total {
+    fn add(&mut self, at: Time, passed: f64) {
+        let place = self.counted.iter().rposition(|(t, _)| *t <= at).map_or(0, |p| p + 1);
+        self.counted.insert(place, (at, passed));
+        self.sum += passed;
+    }
+
     /// What was let through in the window up to now, with what is not counted yet.
     fn reached(&mut self, now: Time, window: Span) -> f64 {
         while let Some((_, passed)) = self.counted.pop_front_if(|(at, _)| now - *at >= window) {
@@ -132,7 +138,9 @@
         tenants: &[Tenant],
     ) -> Vec<Share> {
         let spender = self.spenders.entry(node.to_string()).or_default();
-        let gap = (now - spender.heard_at).secs().clamp(0.2, 2.0);
+        // Who was out of reach says what it counted each second since.
+        let most = if counts.iter().any(|c| c.ago_ms > 0) { 1.0 } else { 2.0 };
+        let gap = (now - spender.heard_at).secs().clamp(0.2, most);
         spender.zone = zone.to_string();
         spender.heard_at = now;
         if got >= spender.number {
@@ -144,7 +152,7 @@
         for need in spender.needs.values_mut() {
             *need *= 1.0 - weight;
         }
-        for count in counts {
+        for count in counts.iter().filter(|c| c.ago_ms == 0) {
             let need = spender.needs.entry(count.tenant.clone()).or_default();
             let seen = f64::from(count.passed + count.refused) / gap;
             *need += weight * seen;
@@ -157,8 +165,7 @@
         let mut closed = Vec::new();
         for count in counts.iter().filter(|c| c.passed > 0) {
             let total = self.totals.entry(count.tenant.clone()).or_default();
-            total.counted.push_back((now, f64::from(count.passed)));
-            total.sum += f64::from(count.passed);
+            total.add(now.saturating_sub(Span::from_millis(count.ago_ms.into())), f64::from(count.passed));
             if let Some(tenant) = tenants.iter().find(|t| t.name == count.tenant && t.rate > 0.0)
                 && total.closes(now, self.grant, self.spenders.len() as f64, tenant)
             {
--- /dev/null
+++ b/crates/ridge/tests/purse.rs
@@ -0,0 +1,44 @@
+//! The purse, when a gatekeeper comes back that was out of reach.
+
+use lynxstair::types::{Span, Time};
+use lynxstair_ridge::purse::{Grant, Purse};
+use lynxstair_trailbook::configuration::Tenant;
+use lynxstair_trailbook::words::{Count, Share};
+
+const GRANT: Grant = Grant { window: Span::from_millis(5_000), requests: 20.0, over: 0.1 };
+const GATEKEEPERS: u32 = 11;
+/// So many of them let one through in each second.
+const BUSY: u32 = 7;
+
+fn at(ms: u64) -> Time {
+    Time::from_nanos((100_000 + ms) * 1_000_000)
+}
+
+fn count(passed: u32, ago_ms: u32) -> Count {
+    Count { tenant: "t".into(), passed, refused: 0, ago_ms }
+}
+
+/// Seven in a second of eight that are granted: what gatekeepers say of the time when they were out of reach closes
+/// nobody, as it lies in the past. Said as if it were of now, it closed the tenant everywhere for seconds.
+#[test]
+fn counts_from_out_of_reach_lie_in_the_past() {
+    let tenants = vec![Tenant { name: "t".into(), priority: None, rate: 8.0, burst: 8.0, homes: vec![] }];
+    let play = |counts: &dyn Fn() -> Vec<Count>| -> Vec<Share> {
+        let mut purse = Purse::new(GRANT);
+        let mut closed = Vec::new();
+        for second in 0..30 {
+            let (now, cut) = (at(second * 1_000), (10..20).contains(&second));
+            for n in (0..GATEKEEPERS).filter(|_| !cut) {
+                let node = n.to_string();
+                purse.meet(now, &node, "z", true);
+                let said = if second == 20 { counts() } else { vec![count(1, 0)] };
+                let said = if n < BUSY { said } else { Vec::new() };
+                closed.extend(purse.hear(now, &node, "z", (&said, 0), &tenants));
+            }
+        }
+        closed
+    };
+    let each_second = || (0..5).rev().map(|s| count(1, s * 1_000)).collect();
+    assert_eq!(play(&each_second), [], "as it was");
+    assert!(!play(&|| vec![count(10, 0)]).is_empty(), "ten seconds as if they were one");
+}
--- a/crates/trailbook/src/words.rs
+++ b/crates/trailbook/src/words.rs
@@ -70,6 +70,8 @@
     pub tenant: String,
     pub passed: u32,
     pub refused: u32,
+    /// How long ago it was counted, in milliseconds: no core that leads was in reach since.
+    pub ago_ms: u32,
 }
 
 /// A gatekeeper of the road, as the board needs it.
