--- a/crates/pass/tests/tries.rs
+++ b/crates/pass/tests/tries.rs
@@ -79,7 +79,7 @@
             let tried = workers.send(&alarms, &worker, &out, until, &carrier);
             let answer = tried.answer.map(|mut answer| {
                 let status = answer.status;
-                let mut ring = Ring::new(1 << 20);
+                let mut ring = Ring::new(4 << 20);
                 answer.put(&mut ring, "").expect("put");
                 let head = ring.bytes().windows(4).position(|w| w == b"\r\n\r\n").expect("a head") + 4;
                 let mut text = ring.bytes()[head..].to_vec();
@@ -175,6 +175,7 @@
     let bare_400 = answer(400, "Not-Run: 1\r\n", "");
     let yes = good("ME", "yes");
     let long = "x".repeat(100_000);
+    let longer = "y".repeat(3 << 20);
     let cut_at = good("ME", &long).len() - 100_000;
     let cut = "x".repeat(70_000 - cut_at) + " CUT";
     let is = |v: Verdict, o: Outcome| (v, o, None);
@@ -385,6 +386,14 @@
             (Ran, Succeeded, got_body(200, &long)),
             false,
         ),
+        (
+            "longer than a buffer",
+            BOTH,
+            vec![good("ME", &longer)],
+            Waits,
+            (Ran, Succeeded, got_body(200, &longer)),
+            false,
+        ),
         ("long, another's, then ours", BOTH, vec![good("other", &long), yes.clone()], Waits, served(), false),
         (
             "long, closed midway",
