--- a/crates/wire/src/conn.rs
+++ b/crates/wire/src/conn.rs
@@ -343,6 +343,18 @@
         }
     }
 
+    /// Waits until the kernel has taken all that was written; false where the connection broke or the time for that is
+    /// up: whoever asks has it nudged then. For the one that reads, when it reads no more.
+    pub fn drained(&self, is_over: impl Fn() -> bool) -> bool {
+        while !self.is_closed() && !is_over() && self.flush().is_ok() {
+            if self.unsent() == 0 {
+                return true;
+            }
+            self.io.wait_io();
+        }
+        false
+    }
+
     /// Bytes that the kernel has not taken.
     pub fn unsent(&self) -> usize {
         lock(&self.outbound).len()
@@ -354,6 +366,15 @@
         self.is_closed() || !matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Whether the other side has ended it, without waiting. What it sent besides is no end.
+    pub fn has_ended(&self) -> bool {
+        let ended = match self.io.inner().peek(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock && e.kind() != io::ErrorKind::Interrupted,
+        };
+        self.is_closed() || ended
+    }
+
     pub fn is_closed(&self) -> bool {
         self.closed.load(Ordering::Relaxed)
     }
@@ -370,7 +391,8 @@
         self.nudge();
     }
 
-    /// Ends the sending: the other side gets all that was written, and then the end.
+    /// Ends the sending: the other side gets all that the kernel has taken, and then the end. What it has not taken is
+    /// lost: see `drained`.
     pub fn finish(&self) {
         let _ = self.io.inner().shutdown(Shutdown::Write);
     }
