--- a/crates/pass/src/workers.rs
+++ b/crates/pass/src/workers.rs
@@ -399,8 +399,8 @@
     let call = out.call;
     write!(
         ring,
-        "{} {} HTTP/1.1\r\nTime-Left-Ms: {left_ms}\r\nTarget-Instance: {}\r\n",
-        call.method, call.target, worker.id
+        "{} {} HTTP/1.1\r\nAttempt-Id: {}\r\nTime-Left-Ms: {left_ms}\r\nTarget-Instance: {}\r\n",
+        call.method, call.target, out.attempt, worker.id
     )?;
     if let Some(tenant) = out.tenant {
         write!(ring, "Tenant: {tenant}\r\n")?;
@@ -408,7 +408,8 @@
     if !out.body.is_empty() || !matches!(call.method, "GET" | "HEAD" | "DELETE") {
         write!(ring, "Content-Length: {}\r\n", out.body.len())?;
     }
-    const OURS: [&str; 4] = ["time-left-ms", "target-instance", "tenant", "authorization"];
+    // The id by our own hand: a client may name it in `Connection`, and without it nobody could tell whose an answer is.
+    const OURS: [&str; 5] = ["attempt-id", "time-left-ms", "target-instance", "tenant", "authorization"];
     for (name, value) in call.headers.passed_on() {
         if !OURS.iter().any(|o| name.eq_ignore_ascii_case(o)) {
             http::put_header(ring, name, value)?;
--- a/crates/pass/tests/tries.rs
+++ b/crates/pass/tests/tries.rs
@@ -355,6 +355,25 @@
     }
 }
 
+/// What comes on a connection that rests is nobody's: no request is put on it any more.
+#[test]
+fn idle_connections_that_speak() {
+    let rig = Rig::new();
+    for says in ["200 plain seal :late", "503 other not-run", "400 not-run", ""] {
+        let conn = rig.exchange(None, "");
+        (&conn).write_all(piece(says, "").0.as_bytes()).expect("written");
+        if says.is_empty() {
+            conn.shutdown(Shutdown::Write).expect("closed");
+        }
+        let next = rig.send(true, "next", 0, rig.after(20_000), &Arc::default());
+        assert!(!matches!(conn.peek(&mut [0]), Ok(1)), "{says}");
+        let over = rig.accept();
+        assert_eq!(request(&over).as_deref(), Some("next"));
+        (&over).write_all(answer("200 next seal close :n", "").as_bytes()).expect("written");
+        assert_eq!(next.recv_timeout(PATIENCE).as_deref(), Ok("Ran Succeeded 200 n"), "{says}");
+    }
+}
+
 /// The gatekeeper stands still, the time goes by, the answer comes before or after that, the gatekeeper goes on: what
 /// the kernel holds by then stands, in whichever order it hears of the two.
 #[test]
