--- a/crates/hut/tests/store.rs
+++ b/crates/hut/tests/store.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 
 use lynxstair_cairn::Record;
-use lynxstair_trailbook::words::{Bytes, State};
+use lynxstair_trailbook::agreement::{LogId, Member, State};
+use lynxstair_trailbook::words::Bytes;
 use store::{Memory, Sqlite, Store};
 
 #[path = "../src/store.rs"]
@@ -23,9 +24,9 @@
     Record {
         term,
         vote: Some(node),
-        state: State { members: vec![node], book },
-        lost: Some(9),
-        ..Record::default()
+        last: LogId { term, index: 7 },
+        state: State { voters: vec![Member { node, disk: 9 }], outgoing: None, book },
+        disk: 9,
     }
 }
 
