An order is read before the book is held for it; a large one on a thread of its own

Cause: a PUT was parsed under the one lock, on the hut's one coroutine thread: 6 ms at 36 kB, 58 at 360 kB, 0.6 s at 3.5 MB, in which a leader does not speak; each hut read what was agreed on likewise.

Change: Order holds what can be known without the book (identity, parse, a whole configuration's checks). Over 64 KiB it is read on a thread of its own, eight at most. Huts that don't lead read a configuration only when it is asked for, a large one aside. A committed book that can't be read here (of another build) stops orders and reads with 503: the hut ruled on by the one before.

--- a/crates/hut/examples/state.rs
+++ b/crates/hut/examples/state.rs
@@ -7,7 +7,7 @@
 
 use lynxstair::types::Time;
 use lynxstair_cairn::Record;
-use lynxstair_ridge::book::{Book, Change, Ruling};
+use lynxstair_ridge::book::{Book, Change, Order, Ruling};
 use lynxstair_ridge::feed::{Mirror, Steps};
 use lynxstair_trailbook::agreement::State;
 use lynxstair_trailbook::words::Bytes;
@@ -56,8 +56,8 @@
     )
 }
 
-fn taken(book: &Book, change: &Change) -> Book {
-    match book.rule(change, &[]) {
+fn taken(book: &Book, order: &Order) -> Book {
+    match book.rule(order, &[]) {
         Ruling::Take(book) => *book,
         other => panic!("{other:?}"),
     }
@@ -82,7 +82,7 @@
     fn print(&mut self) {
         for (step, all) in &mut self.0 {
             all.sort_by(f64::total_cmp);
-            println!("{step:<34} {:9.3} ms, most {:9.3} ms", all[all.len() / 2], all[all.len() - 1]);
+            println!("{step:<42} {:9.3} ms, most {:9.3} ms", all[all.len() / 2], all[all.len() - 1]);
         }
     }
 }
@@ -102,8 +102,12 @@
     let mut times = Times::default();
     let mut sqlite = Sqlite::open(folder.path(), || false).expect("open");
     println!("configuration {} bytes, {routes} routes; {changes} changes", text.len());
-    let mut book = times.of("PUT: parse, rule", || taken(&Book::default(), &Change::Put(text.into_bytes())));
-    let mut agreed = Book::read(&book.written()).expect("read");
+    let mut order = Order::new(Change::Put(text.into_bytes()));
+    times.of("PUT: read, before the lock", || order.read());
+    let mut book = times.of("PUT: rule", || taken(&Book::default(), &order));
+    let state = book.written();
+    let mut agreed = times.of("a hut: read a PUT that was agreed on", || Book::read(&state).expect("read"));
+    times.of("a new leader: read what it says", || assert!(agreed.configuration().is_some()));
     let (mut mirror, mut steps) = (Mirror::default(), Steps::default());
     let page = times.of("a hut: write the whole for the road", || steps.page(&agreed, 0));
     let whole = page.len();
@@ -112,8 +116,9 @@
     });
     let mut road = 0;
     for generation in 2..2 + changes {
-        let change = patch(generation, routes);
-        let new = times.of("PATCH of one route: parse, rule", || taken(&book, &change));
+        let mut order = Order::new(patch(generation, routes));
+        times.of("PATCH of one route: read, before the lock", || order.read());
+        let new = times.of("PATCH of one route: rule", || taken(&book, &order));
         let state = times.of("serialise the state", || new.written());
         let record = Record {
             state: State { book: Bytes(std::sync::Arc::new(state)), ..State::default() },
--- a/crates/hut/src/agreement.rs
+++ b/crates/hut/src/agreement.rs
@@ -11,7 +11,6 @@
 use lynxstair_ridge::book::Book;
 use lynxstair_ridge::feed::Steps;
 use lynxstair_trailbook::agreement::Member;
-use lynxstair_trailbook::configuration::Configuration;
 use lynxstair_trailbook::words::Up;
 use lynxstair_wire::alarms::Alarms;
 use may::sync::Blocker;
@@ -25,6 +24,15 @@
 /// The time's keeper looks no more often than this by itself.
 const STEP: Span = Span::from_millis(2);
 
+/// Of more bytes than these a configuration is read on a thread of its own: the hut has one for all else, and a leader
+/// that reads for half a second leads no more.
+pub const READ_ASIDE: usize = 64 << 10;
+
+/// Does something long on a thread of its own; false where there can be none.
+pub fn aside(what: impl FnOnce() + Send + 'static) -> bool {
+    thread::Builder::new().name("aside".to_string()).stack_size(1 << 20).spawn(what).is_ok()
+}
+
 /// What is to be written by the disk's thread.
 pub enum Job {
     Book(u64, Record),
@@ -34,24 +42,30 @@
 /// The book as committed, as far as it is known here.
 pub struct Committed {
     pub book: Book,
-    pub configuration: Option<Arc<Configuration>>,
+    /// What was committed last could not be read here: nothing is said of the book, nor changed in it.
+    pub is_unreadable: bool,
     /// How the book came to be what it is, for the road.
     pub steps: Steps,
 }
 
 impl Committed {
     pub fn new() -> Committed {
-        Committed { book: Book::default(), configuration: None, steps: Steps::default() }
+        Committed { book: Book::default(), is_unreadable: false, steps: Steps::default() }
     }
 
     /// Whether it is newer than what stood.
     fn take(&mut self, book: Book) -> bool {
+        self.is_unreadable = false;
         if book.number <= self.book.number {
             return false;
         }
-        self.configuration = book.configuration().cloned();
         self.steps.note(&self.book, &book);
         self.book = book;
+        if !self.book.is_read() && self.book.bytes() > READ_ASIDE {
+            // Who leads next is to find it read.
+            let book = self.book.clone();
+            aside(move || drop(book.configuration().cloned()));
+        }
         true
     }
 }
@@ -239,6 +253,7 @@
                     Do::Committed(at, state) => {
                         let Some(book) = rooms.committed.book.after(&state.0) else {
                             warn!(index = at.index; "a book that can't be read");
+                            rooms.committed.is_unreadable = true;
                             continue;
                         };
                         let (number, generation) = (book.number, book.generation);
--- a/crates/hut/src/feed.rs
+++ b/crates/hut/src/feed.rs
@@ -64,12 +64,12 @@
     /// A book was committed: the leader tells every gatekeeper that follows the feed here and has none on its way.
     pub fn tell_book(&mut self, now: Time) {
         let Rooms { cairn, committed, feed, .. } = self;
-        if let Some(configuration) = &committed.configuration {
-            feed.purse.keep(&configuration.tenants);
-        }
         if !cairn.leads() {
             return;
         }
+        if let Some(configuration) = committed.book.configuration() {
+            feed.purse.keep(&configuration.tenants);
+        }
         let Committed { book, steps, .. } = committed;
         let mut frames: HashMap<u64, Vec<u8>> = HashMap::new();
         for f in feed.followers.values_mut() {
@@ -120,7 +120,7 @@
         let purse = &mut feed.purse;
         let node = &f.edge.node;
         purse.meet(now, node, &f.edge.zone, leads);
-        let Some(c) = committed.configuration.as_ref().filter(|_| leads) else { return true };
+        let Some(c) = book.configuration().filter(|_| leads) else { return true };
         if let Some(holds) = &ping.holds {
             purse.holds(node, holds);
         }
--- a/crates/hut/src/orders.rs
+++ b/crates/hut/src/orders.rs
@@ -2,14 +2,16 @@
 //! true at some moment of the call: a majority has answered a round that began after the call came (read index), or
 //! has stored what is acknowledged.
 
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 
 use log::info;
 use lynxstair::types::{Span, Time};
-use lynxstair_ridge::book::{Change, Ruling};
+use lynxstair_ridge::book::{Change, Order, Ruling};
 use lynxstair_wire::calls::{Call, Reply};
+use may::sync::Blocker;
 
-use crate::agreement::Answer;
+use crate::agreement::{Answer, READ_ASIDE, aside};
 use crate::control::{error, unsettled};
 use crate::hut::{Hut, Rooms};
 
@@ -18,6 +20,57 @@
 /// While another change is open.
 const LOOKS: Span = Span::from_millis(4);
 
+/// So many large orders are read at once.
+const MOST_READERS: usize = 8;
+static READERS: AtomicUsize = AtomicUsize::new(0);
+
+/// Reads an order, a large one aside; None where too many are being read.
+fn read(mut order: Order) -> Option<Order> {
+    if order.bytes() <= READ_ASIDE {
+        order.read();
+        return Some(order);
+    }
+    if READERS.fetch_add(1, Ordering::Relaxed) >= MOST_READERS {
+        READERS.fetch_sub(1, Ordering::Relaxed);
+        return None;
+    }
+    let reader = Arc::new(Reader { blocker: Blocker::current(), read: Mutex::new(None) });
+    let end = End(reader.clone());
+    let begun = aside(move || {
+        order.read();
+        end.0.say(Some(order));
+    });
+    let mut read = if begun { None } else { Some(None) };
+    while read.is_none() {
+        let _ = reader.blocker.park(None);
+        read = reader.read.lock().unwrap_or_else(|e| e.into_inner()).take();
+    }
+    READERS.fetch_sub(1, Ordering::Relaxed);
+    read.flatten()
+}
+
+/// Who waits for a thread that reads, and what that has read: an order, or none where it ended otherwise.
+struct Reader {
+    blocker: Arc<Blocker>,
+    read: Mutex<Option<Option<Order>>>,
+}
+
+impl Reader {
+    fn say(&self, order: Option<Order>) {
+        self.read.lock().unwrap_or_else(|e| e.into_inner()).get_or_insert(order);
+        self.blocker.unpark();
+    }
+}
+
+/// However the thread ends, nobody waits for it any more.
+struct End(Arc<Reader>);
+
+impl Drop for End {
+    fn drop(&mut self) {
+        self.0.say(None);
+    }
+}
+
 impl Hut {
     /// Elsewhere: the hut that leads, as far as this one is in touch with it; else nobody knows who does.
     fn elsewhere(&self, now: Time, rooms: &Rooms, path: &str) -> Reply {
@@ -57,6 +110,9 @@
             return reply;
         }
         let rooms = self.rooms();
+        if rooms.committed.is_unreadable {
+            return unsettled();
+        }
         match rooms.committed.book.text() {
             Some(text) => Reply::json(200, text.as_bytes()),
             None => error(404, "no configuration yet"),
@@ -67,6 +123,12 @@
         let until = self.patience();
         let mut is_confirmed = false;
         let answer = Answer::awaited();
+        let mut order = Order::new(change);
+        // One that was taken needs no reading; any other is read while nobody waits for the rooms.
+        if !self.rooms().committed.book.has_taken(&order) {
+            let Some(read) = read(order) else { return unsettled() };
+            order = read;
+        }
         let number = loop {
             let now = self.alarms.now();
             // Whoever has gone sends it again, elsewhere perhaps: taken late, it would undo what came after it.
@@ -82,8 +144,11 @@
                 if rooms.cairn.leads() && !rooms.cairn.is_in_touch(now) {
                     return unsettled();
                 }
+                if rooms.committed.is_unreadable {
+                    return unsettled();
+                }
                 if rooms.cairn.leads() && !rooms.cairn.is_open() {
-                    match rooms.committed.book.rule(&change, &self.settings.zones) {
+                    match rooms.committed.book.rule(&order, &self.settings.zones) {
                         Ruling::Take(book) => {
                             if let Some(number) = rooms.cairn.propose(now, book.written()) {
                                 rooms.waiting.insert(number, answer.clone());
--- a/crates/ridge/src/book.rs
+++ b/crates/ridge/src/book.rs
@@ -2,7 +2,7 @@
 //! Every change of it is ruled on here.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use lynxstair_trailbook::configuration::Configuration;
 use lynxstair_trailbook::sheet::{self, Sheet};
@@ -24,8 +24,8 @@
     pub generation: u64,
     pub evacuated: BTreeSet<String>,
     sheet: Sheet,
-    /// What the sheet says; None where there is none yet, or this build can't act on it.
-    configuration: Option<Arc<Configuration>>,
+    /// What the sheet says, once that was asked for; None where there is none yet, or this build can't act on it.
+    configuration: Arc<OnceLock<Option<Arc<Configuration>>>>,
     /// Of the changes that were taken, the newest `REMEMBERED`: the version that each brought (eight bytes, the highest
     /// first) and its identity, one behind the other.
     marks: Bytes,
@@ -67,6 +67,22 @@
     Return(String),
 }
 
+/// An order with what can be known of it without the book: whoever takes the order reads it before, so that the book
+/// waits for none of that.
+#[derive(Clone, Debug)]
+pub struct Order {
+    change: Change,
+    mark: Option<[u8; MARK]>,
+    read: Option<Read>,
+}
+
+#[derive(Clone, Debug)]
+struct Read {
+    call: Result<Value, Fault>,
+    /// Of a whole configuration what it is and says.
+    whole: Option<Result<(Sheet, Arc<Configuration>), Fault>>,
+}
+
 /// What becomes of it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Ruling {
@@ -102,6 +118,38 @@
     hasher.finalize().as_bytes().first_chunk().copied()
 }
 
+impl Order {
+    pub fn new(change: Change) -> Order {
+        Order { mark: identity(&change), change, read: None }
+    }
+
+    /// How much there is to read.
+    pub fn bytes(&self) -> usize {
+        match &self.change {
+            Change::Put(body) | Change::Patch(body) => body.len(),
+            Change::Evacuate(_) | Change::Return(_) => 0,
+        }
+    }
+
+    /// Reads and checks it, as far as that needs no book.
+    pub fn read(&mut self) {
+        self.read = Read::of(&self.change);
+    }
+}
+
+impl Read {
+    fn of(change: &Change) -> Option<Read> {
+        let (Change::Put(body) | Change::Patch(body)) = change else { return None };
+        let call = values::read(body);
+        let whole = call.as_ref().ok().filter(|_| matches!(change, Change::Put(_))).map(|call| {
+            let sheet = Sheet::read(call)?;
+            let configuration = Configuration::read(&sheet)?;
+            Ok((sheet, Arc::new(configuration)))
+        });
+        Some(Read { call, whole })
+    }
+}
+
 impl Book {
     pub fn read(state: &[u8]) -> Option<Book> {
         Book::default().after(state)
@@ -125,9 +173,11 @@
             }
         };
         sheet.share(&self.sheet);
-        // What an older build took and this one would refuse is kept, and given back; the road goes on without it.
-        let configuration =
-            (sheet.generation > 0).then(|| self.configured(&sheet).ok().map(Arc::new)).flatten();
+        // Read now where that costs what has changed, else by whoever asks for it first.
+        let configuration = Arc::new(match self.configuration.get() {
+            Some(Some(_)) => OnceLock::from(self.configured(&sheet).ok().map(Arc::new)),
+            _ => OnceLock::new(),
+        });
         Some(Book {
             number: found.number,
             generation: sheet.generation,
@@ -158,6 +208,11 @@
         (self.generation > 0).then(|| self.sheet.written())
     }
 
+    /// Whether asking what it says costs nothing.
+    pub fn is_read(&self) -> bool {
+        self.generation == 0 || self.configuration.get().is_some()
+    }
+
     /// How long the state was that it was read from.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -167,28 +222,43 @@
         &self.sheet
     }
 
+    /// What it says. A large one takes a while the first time: a copy of the book, on another thread, may ask before.
+    /// What an older build took and this one would refuse is kept, and given back, but none to act on.
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
-        self.configuration.as_ref()
+        let read =
+            || (self.generation > 0).then(|| Configuration::read(&self.sheet).ok().map(Arc::new)).flatten();
+        self.configuration.get_or_init(read).as_ref()
     }
 
     /// What a sheet says that comes after this one.
     fn configured(&self, sheet: &Sheet) -> Result<Configuration, Fault> {
-        let older = self.configuration.as_ref().map(|c| (&self.sheet, &**c));
+        let older = self.configuration().map(|c| (&self.sheet, &**c));
         Configuration::read_after(sheet, older)
     }
 
-    pub fn rule(&self, change: &Change, zones: &[(String, String)]) -> Ruling {
+    /// Whether it was taken, as far as that is remembered.
+    pub fn has_taken(&self, order: &Order) -> bool {
+        order.mark.is_some_and(|mark| self.marks.0.chunks_exact(KEPT).any(|kept| kept.ends_with(&mark)))
+    }
+
+    pub fn rule(&self, order: &Order, zones: &[(String, String)]) -> Ruling {
+        let change = &order.change;
         match change {
-            Change::Put(body) | Change::Patch(body) => {
-                if identity(change).is_some_and(|mark| self.has_taken(&mark)) {
+            Change::Put(_) | Change::Patch(_) => {
+                if self.has_taken(order) {
                     return Ruling::Taken;
                 }
-                let call = match values::read(body) {
-                    Ok(call) => call,
-                    Err(fault) => return Ruling::Refuse(400, fault.to_string()),
+                let new;
+                let read = match &order.read {
+                    Some(read) => Some(read),
+                    None => {
+                        new = Read::of(change);
+                        new.as_ref()
+                    }
                 };
-                match self.changed(change, &call) {
-                    Ok(Step::To(sheet, read)) => Ruling::Take(Box::new(self.next(change, *sheet, read))),
+                let Some(read) = read else { return Ruling::Unclear };
+                match self.changed(read) {
+                    Ok(Step::To(sheet, read)) => Ruling::Take(Box::new(self.next(order, *sheet, read))),
                     Ok(Step::NotHere) => {
                         Ruling::Refuse(412, format!("base-version: {:08x} is in place", self.generation))
                     }
@@ -210,23 +280,19 @@
         }
     }
 
-    fn has_taken(&self, mark: &[u8; MARK]) -> bool {
-        self.marks.0.chunks_exact(KEPT).any(|kept| kept.ends_with(mark))
-    }
-
     /// The book with this change taken, and remembered.
-    fn next(&self, change: &Change, sheet: Sheet, configuration: Arc<Configuration>) -> Book {
+    fn next(&self, order: &Order, sheet: Sheet, configuration: Arc<Configuration>) -> Book {
         let mut book = Book {
             number: self.number + 1,
             generation: sheet.generation,
             evacuated: self.evacuated.clone(),
             sheet,
-            configuration: Some(configuration),
+            configuration: Arc::new(OnceLock::from(Some(configuration))),
             marks: self.marks.clone(),
             forgotten: self.forgotten,
             bytes: self.bytes,
         };
-        if let Some(mark) = identity(change) {
+        if let Some(mark) = order.mark {
             let marks = Arc::make_mut(&mut book.marks.0);
             marks.extend(book.generation.to_be_bytes());
             marks.extend(mark);
@@ -239,7 +305,8 @@
     }
 
     /// What the change makes of the configuration.
-    fn changed(&self, change: &Change, call: &Value) -> Result<Step, Fault> {
+    fn changed(&self, read: &Read) -> Result<Step, Fault> {
+        let call = read.call.as_ref().map_err(Fault::clone)?;
         let base = sheet::base(call)?;
         if base != self.generation {
             // A change that was taken lies above its base, and the version in place no lower than it.
@@ -254,17 +321,15 @@
                 format!("{:08x} is not above {:08x}", generation, self.generation),
             );
         }
-        let sheet = match change {
-            Change::Patch(_) if self.generation == 0 => {
-                return values::fault("body", "nothing to change yet");
-            }
-            Change::Patch(_) => self.sheet.patched(call)?,
-            _ => {
-                let mut sheet = Sheet::read(call)?;
-                sheet.share(&self.sheet);
-                sheet
-            }
-        };
+        if let Some(whole) = &read.whole {
+            let (mut sheet, configuration) = whole.clone()?;
+            sheet.share(&self.sheet);
+            return Ok(Step::To(Box::new(sheet), configuration));
+        }
+        if self.generation == 0 {
+            return values::fault("body", "nothing to change yet");
+        }
+        let sheet = self.sheet.patched(call)?;
         let configuration = self.configured(&sheet)?;
         Ok(Step::To(Box::new(sheet), Arc::new(configuration)))
     }
--- a/crates/ridge/tests/feed.rs
+++ b/crates/ridge/tests/feed.rs
@@ -2,7 +2,7 @@
 //! either way.
 
 use lynxstair::types::Time;
-use lynxstair_ridge::book::{Book, Change, Ruling};
+use lynxstair_ridge::book::{Book, Change, Order, Ruling};
 use lynxstair_ridge::feed::{Mirror, Sent, Steps};
 
 const ROUTE: &str = r#"["name","host","path-prefix","route-kind","service"]"#;
@@ -13,7 +13,7 @@
 
 fn changed(book: &Book, change: &Change) -> Book {
     let zones = ["y", "z"].map(|z| (z.to_string(), "r".to_string()));
-    match book.rule(change, &zones) {
+    match book.rule(&Order::new(change.clone()), &zones) {
         Ruling::Take(book) => *book,
         Ruling::Taken => book.clone(),
         other => panic!("{change:?}: {other:?}"),
--- a/crates/ridge/tests/orders.rs
+++ b/crates/ridge/tests/orders.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use ciborium::cbor;
-use lynxstair_ridge::book::{Book, Change, REMEMBERED, Ruling, identity};
+use lynxstair_ridge::book::{Book, Change, Order, REMEMBERED, Ruling, identity};
 
 const ROUTES: &str =
     r#"{"columns":["name","host","path-prefix","route-kind","service"],"rows":[["r","h","/","safe","s"]]}"#;
@@ -26,7 +26,13 @@
 }
 
 fn rule(book: &Book, change: &Change) -> Ruling {
-    book.rule(change, &[("z".into(), "r".into())])
+    let zones = [("z".into(), "r".into())];
+    let mut order = Order::new(change.clone());
+    let ruling = book.rule(&order, &zones);
+    // The same where it was read before.
+    order.read();
+    assert_eq!(book.rule(&order, &zones), ruling);
+    ruling
 }
 
 fn take(book: &Book, change: &Change) -> Book {
