--- a/crates/hut/src/feed.rs
+++ b/crates/hut/src/feed.rs
@@ -108,7 +108,8 @@
         say(&f.conn, &Down::Pong { clock: ping.clock, index: book.number, fresh, leads });
         let purse = &mut feed.purse;
         let node = &f.edge.node;
-        purse.meet(now, node, &f.edge.zone, leads);
+        // Out of touch for a moment, a leader forgets nothing that it was told.
+        purse.meet(now, node, &f.edge.zone, cairn.leads());
         let Some(c) = committed.configuration.as_ref().filter(|_| leads) else { return true };
         if let Some(holds) = &ping.holds {
             purse.holds(node, holds);
