--- a/crates/hut/src/agreement.rs
+++ b/crates/hut/src/agreement.rs
@@ -9,6 +9,7 @@
 use lynxstair::types::{Span, Time};
 use lynxstair_cairn::{Do, Node, Record};
 use lynxstair_ridge::book::Book;
+use lynxstair_ridge::feed::Steps;
 use lynxstair_trailbook::agreement::Member;
 use lynxstair_trailbook::configuration::Configuration;
 use lynxstair_trailbook::words::Up;
@@ -33,23 +34,24 @@
 /// The book as committed, as far as it is known here.
 pub struct Committed {
     pub book: Book,
-    pub configuration: Option<Configuration>,
-    pub at: Time,
+    pub configuration: Option<Arc<Configuration>>,
+    /// How the book came to be what it is, for the road.
+    pub steps: Steps,
 }
 
 impl Committed {
-    pub fn new(now: Time) -> Committed {
-        Committed { book: Book::default(), configuration: None, at: now }
+    pub fn new() -> Committed {
+        Committed { book: Book::default(), configuration: None, steps: Steps::default() }
     }
 
     /// Whether it is newer than what stood.
-    fn take(&mut self, now: Time, book: Book) -> bool {
+    fn take(&mut self, book: Book) -> bool {
         if book.number <= self.book.number {
             return false;
         }
-        self.configuration = book.configuration();
+        self.configuration = book.configuration().cloned();
+        self.steps.note(&self.book, &book);
         self.book = book;
-        self.at = now;
         true
     }
 }
@@ -235,14 +237,14 @@
                         rooms.peers.say(to, &Up::Agreement(word));
                     }
                     Do::Committed(at, state) => {
-                        let Some(book) = Book::read(&state.0) else {
+                        let Some(book) = rooms.committed.book.after(&state.0) else {
                             warn!(index = at.index; "a book that can't be read");
                             continue;
                         };
                         let (number, generation) = (book.number, book.generation);
-                        if rooms.committed.take(now, book) {
+                        if rooms.committed.take(book) {
                             info!(number = number, generation = generation, term = at.term; "committed");
-                            rooms.tell_book();
+                            rooms.tell_book(now);
                         }
                     }
                     Do::Settled(number, is_sure) | Do::Read(number, is_sure) => {
--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -97,7 +97,7 @@
     let (disk, jobs) = channel();
     let rooms = Rooms {
         cairn,
-        committed: Committed::new(now),
+        committed: Committed::new(),
         waiting: Waiting::default(),
         lives: Lives::new(now, &lives, settings.beat_period),
         feed: Feed::new(&settings.bounds),
--- a/crates/pass/src/feed.rs
+++ b/crates/pass/src/feed.rs
@@ -214,9 +214,9 @@
                 Down::Book { index, state } => {
                     if road.rooms().take_book(now, index, &state.0) {
                         info!(number = index; "a book is in force");
-                        // So that the hut knows, and its next answer counts.
-                        Feed::speak_to(road, Some(conn));
                     }
+                    // So that the hut knows what is here, whether it fitted or not, and its next answer counts.
+                    Feed::speak_to(road, Some(conn));
                 }
                 Down::Lives { lives, .. } => road.rooms().take_lives(now, &lives),
                 Down::Pong { clock, index, fresh, leads } => {
@@ -269,7 +269,7 @@
             let mut rooms = road.rooms();
             let counts = if only.is_none() { rooms.buckets.counts() } else { Vec::new() };
             let held = lines.open.iter().any(|l| l.leads && !l.knows).then(|| rooms.buckets.holds(now));
-            (rooms.mirror.number(), readiness(road, &rooms, now), counts, held)
+            (rooms.mirror.have(), readiness(road, &rooms, now), counts, held)
         };
         let mut counts = if only.is_none() {
             lines.keep(now, counts, road.settings.bounds.quota_window);
