--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -160,15 +160,12 @@
     /// reaches no other: the seeds that it names are met. A file that can't be used changes nothing.
     fn look_at_settings(self: &Arc<Self>, is_told: bool) {
         let now = self.alarms.now();
-        let is_alone = self.rooms().peers.is_alone(now);
+        let is_alone = self.rooms().peers.huts.is_alone(now);
         let looked = self.reload.lock().unwrap_or_else(|e| e.into_inner()).look(is_told || is_alone);
         match looked {
             None => {}
             Some(Ok(seeds)) => {
                 let mut rooms = self.rooms();
-                if is_alone {
-                    rooms.peers.looked(now);
-                }
                 if self.meet(now, &mut rooms, &seeds) || !is_alone || is_told {
                     let why = match (is_told, is_alone) {
                         (true, _) => "told to",
--- a/crates/pass/src/feed.rs
+++ b/crates/pass/src/feed.rs
@@ -8,6 +8,7 @@
 use log::{info, warn};
 use lynxstair::types::{Span, Time};
 use lynxstair_lines as lines;
+use lynxstair_ridge::huts::Huts;
 use lynxstair_trailbook::settings::Reload;
 use lynxstair_trailbook::words::{Count, Down, Ping, Readiness, Up};
 use lynxstair_wire::conn::Conn;
@@ -24,13 +25,6 @@
 const AGAIN: Span = Span::from_millis(150);
 const AGAIN_AT_MOST: Span = Span::from_millis(200);
 const MOST_UNSENT: usize = 1 << 20;
-/// No system has more huts than this.
-const MOST_HUTS: usize = 16;
-
-/// A hut that could not be reached for so long, while another is, is let go of, unless the leader still names it.
-const UNREACHED: Span = Span::from_millis(30_000);
-/// Who has no line to any hut for so long looks whether the settings name others.
-const ALONE: Span = Span::from_millis(2_000);
 
 /// A line to one hut.
 struct Line {
@@ -43,21 +37,11 @@
     knows: bool,
 }
 
-/// A hut that is followed, by its control address.
-struct Followed {
-    hut: SocketAddr,
-    /// The leader named it in its last list of all huts.
-    is_named: bool,
-    /// When it was first named, or its line last stood.
-    reached_at: Time,
-}
-
-#[derive(Default)]
 struct Lines {
-    huts: Vec<Followed>,
+    /// Those that are followed, by their control addresses, and which of them the leader named last.
+    huts: Huts,
+    named: Vec<SocketAddr>,
     open: Vec<Line>,
-    /// When a line last stood to any of them.
-    reached_at: Time,
     /// What was counted, and when, and not told yet: no hut that leads is in reach.
     untold: VecDeque<(Time, Vec<Count>)>,
 }
@@ -79,11 +63,17 @@
     }
 }
 
-#[derive(Default)]
 pub struct Feed {
     lines: Mutex<Lines>,
-    /// The settings file, as it was looked at last.
-    reload: Mutex<Option<Reload>>,
+    reload: Mutex<Reload>,
+}
+
+impl Default for Feed {
+    fn default() -> Feed {
+        let huts = Huts::new(Time::default());
+        let lines = Lines { huts, named: Vec::new(), open: Vec::new(), untold: VecDeque::new() };
+        Feed { lines: Mutex::new(lines), reload: Mutex::new(Reload::from_environment()) }
+    }
 }
 
 impl Feed {
@@ -96,32 +86,23 @@
         let now = road.alarms.now();
         let mut lines = road.feed.lines();
         for hut in huts {
-            if lines.huts.iter().all(|f| f.hut != *hut) && lines.huts.len() < MOST_HUTS {
-                lines.huts.push(Followed { hut: *hut, is_named: false, reached_at: now });
+            if let Some(keeper) = lines.huts.meet(now, *hut) {
                 let (r, hut) = (road.clone(), *hut);
-                go("the feed", move || Feed::follow(&r, hut));
+                go("the feed", move || Feed::follow(&r, hut, keeper));
             }
         }
     }
 
-    /// The leader names all huts that there are.
-    fn take_all(road: &Arc<Road>, huts: &[SocketAddr]) {
-        for followed in &mut road.feed.lines().huts {
-            followed.is_named = huts.contains(&followed.hut);
-        }
-    }
-
-    /// Whether a hut is followed on, as its line does not stand.
-    fn goes_on(&self, now: Time, hut: SocketAddr) -> bool {
+    /// Lets go of huts that can't be reached for long, while another is, unless the leader names them.
+    fn keep_up(&self, now: Time) {
         let mut lines = self.lines();
-        let others = !lines.open.is_empty();
-        let Some(place) = lines.huts.iter().position(|f| f.hut == hut) else { return false };
-        let followed = &lines.huts[place];
-        let goes_on = followed.is_named || !others || now - followed.reached_at < UNREACHED;
-        if !goes_on {
-            lines.huts.remove(place);
+        let Lines { huts, named, open, .. } = &mut *lines;
+        if open.is_empty() {
+            return;
         }
-        goes_on
+        huts.reached(now);
+        open.iter().for_each(|line| huts.heard(now, line.hut));
+        huts.let_go(now, |hut| named.contains(&hut));
     }
 
     /// Looks at the settings file, which may change with a signal or without one, and is asked as well while no hut
@@ -130,19 +111,9 @@
         let now = road.alarms.now();
         let (is_alone, known) = {
             let mut lines = road.feed.lines();
-            if !lines.open.is_empty() || lines.reached_at == Time::default() {
-                lines.reached_at = now;
-            }
-            let is_alone = now - lines.reached_at > ALONE;
-            if is_alone {
-                lines.reached_at = now;
-            }
-            (is_alone, lines.huts.len())
-        };
-        let looked = {
-            let mut reload = road.feed.reload.lock().unwrap_or_else(|e| e.into_inner());
-            reload.get_or_insert_with(Reload::from_environment).look(is_told || is_alone)
+            (lines.huts.is_alone(now), lines.huts.len())
         };
+        let looked = road.feed.reload.lock().unwrap_or_else(|e| e.into_inner()).look(is_told || is_alone);
         match looked {
             None => {}
             Some(Ok(seeds)) => {
@@ -162,11 +133,11 @@
     }
 
     /// Keeps a line to one hut, for as long as it is followed.
-    fn follow(road: &Arc<Road>, hut: SocketAddr) {
+    fn follow(road: &Arc<Road>, hut: SocketAddr, keeper: u64) {
         let inner = SocketAddr::new(hut.ip(), road.settings.ports.0);
         let mut is_first = true;
         let mut again = AGAIN;
-        while road.feed.goes_on(road.alarms.now(), hut) {
+        while road.feed.lines().huts.is_kept(hut, keeper) {
             if let Some(conn) = lines::open(&road.alarms, inner, OPENING) {
                 again = AGAIN;
                 // Who begins needs to know all lives once; who was away from one hut, what that one heard.
@@ -184,15 +155,7 @@
                 Feed::speak_to(road, Some(&conn));
                 Feed::listen(road, &conn);
                 conn.close();
-                {
-                    let now = road.alarms.now();
-                    let mut lines = road.feed.lines();
-                    lines.open.retain(|l| !Arc::ptr_eq(&l.conn, &conn));
-                    lines.reached_at = now;
-                    if let Some(followed) = lines.huts.iter_mut().find(|f| f.hut == hut) {
-                        followed.reached_at = now;
-                    }
-                }
+                road.feed.lines().open.retain(|l| !Arc::ptr_eq(&l.conn, &conn));
                 info!(hut = hut.to_string(); "a line of the feed has ended");
             } else {
                 again = again.times(1.25).min(AGAIN_AT_MOST);
@@ -236,7 +199,7 @@
                 Down::Huts { huts, whole } => {
                     Feed::meet(road, &huts);
                     if whole {
-                        Feed::take_all(road, &huts);
+                        road.feed.lines().named = huts;
                     }
                 }
             }
@@ -257,6 +220,7 @@
             road.alarms.sleep_until(at);
             at = at + PING;
             Feed::speak_to(road, None);
+            road.feed.keep_up(road.alarms.now());
             Feed::look_at_settings(road, false);
         }
     }
--- a/crates/ridge/src/lib.rs
+++ b/crates/ridge/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cold;
 pub mod directory;
 pub mod feed;
+pub mod huts;
 pub mod ladder;
 pub mod purse;
 pub mod register;
