--- a/crates/hut/examples/state.rs
+++ b/crates/hut/examples/state.rs
@@ -9,7 +9,8 @@
 use lynxstair_cairn::Record;
 use lynxstair_ridge::book::{Book, Change, Ruling};
 use lynxstair_ridge::feed::{Mirror, Steps};
-use lynxstair_trailbook::words::{Bytes, State};
+use lynxstair_trailbook::agreement::State;
+use lynxstair_trailbook::words::Bytes;
 use store::{Sqlite, Store};
 
 #[path = "../src/store.rs"]
