--- a/crates/pass/src/workers.rs
+++ b/crates/pass/src/workers.rs
@@ -216,7 +216,8 @@
             this.step(Met::NoConnection)
         } else {
             alarms.nudge(until, &conn);
-            match self.hear(alarms, worker, &conn, out.attempt, until, carrier, &mut this) {
+            let wait = Wait { alarms, until, carrier };
+            match self.hear(&wait, worker, &conn, out.attempt, &mut this) {
                 Ok(tried) => return tried,
                 Err(met) => this.step(met),
             }
@@ -226,15 +227,12 @@
     }
 
     /// Waits for the request's own answer. `Err`: what ended the try without one.
-    #[allow(clippy::too_many_arguments)]
     fn hear(
         &self,
-        alarms: &Alarms,
+        wait: &Wait,
         worker: &Arc<Worker>,
         conn: &Arc<Conn>,
         attempt: &str,
-        until: Time,
-        carrier: &Carrier,
         this: &mut Try,
     ) -> Result<Tried, Met> {
         loop {
@@ -243,12 +241,7 @@
                 Got::End => Stop::Orderly,
                 Got::Broken => Stop::Broken,
             };
-            let why = match stop {
-                Stop::Open if carrier.is_gone() => Some(Why::ClientGone),
-                Stop::Open if alarms.now() >= until => Some(Why::TimeUp),
-                Stop::Open => None,
-                Stop::Orderly | Stop::Broken => Some(Why::Lost),
-            };
+            let why = wait.over(stop);
             if why.is_some() {
                 // Who stood still is woken by the time that is up before the answer that came in time: what the
                 // kernel holds is read before anything is said.
@@ -275,7 +268,7 @@
                         continue;
                     }
                 };
-                let until = end.keep.then(|| alarms.now() + idle_for(found.keep));
+                let until = end.keep.then(|| wait.alarms.now() + idle_for(found.keep));
                 let answer = Answer {
                     conn: conn.clone(),
                     status: found.heard.status,
@@ -311,6 +304,25 @@
     }
 }
 
+/// How long an answer is waited for, and for whom.
+struct Wait<'a> {
+    alarms: &'a Alarms,
+    until: Time,
+    carrier: &'a Carrier,
+}
+
+impl Wait<'_> {
+    /// Why no more is waited for, as the connection stands.
+    fn over(&self, stop: Stop) -> Option<Why> {
+        match stop {
+            Stop::Open if self.carrier.is_gone() => Some(Why::ClientGone),
+            Stop::Open if self.alarms.now() >= self.until => Some(Why::TimeUp),
+            Stop::Open => None,
+            Stop::Orderly | Stop::Broken => Some(Why::Lost),
+        }
+    }
+}
+
 /// A try that ended without an answer to pass on.
 fn ended(step: Step) -> Tried {
     let (verdict, outcome) = match step {
