--- a/crates/pass/src/road.rs
+++ b/crates/pass/src/road.rs
@@ -166,7 +166,7 @@
     let r = road.clone();
     go("clients", move || Clients::serve(&r, &front));
     while signals.forever().next() == Some(SIGHUP) {
-        info!("settings are read at the start only");
+        Feed::look_at_settings(&road, true);
     }
     // The main thread only waits; what ends the road is a coroutine, as all that sleeps here is.
     let (ended, end) = std::sync::mpsc::channel();
