--- a/crates/hut/examples/state.rs
+++ b/crates/hut/examples/state.rs
@@ -109,6 +109,7 @@
     let mut agreed = times.of("a hut: read a PUT that was agreed on", || Book::read(&state).expect("read"));
     times.of("a new leader: read what it says", || assert!(agreed.configuration().is_some()));
     let (mut mirror, mut steps) = (Mirror::default(), Steps::default());
+    let first = agreed.clone();
     let page = times.of("a hut: write the whole for the road", || steps.page(&agreed, 0));
     let whole = page.len();
     times.of("a gatekeeper: take the whole", || {
@@ -137,6 +138,16 @@
             assert!(mirror.take(Time::from_nanos(2), agreed.number, &page));
         });
     }
+    // A member that was away through all of them, and one with an empty disk: one state brings either up.
+    let state = book.written();
+    let stale = first;
+    times.of("catch up: read, after all changes", || assert!(stale.after(&state).is_some()));
+    times.of("catch up: read, on an empty disk", || assert!(Book::read(&state).is_some()));
+    let page = times.of("catch up: write the whole for the road", || Steps::default().page(&agreed, 0));
+    let mut late = Mirror::default();
+    times.of("catch up: a new gatekeeper takes it", || {
+        assert!(late.take(Time::from_nanos(3), agreed.number, &page));
+    });
     times.print();
     let on_disk: u64 = std::fs::read_dir(folder.path())
         .expect("read")
