--- a/crates/hut/examples/state.rs
+++ b/crates/hut/examples/state.rs
@@ -105,6 +105,7 @@
     let mut order = Order::new(Change::Put(text.into_bytes()));
     times.of("PUT: read, before the lock", || order.read());
     let mut book = times.of("PUT: rule", || taken(&Book::default(), &order));
+    println!("peak memory of a PUT {} kB", peak_kb());
     let state = book.written();
     let mut agreed = times.of("a hut: read a PUT that was agreed on", || Book::read(&state).expect("read"));
     times.of("a new leader: read what it says", || assert!(agreed.configuration().is_some()));
--- a/crates/hut/src/orders.rs
+++ b/crates/hut/src/orders.rs
@@ -20,18 +20,20 @@
 /// While another change is open.
 const LOOKS: Span = Span::from_millis(4);
 
-/// So many large orders are read at once.
-const MOST_READERS: usize = 8;
-static READERS: AtomicUsize = AtomicUsize::new(0);
+/// Of so many bytes large orders are read at once, or one of more: the values of a text take twenty times its room.
+const MOST_READ: usize = 2 << 20;
+static READING: AtomicUsize = AtomicUsize::new(0);
 
-/// Reads an order, a large one aside; None where too many are being read.
+/// Reads an order, a large one aside; None where too much is being read.
 fn read(mut order: Order) -> Option<Order> {
     if order.bytes() <= READ_ASIDE {
         order.read();
         return Some(order);
     }
-    if READERS.fetch_add(1, Ordering::Relaxed) >= MOST_READERS {
-        READERS.fetch_sub(1, Ordering::Relaxed);
+    let bytes = order.bytes();
+    let before = READING.fetch_add(bytes, Ordering::Relaxed);
+    if before > 0 && before + bytes > MOST_READ {
+        READING.fetch_sub(bytes, Ordering::Relaxed);
         return None;
     }
     let reader = Arc::new(Reader { blocker: Blocker::current(), read: Mutex::new(None) });
@@ -45,7 +47,7 @@
         let _ = reader.blocker.park(None);
         read = reader.read.lock().unwrap_or_else(|e| e.into_inner()).take();
     }
-    READERS.fetch_sub(1, Ordering::Relaxed);
+    READING.fetch_sub(bytes, Ordering::Relaxed);
     read.flatten()
 }
 
--- a/crates/ridge/src/book.rs
+++ b/crates/ridge/src/book.rs
@@ -76,11 +76,21 @@
     read: Option<Read>,
 }
 
+/// What stands in it; not the text's values, which take twenty times its room.
 #[derive(Clone, Debug)]
-struct Read {
-    call: Result<Value, Fault>,
-    /// Of a whole configuration what it is and says.
-    whole: Option<Result<(Sheet, Arc<Configuration>), Fault>>,
+enum Read {
+    Fault(Fault),
+    Whole {
+        base: u64,
+        generation: Result<u64, Fault>,
+        whole: Result<Box<(Sheet, Arc<Configuration>)>, Fault>,
+    },
+    /// By names.
+    Part {
+        base: u64,
+        generation: Result<u64, Fault>,
+        call: Value,
+    },
 }
 
 /// What becomes of it.
@@ -140,13 +150,18 @@
 impl Read {
     fn of(change: &Change) -> Option<Read> {
         let (Change::Put(body) | Change::Patch(body)) = change else { return None };
-        let call = values::read(body);
-        let whole = call.as_ref().ok().filter(|_| matches!(change, Change::Put(_))).map(|call| {
-            let sheet = Sheet::read(call)?;
-            let configuration = Configuration::read(&sheet)?;
-            Ok((sheet, Arc::new(configuration)))
-        });
-        Some(Read { call, whole })
+        let read = || -> Result<Read, Fault> {
+            let call = values::read(body)?;
+            let (base, generation) = (sheet::base(&call)?, sheet::generation(&call));
+            if matches!(change, Change::Patch(_)) {
+                return Ok(Read::Part { base, generation, call });
+            }
+            let sheet = Sheet::read(&call);
+            drop(call);
+            let whole = sheet.and_then(|s| Configuration::read(&s).map(|read| Box::new((s, Arc::new(read)))));
+            Ok(Read::Whole { base, generation, whole })
+        };
+        Some(read().unwrap_or_else(Read::Fault))
     }
 }
 
@@ -306,32 +321,37 @@
 
     /// What the change makes of the configuration.
     fn changed(&self, read: &Read) -> Result<Step, Fault> {
-        let call = read.call.as_ref().map_err(Fault::clone)?;
-        let base = sheet::base(call)?;
+        let (base, generation) = match read {
+            Read::Fault(fault) => return Err(fault.clone()),
+            Read::Whole { base, generation, .. } | Read::Part { base, generation, .. } => (*base, generation),
+        };
         if base != self.generation {
             // A change that was taken lies above its base, and the version in place no lower than it.
-            let was_taken = |generation| base < generation && Some(generation) <= self.forgotten;
-            let forgotten = sheet::generation(call).is_ok_and(was_taken);
+            let was_taken = |generation: &u64| base < *generation && Some(*generation) <= self.forgotten;
+            let forgotten = generation.as_ref().is_ok_and(was_taken);
             return Ok(if forgotten { Step::Forgotten } else { Step::NotHere });
         }
-        let generation = sheet::generation(call)?;
+        let generation = generation.clone()?;
         if generation <= self.generation {
             return values::fault(
                 "generation",
                 format!("{:08x} is not above {:08x}", generation, self.generation),
             );
         }
-        if let Some(whole) = &read.whole {
-            let (mut sheet, configuration) = whole.clone()?;
-            sheet.share(&self.sheet);
-            return Ok(Step::To(Box::new(sheet), configuration));
-        }
-        if self.generation == 0 {
-            return values::fault("body", "nothing to change yet");
+        match read {
+            Read::Whole { whole, .. } => {
+                let (mut sheet, configuration) = *whole.clone()?;
+                sheet.share(&self.sheet);
+                Ok(Step::To(Box::new(sheet), configuration))
+            }
+            Read::Part { .. } if self.generation == 0 => values::fault("body", "nothing to change yet"),
+            Read::Part { call, .. } => {
+                let sheet = self.sheet.patched(call)?;
+                let configuration = self.configured(&sheet)?;
+                Ok(Step::To(Box::new(sheet), Arc::new(configuration)))
+            }
+            Read::Fault(fault) => Err(fault.clone()),
         }
-        let sheet = self.sheet.patched(call)?;
-        let configuration = self.configured(&sheet)?;
-        Ok(Step::To(Box::new(sheet), Arc::new(configuration)))
     }
 }
 
