--- a/crates/hut/src/store.rs
+++ b/crates/hut/src/store.rs
@@ -10,6 +10,9 @@
 use lynxstair_trailbook::words::Bytes;
 use rusqlite::{Connection, ErrorCode, OptionalExtension, params};
 
+#[path = "first_shape.rs"]
+mod first_shape;
+
 pub trait Store: Send {
     /// What was saved last; None where the disk holds nothing.
     fn load(&mut self) -> Result<Option<Record>, String>;
@@ -119,7 +122,7 @@
             self.connection.query_row("SELECT held FROM book", [], |r| r.get::<_, Vec<u8>>(0)).optional();
         let (head, book) = (head.map_err(Bad::Sqlite)?, book.map_err(Bad::Sqlite)?);
         let (held, named, digest, book) = match (head, book) {
-            (None, None) => return Ok(None),
+            (None, None) => return first_shape::read(&self.connection).map_err(Bad::Record),
             (Some((held, named, digest)), Some(book)) => (held, named, digest, book),
             _ => return Err(Bad::Record("a part of the record is missing".to_string())),
         };
--- a/crates/hut/tests/store.rs
+++ b/crates/hut/tests/store.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use lynxstair_cairn::Record;
-use lynxstair_trailbook::agreement::{Member, State};
+use lynxstair_trailbook::agreement::{LogId, Member, State};
 use lynxstair_trailbook::words::Bytes;
 use store::{Memory, Sqlite, Store};
 
@@ -217,3 +217,44 @@
         assert_eq!((store.load(), store.is_emptied()), (Ok(None), true), "{spoil}");
     }
 }
+
+/// What the first landing wrote is read after an update of the programs, and replaced by the first write: a founder votes
+/// on under the number 0, one that was emptied and not let in yet doesn't.
+#[test]
+fn the_first_landings_record_is_read() {
+    #[derive(serde::Serialize)]
+    struct Old {
+        term: u64,
+        vote: Option<std::net::SocketAddr>,
+        stamp: LogId,
+        state: OldState,
+        lost: Option<u64>,
+    }
+    #[derive(serde::Serialize)]
+    struct OldState {
+        members: Vec<std::net::SocketAddr>,
+        book: Bytes,
+    }
+    let node = "10.0.0.1:80".parse().expect("one");
+    for lost in [None, Some(77)] {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (stamp, book) = (LogId { term: 4, index: 9 }, Bytes(Arc::new(vec![7; 300])));
+        let state = OldState { members: vec![node], book: book.clone() };
+        let mut held = Vec::new();
+        ciborium::into_writer(&Old { term: 5, vote: Some(node), stamp, state, lost }, &mut held)
+            .expect("written");
+        let raw = rusqlite::Connection::open(folder.path().join("book.sqlite")).expect("open");
+        let table = "CREATE TABLE record (one INTEGER PRIMARY KEY CHECK (one = 1), held BLOB NOT NULL)";
+        raw.execute_batch(table).expect("a table");
+        raw.execute("INSERT INTO record VALUES (1, ?1)", [&held]).expect("a row");
+        drop(raw);
+        let voters = vec![Member { node, disk: 0 }];
+        let state = State { voters, outgoing: None, book };
+        let wanted = Record { disk: lost.unwrap_or(0), term: 5, vote: Some(node), last: stamp, state };
+        let mut store = open(folder.path());
+        assert_eq!((store.load(), store.is_emptied()), (Ok(Some(wanted)), false));
+        store.save(&record(8)).expect("saved");
+        drop(store);
+        assert_eq!(open(folder.path()).load(), Ok(Some(record(8))), "what was written since goes first");
+    }
+}
