Who can't hear the core keeps each worker of its zone to what a cold one may get

Change: ridge::cold knows how fresh the tidings of a zone are; with nothing fresh from the core for 1.7 s a gatekeeper keeps each worker of its own zone to its part of the operators' bound for any second. Test: crates/ridge/tests/cold.rs.

--- a/crates/pass/src/rooms.rs
+++ b/crates/pass/src/rooms.rs
@@ -7,7 +7,7 @@
 use lynxstair::types::{Outcome, Span, Time};
 use lynxstair_ridge::buckets::Buckets;
 use lynxstair_ridge::budget::Budget;
-use lynxstair_ridge::cold::Cold;
+use lynxstair_ridge::cold::{Cold, Tidings};
 use lynxstair_ridge::feed::{Mirror, Version};
 use lynxstair_ridge::ladder::{Ask, Ladder, Pick, Sent, Worker};
 use lynxstair_ridge::register::Register;
@@ -19,6 +19,8 @@
 
 /// When a client may come back to a gatekeeper that is not up to date, or knows no worker.
 const SOON: Span = Span::from_millis(300);
+/// What workers say comes here, by the core, while that was heard within so long: some more than it speaks.
+const HEARD: Span = Span::from_millis(1_700);
 /// A gatekeeper is ready for clients while it was sure of its book within so long.
 const FRESH: Span = Span::from_millis(3_000);
 
@@ -88,7 +90,13 @@
             register: Register::default(),
             buckets: Buckets::new(bounds.quota_slack, bounds.quota_overshoot),
             budget: Budget::new(bounds.retry_ratio, bounds.retry_slack),
-            ladder: Ladder::new(seed, &settings.zone, &settings.region, &settings.zones),
+            ladder: Ladder::new(
+                seed,
+                &settings.zone,
+                &settings.region,
+                &settings.zones,
+                Cold::new(bounds.cold_overshoot, bounds.cold_slack),
+            ),
             has_lives: false,
             is_leaving: false,
             settings: settings.clone(),
@@ -229,7 +237,12 @@
         let allows = |zone: &str| allows(settings, &version, request, zone);
         let mirror = &self.mirror;
         let unsaid_for = Cold::unsaid(settings.beat_period);
-        let unsaid = |zone: &str| mirror.returned_at(zone).is_some_and(|at| now - at < unsaid_for);
+        let is_heard = self.trust.is_fresh(now, HEARD);
+        let tidings = |zone: &str| match mirror.returned_at(zone) {
+            Some(at) if now - at < unsaid_for => Tidings::Unsaid,
+            _ if is_heard => Tidings::Heard,
+            _ => Tidings::Unheard,
+        };
         let ask = Ask {
             service: &request.service,
             kind: request.kind,
@@ -238,7 +251,7 @@
             allows: &allows,
             tried: &request.tried,
         };
-        match self.ladder.pick(now, &ask, &unsaid) {
+        match self.ladder.pick(now, &ask, &tidings) {
             Pick::Send(sent) => {
                 if is_first {
                     self.budget.earn(&request.service);
--- a/crates/ridge/src/ladder.rs
+++ b/crates/ridge/src/ladder.rs
@@ -15,7 +15,7 @@
 use lynxstair_trailbook::configuration::{Configuration, Kind};
 use lynxstair_trailbook::words::Standing;
 
-use crate::cold::Cold;
+use crate::cold::{Cold, Tidings};
 use crate::register::Known;
 
 /// How far apart what is heard may be and still count as one moment for the module.
@@ -95,7 +95,7 @@
 
 impl Ladder {
     /// `zones`: each with its region.
-    pub fn new(seed: u64, zone: &str, region: &str, zones: &[(String, String)]) -> Self {
+    pub fn new(seed: u64, zone: &str, region: &str, zones: &[(String, String)], cold: Cold) -> Self {
         let near: Vec<String> = zones.iter().filter(|(_, r)| r == region).map(|(z, _)| z.clone()).collect();
         let mut order: Vec<String> = zones.iter().map(|(z, _)| z.clone()).collect();
         // From the own zone on, near ones first, and from elsewhere on at each gatekeeper.
@@ -113,7 +113,7 @@
             cold_per_s: HashMap::new(),
             numbers: HashMap::new(),
             last: 0,
-            cold: Cold::default(),
+            cold,
         }
     }
 
@@ -229,7 +229,7 @@
     }
 
     /// The worker that gets a request, or nobody.
-    pub fn pick(&mut self, now: Time, ask: &Ask, unsaid: &dyn Fn(&str) -> bool) -> Pick {
+    pub fn pick(&mut self, now: Time, ask: &Ask, tidings: &dyn Fn(&str) -> Tidings) -> Pick {
         let Some(operation) = self
             .work
             .get(ask.service)
@@ -255,12 +255,17 @@
             let Some(rung) = self.rungs.get_mut(&key) else { continue };
             let sharing =
                 if *zone == self.own_zone { self.gatekeepers.get(zone).copied().unwrap_or(0) } else { 0 };
-            let is_unsaid = unsaid(zone);
+            let is_unsaid = tidings(zone) == Tidings::Unsaid;
+            let is_unheard = *zone == self.own_zone && tidings(zone) == Tidings::Unheard;
             let mut held_back = Vec::new();
             for held in rung.workers.values_mut().filter(|h| h.listed == Phase::Ready) {
                 let is_cold = is_unsaid || now < held.cold_until;
                 let was_tried = ask.tried.iter().any(|t| t.number == held.worker.number);
-                if was_tried || is_cold && !self.cold.has_room(now, &held.worker.id, per_s, sharing) {
+                let id = &held.worker.id;
+                if was_tried
+                    || is_cold && !self.cold.has_room(now, id, per_s, sharing)
+                    || is_unheard && !self.cold.has_room_unheard(now, id, per_s, sharing)
+                {
                     held_back.push(listed(held, Phase::Draining));
                 }
             }
@@ -283,6 +288,9 @@
                 if is_unsaid || now < held.cold_until {
                     self.cold.take(&held.worker.id);
                 }
+                if is_unheard {
+                    self.cold.take_unheard(&held.worker.id);
+                }
                 let worker = held.worker.clone();
                 return Pick::Send(Box::new(Sent { rung: key, order, worker, at: now }));
             }
@@ -312,7 +320,7 @@
                 .flat_map(|r| r.workers.values())
                 .any(|h| h.worker.id == id && now < h.cold_until + STEP)
         };
-        self.cold.keep(is_cold);
+        self.cold.keep(now, is_cold);
         self.rungs.retain(|_, r| !r.workers.is_empty());
     }
 }
--- /dev/null
+++ b/crates/ridge/tests/cold.rs
@@ -0,0 +1,31 @@
+//! What gatekeepers that can't hear the core send to workers that may have turned cold meanwhile.
+
+use lynxstair::types::{Span, Time};
+use lynxstair_ridge::cold::Cold;
+
+/// A zone is cut off from the core, emptied, and its workers turn cold: nobody in it is told. Whatever its gatekeepers would
+/// like to send, together they keep to what a cold worker may get in any second; and a worker that is warm goes on to
+/// get over half of that, so that the zone's clients are served. Before, nothing bounded it.
+#[test]
+fn a_worker_that_nobody_can_hear_of() {
+    for (per_s, overshoot, slack, sharing) in [(2.9, 1.5, 5.0, 3), (22.0, 1.5, 5.0, 2), (22.0, 1.5, 8.0, 15)]
+    {
+        let most = per_s * overshoot + slack;
+        let mut passes: Vec<Cold> = (0..sharing).map(|_| Cold::new(overshoot, slack)).collect();
+        let mut sent: Vec<u64> = Vec::new();
+        for ms in 0..20_000 {
+            let now = Time::from_nanos(1_000_000_000) + Span::from_millis(ms);
+            for cold in &mut passes {
+                if cold.has_room_unheard(now, "i-1", per_s, sharing) {
+                    cold.take_unheard("i-1");
+                    sent.push(ms);
+                }
+            }
+        }
+        for ms in 0..19_000 {
+            let n = sent.iter().filter(|s| (ms..ms + 1000).contains(*s)).count();
+            assert!(n as f64 <= most, "{n} in the second from {ms} ms, {most} allowed");
+        }
+        assert!(sent.len() as f64 > 20.0 * most * 0.5, "{} in 20 s, {most} a second allowed", sent.len());
+    }
+}
