--- a/crates/pass/src/workers.rs
+++ b/crates/pass/src/workers.rs
@@ -15,7 +15,9 @@
 
 /// An answer up to this long is held until it is whole; a longer one is passed on as it comes.
 const HELD: usize = 64 << 10;
-/// What a connection holds of an answer that is not whole, and of a request that the kernel has not taken.
+/// What is held of an answer that does not say its length, until it is whole.
+const MOST_HELD: usize = (1 << 20) + MOST_HEAD;
+/// What a connection holds of a request that the kernel has not taken: as much as a client may send, and its head.
 const MOST: usize = (2 << 20) + 2 * MOST_HEAD;
 /// A connection to a worker that takes longer leads to none that is there.
 const CONNECTING: Span = Span::from_millis(400);
@@ -366,7 +368,7 @@
         }
     };
     let here = bytes.len() - head;
-    match (http::answer_extent(bytes, stop, MOST), long) {
+    match (http::answer_extent(bytes, stop, MOST_HELD), long) {
         (Ok(Some(extent)), _) => {
             heard.is_clean = extent.keep_alive && extent.all == inbound.len() && stop == Stop::Open;
             Ok(Some(Found { heard, extent, rest: 0, keep }))
@@ -397,8 +399,8 @@
     let call = out.call;
     write!(
         ring,
-        "{} {} HTTP/1.1\r\nTime-Left-Ms: {left_ms}\r\nTarget-Instance: {}\r\n",
-        call.method, call.target, worker.id
+        "{} {} HTTP/1.1\r\nAttempt-Id: {}\r\nTime-Left-Ms: {left_ms}\r\nTarget-Instance: {}\r\n",
+        call.method, call.target, out.attempt, worker.id
     )?;
     if let Some(tenant) = out.tenant {
         write!(ring, "Tenant: {tenant}\r\n")?;
@@ -406,7 +408,8 @@
     if !out.body.is_empty() || !matches!(call.method, "GET" | "HEAD" | "DELETE") {
         write!(ring, "Content-Length: {}\r\n", out.body.len())?;
     }
-    const OURS: [&str; 4] = ["time-left-ms", "target-instance", "tenant", "authorization"];
+    // The id by our own hand: a client may name it in `Connection`, and without it nobody could tell whose an answer is.
+    const OURS: [&str; 5] = ["attempt-id", "time-left-ms", "target-instance", "tenant", "authorization"];
     for (name, value) in call.headers.passed_on() {
         if !OURS.iter().any(|o| name.eq_ignore_ascii_case(o)) {
             http::put_header(ring, name, value)?;
