Lines that can't be logged end nothing; the disk is handed the newest only; a leader is called one

Cause: eprintln panics where standard error can't be written, the panic hook's line panics again, and the process aborts; logforth panics on the same. Lines are written with their error passed over, in wire and by an append of our own. The queue to the disk's thread had no bound while a write hangs: now one slot, the newest record. A leader whose first state is not committed yet was logged as a follower of itself.

--- a/crates/hut/src/agreement.rs
+++ b/crates/hut/src/agreement.rs
@@ -1,13 +1,11 @@
-//! The agreement on time, disk and lines: the room decides, this does what it asks for.
+//! The agreement on time and lines: the room decides, this does what it asks for.
 
 use std::collections::HashMap;
-use std::sync::mpsc::Receiver;
 use std::sync::{Arc, Mutex};
-use std::thread;
 
 use log::{info, warn};
 use lynxstair::types::{Span, Time};
-use lynxstair_cairn::{Do, Node, Record};
+use lynxstair_cairn::{Do, Node};
 use lynxstair_ridge::book::Book;
 use lynxstair_ridge::feed::Steps;
 use lynxstair_trailbook::agreement::Member;
@@ -17,7 +15,6 @@
 use may::sync::Blocker;
 
 use crate::hut::{Hut, Rooms};
-use crate::store::Store;
 
 /// How often slow upkeep is done.
 const UPKEEP: Span = Span::from_millis(500);
@@ -25,12 +22,6 @@
 /// The time's keeper looks no more often than this by itself.
 const STEP: Span = Span::from_millis(2);
 
-/// What is to be written by the disk's thread.
-pub enum Job {
-    Book(u64, Record),
-    Lives(Vec<u8>),
-}
-
 /// The book as committed, as far as it is known here.
 pub struct Committed {
     pub book: Book,
@@ -102,11 +93,11 @@
 impl Rooms {
     /// What it is called in logs and in the status.
     pub fn role(&self) -> &'static str {
-        match (self.cairn.leader(), self.cairn.leads(), self.cairn.is_voter()) {
-            (_, true, _) => "leader",
-            (_, _, false) => "learner",
-            (Some(_), ..) => "follower",
-            (None, ..) => "candidate",
+        match (self.cairn.leader(), self.cairn.is_voter()) {
+            (Some(leader), _) if leader == self.me => "leader",
+            (_, false) => "learner",
+            (Some(_), _) => "follower",
+            (None, _) => "candidate",
         }
     }
 
@@ -191,33 +182,6 @@
         }
     }
 
-    /// The disk's thread: nothing else waits for the disk.
-    pub fn write(self: &Arc<Self>, mut store: Box<dyn Store>, jobs: &Receiver<Job>) {
-        while let Ok(first) = jobs.recv() {
-            // Only the newest of what piled up has to be on the disk, and the book goes first.
-            let (mut book, mut lives) = (None, None);
-            for job in std::iter::once(first).chain(jobs.try_iter()) {
-                match job {
-                    Job::Book(number, record) => book = Some((number, record)),
-                    Job::Lives(held) => lives = Some(held),
-                }
-            }
-            if let Some((number, record)) = book {
-                while let Err(e) = store.save(&record) {
-                    warn!(error = e; "the disk refuses the book");
-                    thread::sleep(std::time::Duration::from_millis(50));
-                }
-                let now = self.alarms.now();
-                let mut rooms = self.rooms();
-                rooms.cairn.saved(now, number);
-                self.act(now, &mut rooms);
-            }
-            if let Some(Err(e)) = lives.map(|held| store.save_lives(&held)) {
-                warn!(error = e; "the disk refuses the workers' lives");
-            }
-        }
-    }
-
     /// Does what the agreement asks for.
     pub fn act(self: &Arc<Self>, now: Time, rooms: &mut Rooms) {
         loop {
@@ -231,7 +195,7 @@
             for item in todo {
                 match item {
                     Do::Save(number, record) => {
-                        let _ = self.disk.send(Job::Book(number, record));
+                        self.disk.keep_book(number, record);
                     }
                     Do::Say(to, word) => {
                         rooms.peers.say(to, &Up::Agreement(word));
--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -1,7 +1,7 @@
 //! The hut's life from start to end, and what its parts share.
 
 use std::path::Path;
-use std::sync::mpsc::{Sender, channel};
+use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 
@@ -19,7 +19,8 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use crate::agreement::{Committed, Job, Noted, Waiting};
+use crate::agreement::{Committed, Noted, Waiting};
+use crate::disk::Disk;
 use crate::feed::Feed;
 use crate::lives::Lives;
 use crate::peers::Peers;
@@ -37,6 +38,7 @@
 
 /// What the rooms hold, each part its own; one short lock over all, as a word often concerns several.
 pub struct Rooms {
+    pub me: Node,
     pub cairn: Cairn,
     pub committed: Committed,
     pub waiting: Waiting,
@@ -56,8 +58,7 @@
     pub alarms: Arc<Alarms>,
     rooms: Mutex<Rooms>,
     reload: Mutex<Reload>,
-    /// To the disk's thread.
-    pub disk: Sender<Job>,
+    pub disk: Disk,
 }
 
 impl Hut {
@@ -105,8 +106,8 @@
     };
     let cairn = Cairn::start(now, boot);
     info!(node = settings.node, found = is_found, bootstrap = bootstrap; "the hut opens");
-    let (disk, jobs) = channel();
     let rooms = Rooms {
+        me,
         cairn,
         committed: Committed::new(),
         waiting: Waiting::default(),
@@ -121,12 +122,20 @@
     let control = calls::listen(me)?;
     let board = directory.map(calls::listen).transpose()?;
     let reload = Mutex::new(Reload::from_environment());
-    let hut = Arc::new(Hut { settings, me, started_at: now, alarms, rooms: Mutex::new(rooms), reload, disk });
+    let hut = Arc::new(Hut {
+        settings,
+        me,
+        started_at: now,
+        alarms,
+        rooms: Mutex::new(rooms),
+        reload,
+        disk: Disk::default(),
+    });
     let writing = hut.clone();
     thread::Builder::new()
         .name("disk".to_string())
         .stack_size(256 << 10)
-        .spawn(move || writing.write(store, &jobs))
+        .spawn(move || writing.write(store))
         .map_err(|e| format!("the disk's thread: {e}"))?;
     let h = hut.clone();
     go("alarms", move || h.alarms.run());
--- a/crates/hut/src/lives.rs
+++ b/crates/hut/src/lives.rs
@@ -8,7 +8,6 @@
 use lynxstair_trailbook::words::{Down, Life, Standing, Up};
 use lynxstair_wire::calls::Reply;
 
-use crate::agreement::Job;
 use crate::control::error;
 use crate::hut::{Hut, Rooms};
 
@@ -124,7 +123,7 @@
             rooms.lives.changed = false;
             let mut held = Vec::new();
             if ciborium::into_writer(&rooms.lives.all(now), &mut held).is_ok() {
-                let _ = self.disk.send(Job::Lives(held));
+                self.disk.keep_lives(held);
             }
         }
     }
--- a/crates/hut/src/main.rs
+++ b/crates/hut/src/main.rs
@@ -4,6 +4,7 @@
 mod agreement;
 mod control;
 mod directory;
+mod disk;
 mod feed;
 mod hut;
 mod inner;
--- a/crates/hut/tests/core.rs
+++ b/crates/hut/tests/core.rs
@@ -117,12 +117,20 @@
         let file = self.settle(n, seeds, bootstrap);
         let child = Command::new(env!("CARGO_BIN_EXE_lynxstair-hut"))
             .env("LYNXSTAIR_BOOT", &file)
-            .stderr(Stdio::null())
+            .stderr(self.log(n))
             .spawn()
             .expect("started");
         self.huts.insert(n, child);
     }
 
+    /// The first hut's log is on a disk that is full: what can't be logged ends nothing.
+    fn log(&self, n: usize) -> Stdio {
+        match std::fs::File::options().write(true).open("/dev/full") {
+            Ok(full) if n == 1 => full.into(),
+            _ => Stdio::null(),
+        }
+    }
+
     fn signal(&self, n: usize, signal: Signal) {
         kill(Pid::from_raw(self.huts[&n].id() as i32), signal).expect("signalled");
     }
--- a/crates/trailbook/src/program.rs
+++ b/crates/trailbook/src/program.rs
@@ -1,7 +1,13 @@
 //! What the system's programs do alike when they begin: command line, settings file, logs.
 
+use std::io::Write;
 use std::process::ExitCode;
 
+use logforth::filter::rustlog::RustLogFilterBuilder;
+use logforth::layout::JsonLayout;
+use logforth::record::Record;
+use logforth::{Append, Diagnostic, Error, Layout};
+
 use crate::settings::{Settings, VARIABLE};
 
 /// What the command line asks for.
@@ -51,14 +57,28 @@
     }
 }
 
+/// Standard error. A line that can't be written, on a full disk perhaps, is lost and ends nothing.
+#[derive(Debug)]
+struct Lossy(JsonLayout);
+
+impl Append for Lossy {
+    fn append(&self, record: &Record, more: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let mut line = self.0.format(record, more)?;
+        line.push(b'\n');
+        let _ = std::io::stderr().write_all(&line);
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
 /// From here on log lines go to standard error, each a JSON object.
 pub fn log_json() {
-    use logforth::append::Stderr;
-    use logforth::filter::rustlog::RustLogFilterBuilder;
-    use logforth::layout::JsonLayout;
     // Libraries say only what is wrong.
     let filter = RustLogFilterBuilder::from_spec("warn,lynxstair=info").build();
-    let to = Stderr::default().with_layout(JsonLayout::default());
+    let to = Lossy(JsonLayout::default());
     // A second call in one process (tests) changes nothing.
     let _ = logforth::starter_log::builder().dispatch(|d| d.filter(filter).append(to)).try_apply();
 }
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -1,5 +1,7 @@
 //! Logging: lines on standard error, behind one macro, no more than so many a second.
 
+use std::fmt::Arguments;
+use std::io::Write;
 use std::sync::Mutex;
 use std::time::Instant;
 
@@ -30,15 +32,21 @@
     Some(std::mem::take(&mut a.dropped))
 }
 
+/// Writes a line as it is. One that can't be written, on a full disk perhaps, is lost and ends nothing: `eprintln`
+/// panics then, and so does the panic's own line.
+pub fn write(line: Arguments) {
+    let _ = writeln!(std::io::stderr(), "lynxstair-gatekeeper: {line}");
+}
+
 /// Writes a line, unless too many were written lately. Never for each invocation.
 #[macro_export]
 macro_rules! log {
     ($($what:tt)*) => {
         if let Some(dropped) = $crate::log::may_write() {
             if dropped > 0 {
-                eprintln!("lynxstair-gatekeeper: {dropped} lines left out");
+                $crate::log::write(format_args!("{dropped} lines left out"));
             }
-            eprintln!("lynxstair-gatekeeper: {}", format_args!($($what)*));
+            $crate::log::write(format_args!($($what)*));
         }
     };
 }
