--- a/crates/hut/src/directory.rs
+++ b/crates/hut/src/directory.rs
@@ -38,12 +38,12 @@
             return Reply::new(404);
         }
         let now = self.alarms.now();
-        let rooms = self.rooms();
+        let mut rooms = self.rooms();
         if !self.has_gathered(now) && !rooms.directory.knows_all(now) {
             return unsettled();
         }
-        let addresses =
-            rooms.directory.answer(now, call.asked("region").unwrap_or(""), rooms.cairn.is_in_touch(now));
+        let in_touch = rooms.cairn.is_in_touch(now);
+        let addresses = rooms.directory.answer(now, call.asked("region").unwrap_or(""), in_touch);
         if addresses.is_empty() {
             return unsettled();
         }
--- a/crates/ridge/src/directory.rs
+++ b/crates/ridge/src/directory.rs
@@ -11,6 +11,8 @@
 const ABSENT: Span = Span::from_millis(2_500);
 /// Who has said that it leaves is not named any more, whatever others still have of it; remembered for so long.
 const REMEMBERED: Span = Span::from_millis(30_000);
+/// Answers go by what was found out within so long, unless something changed since.
+const FOUND: Span = Span::from_millis(50);
 /// As many as an answer may name.
 const MOST: usize = 64;
 
@@ -36,9 +38,11 @@
     /// What the other huts were told last of those here.
     told: HashMap<String, Sighting>,
     /// Lives that leave, and when that was heard.
-    left: HashMap<(String, u64), Time>,
+    left: HashMap<String, (u64, Time)>,
     /// Those that could serve when they were heard last, by whichever hut.
     last: HashMap<String, (Edge, Time)>,
+    /// Those that clients may come to, as of then: look-ups are many.
+    found: Option<(Time, Vec<Edge>)>,
 }
 
 impl Directory {
@@ -48,13 +52,18 @@
         let sighting = Sighting { edge: edge.clone(), readiness };
         let old = self.here.insert(edge.node.clone(), Here { sighting, heard_at: now });
         let was = old.map(|o| (o.sighting.edge.life, o.sighting.readiness));
-        was != Some((edge.life, readiness))
+        let is_news = was != Some((edge.life, readiness));
+        if is_news {
+            self.found = None;
+        }
+        is_news
     }
 
     /// Its line to this hut has ended, unless a later life has one.
     pub fn end(&mut self, node: &str, life: u64) {
         if self.here.get(node).is_some_and(|h| h.sighting.edge.life == life) {
             self.here.remove(node);
+            self.found = None;
         }
     }
 
@@ -75,6 +84,7 @@
         has_gathered: bool,
     ) {
         sightings.iter().for_each(|s| self.note(now, &s.edge, s.readiness));
+        self.found = None;
         let there = self.there.entry(hut).or_default();
         (there.heard_at, there.has_gathered) = (now, has_gathered);
         if whole {
@@ -92,12 +102,13 @@
     /// Another hut's line has ended.
     pub fn end_hut(&mut self, hut: SocketAddr) {
         self.there.remove(&hut);
+        self.found = None;
     }
 
     fn note(&mut self, now: Time, edge: &Edge, readiness: Readiness) {
         match readiness {
             Readiness::Leaving => {
-                self.left.entry((edge.node.clone(), edge.life)).or_insert(now);
+                self.left.insert(edge.node.clone(), (edge.life, now));
             }
             Readiness::Ready | Readiness::Stale => {
                 self.last.insert(edge.node.clone(), (edge.clone(), now));
@@ -117,7 +128,7 @@
 
     /// What changed since this was asked last; lets go of what is long over.
     pub fn news(&mut self, now: Time) -> Vec<Sighting> {
-        self.left.retain(|_, at| now - *at < REMEMBERED);
+        self.left.retain(|_, (_, at)| now - *at < REMEMBERED);
         self.there.retain(|_, t| now - t.heard_at < REMEMBERED);
         self.last.retain(|_, (_, at)| now - *at < REMEMBERED);
         let present: HashMap<String, Sighting> =
@@ -135,16 +146,21 @@
         self.there.values().any(|t| t.has_gathered && now - t.heard_at < ABSENT)
     }
 
+    /// Whether this life has said that it leaves.
+    fn has_left(&self, edge: &Edge) -> bool {
+        !self.left.is_empty() && self.left.get(&edge.node).is_some_and(|(life, _)| *life == edge.life)
+    }
+
     /// Those that clients may come to: all that some hut has as ready, else those that serve on with an older book.
     /// None that has said that it leaves, to whichever hut.
     pub fn open(&self, now: Time) -> Vec<&Edge> {
         let there = self.there.values().filter(|t| now - t.heard_at < ABSENT);
         let mut best: HashMap<&str, &Sighting> = HashMap::new();
         for sighting in self.present(now).chain(there.flat_map(|t| t.sightings.values())) {
-            let Edge { node, life, .. } = &sighting.edge;
-            if self.left.contains_key(&(node.clone(), *life)) {
+            if self.has_left(&sighting.edge) {
                 continue;
             }
+            let node = &sighting.edge.node;
             let rank = |s: &Sighting| match s.readiness {
                 Readiness::Ready => 2,
                 Readiness::Stale => 1,
@@ -163,11 +179,15 @@
     /// The answer to a client of this region: its own gatekeepers where there are any. Where no hut hears any
     /// gatekeeper, a hut in touch with the others names those that were there last: they may be cut off from the huts
     /// only. One out of touch names none then, as another hut may know better.
-    pub fn answer(&self, now: Time, region: &str, in_touch: bool) -> Vec<SocketAddr> {
-        let mut open = self.open(now);
+    pub fn answer(&mut self, now: Time, region: &str, in_touch: bool) -> Vec<SocketAddr> {
+        if self.found.as_ref().is_none_or(|(at, _)| now - *at >= FOUND) {
+            self.found = Some((now, self.open(now).into_iter().cloned().collect()));
+        }
+        let found = self.found.as_ref().map_or(&[][..], |(_, found)| found);
+        let mut open: Vec<&Edge> = found.iter().collect();
         if open.is_empty() && in_touch {
             let last = self.last.values().filter(|(_, at)| now - *at < REMEMBERED).map(|(edge, _)| edge);
-            open = last.filter(|e| !self.left.contains_key(&(e.node.clone(), e.life))).collect();
+            open = last.filter(|edge| !self.has_left(edge)).collect();
         }
         let mut near: Vec<&Edge> = open.iter().copied().filter(|e| e.region == region).collect();
         if near.is_empty() {
