--- a/crates/ridge/src/directory.rs
+++ b/crates/ridge/src/directory.rs
@@ -43,6 +43,8 @@
     last: HashMap<String, (Edge, Time)>,
     /// Those that clients may come to, as of then: look-ups are many.
     found: Option<(Time, Vec<Edge>)>,
+    /// Answers so far: each begins with another of them, so that all are named as often, and as early.
+    answers: usize,
 }
 
 impl Directory {
@@ -193,6 +195,11 @@
         if near.is_empty() {
             near = open;
         }
+        if !near.is_empty() {
+            self.answers = self.answers.wrapping_add(1);
+            let first = self.answers % near.len();
+            near.rotate_left(first);
+        }
         near.truncate(MOST);
         near.iter().map(|e| e.front).collect()
     }
--- a/crates/ridge/tests/directory.rs
+++ b/crates/ridge/tests/directory.rs
@@ -1,5 +1,6 @@
 //! The directory: which gatekeepers a hut names, whoever of the huts has heard them.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use lynxstair::types::Time;
@@ -115,3 +116,20 @@
     );
     assert_eq!(directory.answer(at(32_000), "r", true), [front(3)], "who is heard goes first");
 }
+
+/// An answer names 64 at the most: of a hundred each is named as often as the others, and as often first.
+#[test]
+fn all_are_named_as_often() {
+    let mut directory = Directory::default();
+    for n in 0..100 {
+        directory.hear(at(0), &edge(n, "r", 1), Readiness::Ready);
+    }
+    let (mut named, mut first) = (HashMap::new(), HashMap::new());
+    for _ in 0..100 {
+        let answer = directory.answer(at(0), "r", true);
+        assert_eq!(answer.len(), 64);
+        *first.entry(answer[0]).or_insert(0) += 1;
+        answer.into_iter().for_each(|a| *named.entry(a).or_insert(0) += 1);
+    }
+    assert!(named.len() == 100 && named.values().all(|n| *n == 64) && first.values().all(|n| *n == 1));
+}
