--- a/crates/hut/tests/store.rs
+++ b/crates/hut/tests/store.rs
@@ -24,9 +24,9 @@
     Record {
         term,
         vote: Some(node),
-        disk: 9,
+        last: LogId { term, index: 7 },
         state: State { voters: vec![Member { node, disk: 9 }], outgoing: None, book },
-        ..Record::default()
+        disk: 9,
     }
 }
 
