A large order ends no hut: digests by pieces, and a thread that is there from the start

Cause: of what is longer than 1 kB BLAKE3 takes many lanes at once, in frames that a coroutine's stack does not hold in a debug build; and the thread for an order of over 64 KiB was begun from a coroutine.

Change: trailbook::digest, by pieces of 1 kB, for orders, rows and records alike (the pinned identities are the same). hut/src/aside.rs: one thread from the start.

Tests: orders of 200 kB on a stack of 128 kB; on sockets a configuration of over 64 KiB, and a hut whose disk can't be read (failed before: no answer, 'coroutine has overflowed its stack').

--- a/crates/hut/src/agreement.rs
+++ b/crates/hut/src/agreement.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
-use std::thread;
 
 use log::{info, warn};
 use lynxstair::types::{Span, Time};
@@ -14,6 +13,7 @@
 use lynxstair_wire::alarms::Alarms;
 use may::sync::Blocker;
 
+use crate::aside::MOST_AT_ONCE;
 use crate::hut::{Hut, Rooms};
 
 /// How often slow upkeep is done.
@@ -22,15 +22,6 @@
 /// The time's keeper looks no more often than this by itself.
 const STEP: Span = Span::from_millis(2);
 
-/// Of more bytes than these a configuration is read on a thread of its own: the hut has one for all else, and a leader
-/// that reads for half a second leads no more.
-pub const READ_ASIDE: usize = 64 << 10;
-
-/// Does something long on a thread of its own; false where there can be none.
-pub fn aside(what: impl FnOnce() + Send + 'static) -> bool {
-    thread::Builder::new().name("aside".to_string()).stack_size(1 << 20).spawn(what).is_ok()
-}
-
 /// The book as committed, as far as it is known here.
 pub struct Committed {
     pub book: Book,
@@ -53,11 +44,6 @@
         }
         self.steps.note(&self.book, &book);
         self.book = book;
-        if !self.book.is_read() && self.book.bytes() > READ_ASIDE {
-            // Who leads next is to find it read.
-            let book = self.book.clone();
-            aside(move || drop(book.configuration().cloned()));
-        }
         true
     }
 }
@@ -225,6 +211,12 @@
                         if rooms.committed.take(book) {
                             info!(number = number, generation = generation, term = at.term; "committed");
                             rooms.tell_book(now);
+                            let book = &rooms.committed.book;
+                            if !book.is_read() && book.bytes() > MOST_AT_ONCE {
+                                // Who leads next is to find it read.
+                                let book = book.clone();
+                                self.aside.go(move || drop(book.configuration().cloned()));
+                            }
                         }
                     }
                     Do::Settled(number, is_sure) | Do::Read(number, is_sure) => {
--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -20,6 +20,7 @@
 use signal_hook::iterator::Signals;
 
 use crate::agreement::{Committed, Noted, Waiting};
+use crate::aside::Aside;
 use crate::disk::Disk;
 use crate::feed::Feed;
 use crate::lives::Lives;
@@ -59,6 +60,7 @@
     rooms: Mutex<Rooms>,
     reload: Mutex<Reload>,
     pub disk: Disk,
+    pub aside: Aside,
 }
 
 impl Hut {
@@ -130,6 +132,7 @@
         rooms: Mutex::new(rooms),
         reload,
         disk: Disk::default(),
+        aside: Aside::begin()?,
     });
     let writing = hut.clone();
     thread::Builder::new()
--- a/crates/hut/src/main.rs
+++ b/crates/hut/src/main.rs
@@ -2,6 +2,7 @@
 #![deny(unsafe_code)]
 
 mod agreement;
+mod aside;
 mod control;
 mod directory;
 mod disk;
--- a/crates/hut/src/orders.rs
+++ b/crates/hut/src/orders.rs
@@ -11,7 +11,8 @@
 use lynxstair_wire::calls::{Call, Reply};
 use may::sync::Blocker;
 
-use crate::agreement::{Answer, READ_ASIDE, aside};
+use crate::agreement::Answer;
+use crate::aside::{Aside, MOST_AT_ONCE};
 use crate::control::{error, unsettled};
 use crate::hut::{Hut, Rooms};
 
@@ -20,17 +21,17 @@
 /// While another change is open.
 const LOOKS: Span = Span::from_millis(4);
 
-/// Of so many bytes large orders are read at once, or one of more: the values of a text take twenty times its room.
+/// Of so many bytes large orders wait to be read, or one of more: the values of a text take twenty times its room.
 const MOST_READ: usize = 2 << 20;
 static READING: AtomicUsize = AtomicUsize::new(0);
 
 /// Reads an order, a large one aside; None where too much is being read.
-fn read(mut order: Order) -> Option<Order> {
-    if order.bytes() <= READ_ASIDE {
+fn read(aside: &Aside, mut order: Order) -> Option<Order> {
+    let bytes = order.bytes();
+    if bytes <= MOST_AT_ONCE {
         order.read();
         return Some(order);
     }
-    let bytes = order.bytes();
     let before = READING.fetch_add(bytes, Ordering::Relaxed);
     if before > 0 && before + bytes > MOST_READ {
         READING.fetch_sub(bytes, Ordering::Relaxed);
@@ -38,11 +39,11 @@
     }
     let reader = Arc::new(Reader { blocker: Blocker::current(), read: Mutex::new(None) });
     let end = End(reader.clone());
-    let begun = aside(move || {
+    aside.go(move || {
         order.read();
         end.0.say(Some(order));
     });
-    let mut read = if begun { None } else { Some(None) };
+    let mut read = None;
     while read.is_none() {
         let _ = reader.blocker.park(None);
         read = reader.read.lock().unwrap_or_else(|e| e.into_inner()).take();
@@ -128,7 +129,7 @@
         let mut order = Order::new(change);
         // One that was taken needs no reading; any other is read while nobody waits for the rooms.
         if !self.rooms().committed.book.has_taken(&order) {
-            let Some(read) = read(order) else { return unsettled() };
+            let Some(read) = read(&self.aside, order) else { return unsettled() };
             order = read;
         }
         let number = loop {
--- a/crates/hut/src/store.rs
+++ b/crates/hut/src/store.rs
@@ -7,6 +7,7 @@
 
 use log::warn;
 use lynxstair_cairn::Record;
+use lynxstair_trailbook::digest;
 use lynxstair_trailbook::words::Bytes;
 use rusqlite::{Connection, ErrorCode, OptionalExtension, params};
 
@@ -46,11 +47,10 @@
 pub struct Sqlite {
     connection: Connection,
     /// The book that is on the disk, with its digest.
-    book: Option<(Bytes, [u8; DIGEST])>,
+    book: Option<(Bytes, [u8; digest::LENGTH])>,
     is_emptied: bool,
 }
 
-const DIGEST: usize = 16;
 const MAIN: &str = "book.sqlite";
 const LOG: &str = "book.sqlite-wal";
 /// What could not be read, kept to be looked at: the last one only.
@@ -126,8 +126,8 @@
             (Some((held, named, digest)), Some(book)) => (held, named, digest, book),
             _ => return Err(Bad::Record("a part of the record is missing".to_string())),
         };
-        let of_book = digest_of(&[&book]);
-        if named != of_book || digest != digest_of(&[&held, &named]) {
+        let of_book = digest::of([&book[..]]);
+        if named != of_book || digest != digest::of([&held[..], &named]) {
             return Err(Bad::Record("the record is not as it was written".to_string()));
         }
         let mut record: Record = ciborium::from_reader(&held[..]).map_err(|e| Bad::Record(e.to_string()))?;
@@ -154,15 +154,6 @@
     }
 }
 
-fn digest_of(parts: &[&[u8]]) -> [u8; DIGEST] {
-    let mut hasher = blake3::Hasher::new();
-    for part in parts {
-        hasher.update(part);
-    }
-    let digest = hasher.finalize();
-    std::array::from_fn(|n| digest.as_bytes()[n])
-}
-
 fn sync(folder: &Path) -> io::Result<()> {
     File::open(folder)?.sync_all()
 }
@@ -206,13 +197,13 @@
         let on_disk = self.book.take().filter(|(held, _)| held == book);
         let (is_new, of_book) = match &on_disk {
             Some((_, digest)) => (false, *digest),
-            None => (true, digest_of(&[&book.0])),
+            None => (true, digest::of([&book.0[..]])),
         };
         let mut head = record.clone();
         head.state.book = Bytes::default();
         let mut held = Vec::new();
         ciborium::into_writer(&head, &mut held).map_err(|e| format!("the book's record: {e}"))?;
-        let digest = digest_of(&[&held, &of_book]);
+        let digest = digest::of([&held[..], &of_book]);
         // Both or none of them. Where that fails, what the disk holds is not known: all is written the next time.
         let both = self.connection.transaction().map_err(fail)?;
         if is_new {
--- a/crates/hut/tests/core.rs
+++ b/crates/hut/tests/core.rs
@@ -296,3 +296,44 @@
     line.ping(Readiness::Leaving);
     until("who leaves is not named", || (look_up() == Some(503)).then_some(()));
 }
+
+/// A configuration that is read aside (over 64 KiB) is ruled on as any other, and given back whole; a hut whose disk can't
+/// be read any more starts all the same, counts as emptied though its settings say that all begins, and is caught up.
+#[test]
+fn a_large_configuration_and_an_unreadable_disk() {
+    let mut core = Core::new(9);
+    (1..=3).for_each(|n| core.start(n, &[1, 2, 3], true));
+    let rows: String =
+        (0..1200).map(|n| format!(r#",["r{n}","h{n}.example","/prefix-{n}/","safe",3,0.8,"s",2]"#)).collect();
+    let large =
+        |generation, base| configuration(generation, base).replace("\"s\",2]", &format!("\"s\",2]{rows}"));
+    let body = large(5, 0);
+    assert!(body.len() > 64 << 10, "{} bytes", body.len());
+    assert_eq!(core.order("PUT /config", &body), 200);
+    assert_eq!(core.order("PUT /config", &body), 200, "known again");
+    assert_eq!(core.order("PUT /config", &large(5, 0).replace("h7.", "h8.")), 412);
+    assert_eq!(core.order("PUT /config", &large(6, 5).replace("\"r7\"", "\"r8\"")), 400, "two of one name");
+    assert_eq!(core.order("PUT /config", &body[..body.len() - 9]), 400);
+
+    let leader = until("a leader", || core.leader());
+    let lost = (1..=3).find(|n| *n != leader).expect("one");
+    let mut child = core.huts.remove(&lost).expect("runs");
+    child.kill().expect("killed");
+    child.wait().expect("ended");
+    let disk = core.folder.path().join(format!("hut{lost}"));
+    std::fs::write(disk.join("book.sqlite"), "no database at all".repeat(500)).expect("spoiled");
+    std::fs::remove_file(disk.join("book.sqlite-wal")).expect("its log, which holds all by itself");
+    core.start(lost, &[1, 2, 3], true);
+    until("it is caught up", || (core.says(lost, "generation") == "\"00000005\"").then_some(()));
+    assert!(disk.join("book.sqlite.unreadable").exists());
+    let patch = r#"{"generation":"00000007","base-version":"00000005","remove":{"routes":["r1"]}}"#;
+    assert_eq!(core.order("PATCH /config", patch), 200);
+    until("the change", || (core.says(lost, "generation") == "\"00000007\"").then_some(()));
+    let read = until("the whole", || {
+        let message = call(core.at(core.leader()?), "GET /config", "")?;
+        (message.status() == 200).then_some(message.body)
+    });
+    let text = String::from_utf8(read).expect("text");
+    assert!(values::read(text.as_bytes()).is_ok() && text.len() > 64 << 10, "{} bytes", text.len());
+    assert!(text.contains("\"r1199\"") && !text.contains("\"r1\"") && text.contains("00000007"));
+}
--- a/crates/ridge/src/book.rs
+++ b/crates/ridge/src/book.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, OnceLock};
 
 use lynxstair_trailbook::configuration::Configuration;
+use lynxstair_trailbook::digest;
 use lynxstair_trailbook::sheet::{self, Sheet};
 use lynxstair_trailbook::values::{self, Fault, Value};
 use lynxstair_trailbook::words::Bytes;
@@ -13,7 +14,7 @@
 /// So many changes that were taken are remembered, to know them when they are sent again.
 pub const REMEMBERED: usize = 1024;
 /// Bytes of an order's identity, and with the version that it brought.
-const MARK: usize = 16;
+const MARK: usize = digest::LENGTH;
 const KEPT: usize = 8 + MARK;
 
 #[derive(Clone, Debug, Default)]
@@ -123,9 +124,7 @@
         // These bring the same about however often they are sent, and carry nothing that tells two of them apart.
         Change::Evacuate(_) | Change::Return(_) => return None,
     };
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&[kind]).update(body);
-    hasher.finalize().as_bytes().first_chunk().copied()
+    Some(digest::of([&[kind][..], body]))
 }
 
 impl Order {
--- a/crates/trailbook/src/lib.rs
+++ b/crates/trailbook/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod agreement;
 pub mod configuration;
+pub mod digest;
 pub mod frames;
 pub mod program;
 pub mod settings;
--- a/crates/trailbook/src/sheet.rs
+++ b/crates/trailbook/src/sheet.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+use crate::digest;
 use crate::values::{self, Fault, Object, Value, at, fault, needed, path};
 
 /// The lists that a configuration is made of.
@@ -131,16 +132,13 @@
     }
 
     /// The same text for the same configuration, whatever order its rows came in.
-    pub fn digest(&self) -> [u8; 16] {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&self.generation.to_be_bytes()).update(self.rest.as_bytes());
-        for list in &self.lists {
-            hasher.update(&list.digest.to_be_bytes());
-            for column in &list.columns {
-                hasher.update(&[0]).update(column.as_bytes());
-            }
-        }
-        std::array::from_fn(|n| hasher.finalize().as_bytes()[n])
+    pub fn digest(&self) -> [u8; digest::LENGTH] {
+        let generation = self.generation.to_be_bytes();
+        let sums = self.lists.each_ref().map(|list| list.digest.to_be_bytes());
+        let lists = self.lists.iter().zip(&sums).flat_map(|(list, sum)| {
+            std::iter::once(&sum[..]).chain(list.columns.iter().flat_map(|c| [&[0][..], c.as_bytes()]))
+        });
+        digest::of([&generation[..], self.rest.as_bytes()].into_iter().chain(lists))
     }
 
     /// Shares with an older version what is the same in both.
@@ -187,7 +185,7 @@
 
     pub fn remove(&mut self, name: &str) {
         if let Some(old) = self.rows.shift_remove(name) {
-            self.digest = self.digest.wrapping_sub(digest(name, &old));
+            self.digest = self.digest.wrapping_sub(digest_of(name, &old));
         }
     }
 
@@ -196,9 +194,9 @@
         if self.rows.get(name).is_some_and(|old| same(old, &cells)) {
             return;
         }
-        self.digest = self.digest.wrapping_add(digest(name, &cells));
+        self.digest = self.digest.wrapping_add(digest_of(name, &cells));
         if let Some(old) = self.rows.insert(name.into(), cells) {
-            self.digest = self.digest.wrapping_sub(digest(name, &old));
+            self.digest = self.digest.wrapping_sub(digest_of(name, &old));
         }
     }
 
@@ -279,10 +277,9 @@
     Arc::ptr_eq(a, b) || a == b
 }
 
-fn digest(name: &str, cells: &str) -> u128 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&(name.len() as u64).to_be_bytes()).update(name.as_bytes()).update(cells.as_bytes());
-    hasher.finalize().as_bytes().first_chunk().map_or(0, |first| u128::from_be_bytes(*first))
+fn digest_of(name: &str, cells: &str) -> u128 {
+    let length = (name.len() as u64).to_be_bytes();
+    u128::from_be_bytes(digest::of([&length[..], name.as_bytes(), cells.as_bytes()]))
 }
 
 impl PartialEq for List {
