--- a/crates/hut/src/inner.rs
+++ b/crates/hut/src/inner.rs
@@ -52,12 +52,8 @@
             true
         });
         conn.close();
-        let mut rooms = self.rooms();
         if let Some(number) = follower {
-            rooms.let_go(number);
-        }
-        if let Some(core) = core {
-            rooms.directory.end_hut(core);
+            self.rooms().let_go(number);
         }
     }
 }
--- a/crates/hut/src/peers.rs
+++ b/crates/hut/src/peers.rs
@@ -135,7 +135,8 @@
                 // Nothing comes back on it but its end.
                 lines::read(&conn, |_: ()| false);
                 conn.close();
-                self.rooms().peers.open.remove(&peer);
+                // Where it was let go of and met again meanwhile, another line stands by now.
+                self.rooms().peers.open.retain(|_, open| !Arc::ptr_eq(open, &conn));
             } else {
                 again = again.times(1.25).min(AGAIN_AT_MOST);
             }
--- a/crates/ridge/src/directory.rs
+++ b/crates/ridge/src/directory.rs
@@ -69,7 +69,8 @@
         }
     }
 
-    /// Another hut is there.
+    /// Another hut is there. What it said stands while it is heard: the end of one of its lines says nothing, as it may
+    /// have opened another before.
     pub fn hear_hut(&mut self, now: Time, hut: SocketAddr) {
         if let Some(there) = self.there.get_mut(&hut) {
             there.heard_at = now;
@@ -101,12 +102,6 @@
         }
     }
 
-    /// Another hut's line has ended.
-    pub fn end_hut(&mut self, hut: SocketAddr) {
-        self.there.remove(&hut);
-        self.found = None;
-    }
-
     fn note(&mut self, now: Time, edge: &Edge, readiness: Readiness) {
         match readiness {
             Readiness::Leaving => {
