A disk that refuses at a start is asked again, and its record is never set aside for that

Cause (read): a hut whose disk refused for 3 s at its start set its record aside and began as emptied. After a loss of power everywhere with bad disks on several machines that takes away copies that the disks still hold. Change: only what no whole write left is set aside; where the disk refuses the hut asks again and serves nothing meanwhile. Another process's files: as before, an end after 3 s. Test: crates/hut/tests/store.rs, what_the_disk_refuses_is_not_lost (before: the record is gone).

--- a/crates/hut/examples/state.rs
+++ b/crates/hut/examples/state.rs
@@ -100,7 +100,7 @@
     let (routes, text) = configuration(kilobytes * 1000);
     let folder = tempfile::tempdir().expect("a folder");
     let mut times = Times::default();
-    let mut sqlite = Sqlite::open(folder.path(), || false).expect("open");
+    let mut sqlite = Sqlite::open(folder.path(), |_| false).expect("open");
     println!("configuration {} bytes, {routes} routes; {changes} changes", text.len());
     let mut order = Order::new(Change::Put(text.into_bytes()));
     times.of("PUT: read, before the lock", || order.read());
@@ -155,7 +155,7 @@
         .filter_map(|f| f.ok()?.metadata().ok().map(|m| m.len()))
         .sum();
     drop(sqlite);
-    let mut sqlite = Sqlite::open(folder.path(), || false).expect("open");
+    let mut sqlite = Sqlite::open(folder.path(), |_| false).expect("open");
     let mut times = Times::default();
     times.of("load after a start", || assert!(sqlite.load().expect("loads").is_some()));
     times.of("GET: write the configuration", || book.text().map(|t| t.len()));
--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -24,7 +24,7 @@
 use crate::feed::Feed;
 use crate::lives::Lives;
 use crate::peers::Peers;
-use crate::store::{Memory, Sqlite, Store};
+use crate::store::{Memory, Not, Sqlite, Store};
 
 /// What a caller may send, and how many callers there may be at once.
 const CALLERS: Most = Most { body: 8 << 20, connections: 2000 };
@@ -75,11 +75,12 @@
     let directory = settings.directory;
     let mut store: Box<dyn Store> = match &settings.data_dir {
         Some(folder) => {
-            // A disk may be slow to come back: some seconds.
+            // A disk that refuses may come back, and hold the only copy: for as long as that takes. A process before this
+            // one may be about to end: some seconds.
             let mut tries = 0..60;
-            let wait = || {
+            let wait = |not| {
                 thread::sleep(std::time::Duration::from_millis(50));
-                tries.next().is_some()
+                not == Not::Given || tries.next().is_some()
             };
             Box::new(Sqlite::open(Path::new(folder), wait)?)
         }
--- a/crates/hut/src/store.rs
+++ b/crates/hut/src/store.rs
@@ -25,6 +25,15 @@
     fn save_lives(&mut self, lives: &[u8]) -> Result<(), String>;
 }
 
+/// Why a database can't be opened now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Not {
+    /// The disk refuses.
+    Given,
+    /// Another process has it open.
+    Ours,
+}
+
 /// Why a database is not used.
 enum Trouble {
     /// It holds what no whole write left: it won't get better.
@@ -57,19 +66,23 @@
 const ASIDE: [(&str, &str); 2] = [(MAIN, "book.sqlite.unreadable"), (LOG, "book.sqlite-wal.unreadable")];
 
 impl Sqlite {
-    /// Opens what the folder holds. What can't be read is set aside, and the disk counts as emptied. An error of the disk
-    /// is answered by `wait`: whether to try again.
-    pub fn open(folder: &Path, mut wait: impl FnMut() -> bool) -> Result<Sqlite, String> {
+    /// Opens what the folder holds. What no whole write left is set aside, and the disk counts as emptied. What the disk
+    /// refuses to give is not: it may hold the only copy, and give it later. `wait` says whether to try again then.
+    pub fn open(folder: &Path, mut wait: impl FnMut(Not) -> bool) -> Result<Sqlite, String> {
         loop {
-            let why = match Sqlite::begin(folder) {
+            let (not, why) = match Sqlite::begin(folder) {
                 Ok(sqlite) => return Ok(sqlite),
-                Err(Trouble::Disk(why) | Trouble::Held(why)) if wait() => {
-                    warn!(error = why; "the disk can't be opened yet");
-                    continue;
-                }
-                Err(Trouble::Held(why)) => return Err(why),
-                Err(Trouble::Disk(why) | Trouble::Unreadable(why)) => why,
+                Err(Trouble::Unreadable(why)) => (None, why),
+                Err(Trouble::Disk(why)) => (Some(Not::Given), why),
+                Err(Trouble::Held(why)) => (Some(Not::Ours), why),
             };
+            if let Some(not) = not {
+                if !wait(not) {
+                    return Err(why);
+                }
+                warn!(error = why; "the disk can't be opened yet");
+                continue;
+            }
             warn!(error = why; "what the disk holds can't be read: set aside, the disk counts as emptied");
             set_aside(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
             return Sqlite::begin(folder).map_err(|t| match t {
--- a/crates/hut/tests/store.rs
+++ b/crates/hut/tests/store.rs
@@ -8,13 +8,13 @@
 use lynxstair_cairn::Record;
 use lynxstair_trailbook::agreement::{LogId, Member, State};
 use lynxstair_trailbook::words::Bytes;
-use store::{Memory, Sqlite, Store};
+use store::{Memory, Not, Sqlite, Store};
 
 #[path = "../src/store.rs"]
 mod store;
 
 fn open(folder: &Path) -> Sqlite {
-    Sqlite::open(folder, || false).expect("open")
+    Sqlite::open(folder, |_| false).expect("open")
 }
 
 /// The record of a term; the book changes with every third.
@@ -65,7 +65,7 @@
 fn a_folder_that_can_not_be_is_named() {
     let file = tempfile::NamedTempFile::new().expect("a file");
     let mut waits = 0;
-    let wait = || {
+    let wait = |_| {
         waits += 1;
         waits < 3
     };
@@ -190,7 +190,7 @@
     let folder = tempfile::tempdir().expect("a folder");
     let mut first = open(folder.path());
     first.save(&record(1)).expect("saved");
-    assert!(Sqlite::open(folder.path(), || false).is_err());
+    assert!(Sqlite::open(folder.path(), |_| false).is_err());
     first.save(&record(2)).expect("saved");
     drop(first);
     assert_eq!(open(folder.path()).load(), Ok(Some(record(2))));
@@ -258,3 +258,24 @@
         assert_eq!(open(folder.path()).load(), Ok(Some(record(8))), "what was written since goes first");
     }
 }
+
+/// A disk that refuses to give what it holds is asked again, and nothing is set aside: it may be the only copy.
+#[test]
+fn what_the_disk_refuses_is_not_lost() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut store = open(folder.path());
+    store.save(&record(3)).expect("saved");
+    drop(store);
+    let (file, hidden) = (folder.path().join("book.sqlite"), folder.path().join("hidden"));
+    fs::rename(&file, &hidden).expect("hidden");
+    fs::create_dir(&file).expect("what can't be opened");
+    let mut asked = 0;
+    let refused = Sqlite::open(folder.path(), |not| {
+        asked += 1;
+        not == Not::Given && asked < 5
+    });
+    assert!(refused.is_err() && asked == 5);
+    fs::remove_dir(&file).expect("still there, and not set aside");
+    fs::rename(&hidden, &file).expect("back");
+    assert_eq!(open(folder.path()).load(), Ok(Some(record(3))));
+}
