A line that the other end does not hear is opened anew; zones are told by who was found

Change: a hut's word that it is there also says whether it hears the other; a line that has stood for 1.5 s and is not heard is closed, and its keeper opens another. Zones are told 2 s after a start at the earliest. Test: crates/hut/tests/core.rs, a_line_that_brings_nothing_is_opened_anew.

--- a/crates/hut/src/feed.rs
+++ b/crates/hut/src/feed.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use log::info;
-use lynxstair::types::Time;
+use lynxstair::types::{Span, Time};
 use lynxstair_lines as lines;
 use lynxstair_ridge::feed::Sent;
 use lynxstair_ridge::purse::{Grant, Purse};
@@ -16,6 +16,9 @@
 use crate::hut::{Hut, MOST_UNSENT, Rooms};
 use crate::peers::say;
 
+/// So long after its start a hut has been found by all gatekeepers that there are.
+const FOUND: Span = Span::from_millis(2_000);
+
 /// A gatekeeper that follows the feed here.
 struct Follower {
     conn: Arc<Conn>,
@@ -126,8 +129,9 @@
             purse.holds(node, holds);
         }
         let closed = purse.hear(now, node, &f.edge.zone, (&ping.counts, ping.got), &c.tenants);
+        // One that has just begun has not been found by all of them, and each would take a larger part than is its own.
         let zones = purse.gatekeepers();
-        if zones != f.zones {
+        if zones != f.zones && now - self.started_at >= FOUND {
             say(&f.conn, &Down::Zones(zones.clone()));
             f.zones = zones;
         }
--- a/crates/hut/src/inner.rs
+++ b/crates/hut/src/inner.rs
@@ -27,10 +27,13 @@
             let came = self.alarms.came_at(now);
             let mut rooms = self.rooms();
             match (word, core, follower) {
-                (Up::Core { from }, ..) => {
+                (Up::Core { from, hears }, ..) => {
                     core = Some(from);
                     self.meet(now, &mut rooms, &[from]);
                     rooms.heard_hut(now, from);
+                    if !hears {
+                        rooms.peers.is_not_heard_by(now, from);
+                    }
                 }
                 (Up::Agreement(message), Some(from), _) => {
                     rooms.cairn.hear(now, from, message);
--- a/crates/hut/src/peers.rs
+++ b/crates/hut/src/peers.rs
@@ -7,7 +7,7 @@
 use lynxstair::types::{Span, Time};
 use lynxstair_cairn::Node;
 use lynxstair_lines as lines;
-use lynxstair_ridge::huts::Huts;
+use lynxstair_ridge::huts::{DEAF, Huts};
 use lynxstair_trailbook::words::{Down, Up};
 use lynxstair_wire::conn::Conn;
 use lynxstair_wire::coroutine::go;
@@ -22,8 +22,8 @@
 
 pub struct Peers {
     pub huts: Huts,
-    /// The lines that are open.
-    open: HashMap<Node, Arc<Conn>>,
+    /// The lines that are open, each since when.
+    open: HashMap<Node, (Arc<Conn>, Time)>,
     /// The last list of all huts that the road was told, as of one who leads.
     told: Vec<Node>,
 }
@@ -39,15 +39,33 @@
             return;
         }
         let frame = lines::frame(word);
-        self.open.values().for_each(|conn| lines::write(conn, &frame, MOST_UNSENT));
+        self.open.values().for_each(|(conn, _)| lines::write(conn, &frame, MOST_UNSENT));
     }
 
     /// To one of them, if its line is open.
     pub fn say(&self, to: Node, word: &Up) {
-        if let Some(conn) = self.open.get(&to) {
+        if let Some((conn, _)) = self.open.get(&to) {
             say(conn, word);
         }
     }
+
+    /// To each its own: that this hut is there, and whether it hears the other.
+    fn show(&self, now: Time, me: Node) {
+        for (peer, (conn, _)) in &self.open {
+            say(conn, &Up::Core { from: me, hears: self.huts.hears(now, *peer) });
+        }
+    }
+
+    /// A hut says that it does not hear this one: the line to it brings nothing, unless it is new. Its keeper opens
+    /// another.
+    pub fn is_not_heard_by(&self, now: Time, peer: Node) {
+        if let Some((conn, since)) = self.open.get(&peer)
+            && now - *since >= DEAF
+        {
+            info!(hut = peer.to_string(); "a line brings nothing and is opened anew");
+            conn.close();
+        }
+    }
 }
 
 pub fn say<W: serde::Serialize>(conn: &Arc<Conn>, word: &W) {
@@ -82,7 +100,7 @@
     /// Those that are here say so again; who is long gone is let go of. While no majority is in touch nobody is: who
     /// is gone is then not known.
     pub fn keep_peers(self: &Arc<Self>, now: Time, rooms: &mut Rooms) {
-        rooms.peers.tell(&Up::Core { from: self.me });
+        rooms.peers.show(now, self.me);
         if !rooms.peers.open.is_empty() {
             rooms.peers.huts.reached(now);
         }
@@ -126,17 +144,18 @@
                 {
                     let now = self.alarms.now();
                     let mut rooms = self.rooms();
-                    say(&conn, &Up::Core { from: self.me });
+                    let hears = rooms.peers.huts.hears(now, peer);
+                    say(&conn, &Up::Core { from: self.me, hears });
                     say(&conn, &Up::Heard(rooms.lives.all(now)));
                     say(&conn, &self.sightings(now, &rooms));
-                    rooms.peers.open.insert(peer, conn.clone());
+                    rooms.peers.open.insert(peer, (conn.clone(), now));
                     rooms.cairn.reached(peer);
                 }
                 // Nothing comes back on it but its end.
                 lines::read(&conn, |_: ()| false);
                 conn.close();
                 // Where it was let go of and met again meanwhile, another line stands by now.
-                self.rooms().peers.open.retain(|_, open| !Arc::ptr_eq(open, &conn));
+                self.rooms().peers.open.retain(|_, (open, _)| !Arc::ptr_eq(open, &conn));
             } else {
                 again = again.times(1.25).min(AGAIN_AT_MOST);
             }
--- a/crates/hut/tests/core.rs
+++ b/crates/hut/tests/core.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -296,3 +296,37 @@
     line.ping(Readiness::Leaving);
     until("who leaves is not named", || (look_up() == Some(503)).then_some(()));
 }
+
+/// A line that was cut may stand at this end and bring nothing to the other: a hut that is told that it is not heard opens
+/// its line anew. Before, such a hut stayed unheard for as long as the line stood, and the next loss left no majority.
+#[test]
+fn a_line_that_brings_nothing_is_opened_anew() {
+    let mut core = Core::new(5);
+    let other = TcpListener::bind(SocketAddr::new(core.at(2).ip(), 7460)).expect("a hut, played here");
+    core.start(1, &[1, 2], true);
+    let (first, _) = other.accept().expect("its line");
+    first.set_read_timeout(Some(PATIENCE)).expect("a limit");
+    let mut says = Line::open(core.at(1));
+    let mut ended = first.try_clone().expect("the same");
+    ended.set_nonblocking(true).expect("looked at only");
+    until("the line that is not heard ends", || {
+        says.say(&Up::Core { from: core.at(2), hears: false });
+        let mut piece = [0; 4096];
+        loop {
+            match ended.read(&mut piece) {
+                Ok(0) => return Some(()),
+                Ok(_) => {}
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return None,
+                Err(_) => return Some(()),
+            }
+        }
+    });
+    let (again, _) = other.accept().expect("another line");
+    until("it stands as long as it is heard", || {
+        says.say(&Up::Core { from: core.at(2), hears: true });
+        core.status(1).map(|_| ())
+    });
+    again.set_read_timeout(Some(PATIENCE)).expect("a limit");
+    let mut piece = [0; 4096];
+    assert!(matches!((&again).read(&mut piece), Ok(n) if n > 0), "it speaks on the new one");
+}
--- a/crates/ridge/src/huts.rs
+++ b/crates/ridge/src/huts.rs
@@ -15,6 +15,10 @@
 /// Who had no line to any hut for so long looks whether the settings name others.
 const ALONE: Span = Span::from_millis(2_000);
 
+/// Huts say each half second that they are there: who was not heard for so long is not heard, and a line that has stood
+/// for so long and is not heard at its other end is opened anew.
+pub const DEAF: Span = Span::from_millis(1_500);
+
 #[derive(Debug)]
 struct Known {
     /// Which of the keepers of lines keeps the one to it.
@@ -71,6 +75,11 @@
         }
     }
 
+    /// Whether a hut was heard a moment ago.
+    pub fn hears(&self, now: Time, hut: SocketAddr) -> bool {
+        self.known.get(&hut).is_some_and(|known| now - known.heard_at < DEAF)
+    }
+
     /// Whether this keeper still keeps a line to it.
     pub fn is_kept(&self, hut: SocketAddr, keeper: u64) -> bool {
         self.known.get(&hut).is_some_and(|known| known.keeper == keeper)
--- a/crates/trailbook/src/words.rs
+++ b/crates/trailbook/src/words.rs
@@ -140,8 +140,9 @@
     /// Every second and when something changed.
     Ping(Ping),
     /// Begins a line between cores, by the control address of the one who speaks; and says again and again that it is
-    /// there.
-    Core { from: SocketAddr },
+    /// there. `hears`: whether it has heard the one it speaks to a moment ago. A line that was cut may stand and bring
+    /// nothing: only the other end can tell.
+    Core { from: SocketAddr, hears: bool },
     /// Which gatekeepers follow the core that speaks: all where `whole`, else what changed. `has_gathered`: it has
     /// been up for long enough that all of them have found it.
     Sightings { sightings: Vec<Sighting>, whole: bool, has_gathered: bool },
