--- a/crates/pass/src/rooms.rs
+++ b/crates/pass/src/rooms.rs
@@ -11,6 +11,7 @@
 use lynxstair_ridge::feed::{Mirror, Version};
 use lynxstair_ridge::ladder::{Ask, Ladder, Pick, Sent, Worker};
 use lynxstair_ridge::register::Register;
+use lynxstair_ridge::sharing::Sharing;
 use lynxstair_ridge::trust::Trust;
 use lynxstair_trailbook::configuration::Kind;
 use lynxstair_trailbook::settings::Settings;
@@ -76,6 +77,7 @@
     pub buckets: Buckets,
     budget: Budget,
     ladder: Ladder,
+    sharing: Sharing,
     pub has_lives: bool,
     pub is_leaving: bool,
 }
@@ -97,6 +99,7 @@
                 &settings.zones,
                 Cold::new(bounds.cold_overshoot, bounds.cold_slack),
             ),
+            sharing: Sharing::default(),
             has_lives: false,
             is_leaving: false,
             settings: settings.clone(),
@@ -147,14 +150,23 @@
     }
 
     pub fn take_zones(&mut self, now: Time, zones: &[(String, u32)]) {
+        self.sharing.hear(now, zones);
+        self.share(now);
+    }
+
+    fn share(&mut self, now: Time) {
+        let zones = self.sharing.zones();
         let all = zones.iter().map(|(_, n)| n).sum();
         self.buckets.shared_by(all);
         self.budget.shared_by(all);
-        self.ladder.shared_by(now, zones);
+        self.ladder.shared_by(now, &zones);
     }
 
     pub fn tick(&mut self, now: Time) {
         self.ladder.tick(now);
+        if self.sharing.forget(now) {
+            self.share(now);
+        }
         // Lives that are long over; the silent ones are the huts' to tell.
         self.register.sweep(now, Span::from_millis(3_600_000));
     }
--- a/crates/ridge/src/lib.rs
+++ b/crates/ridge/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ladder;
 pub mod purse;
 pub mod register;
+pub mod sharing;
 pub mod tries;
 pub mod trust;
 pub mod watch;
--- /dev/null
+++ b/crates/ridge/tests/sharing.rs
@@ -0,0 +1,33 @@
+//! Over how many gatekeepers things are split, while leaders come and go.
+
+use lynxstair::types::Time;
+use lynxstair_ridge::sharing::Sharing;
+
+/// A new leader finds gatekeepers one by one: the count before stands till it has found them all, and a gatekeeper more is
+/// counted at once; one that is gone for good gives its part free after a while.
+#[test]
+fn fewer_only_after_a_while() {
+    let at = |ms: u64| Time::from_nanos((100_000 + ms) * 1_000_000);
+    let zones = |a: u32, b: u32| vec![("a".to_string(), a), ("b".to_string(), b)];
+    let mut sharing = Sharing::default();
+    // When, what is told; what goes then.
+    let cases = [
+        (0, Some(zones(21, 20)), zones(21, 20)),
+        (60_000, Some(zones(2, 1)), zones(21, 20)),
+        (60_400, Some(zones(14, 21)), zones(21, 21)),
+        (61_000, Some(zones(21, 21)), zones(21, 21)),
+        (70_000, None, zones(21, 21)),
+        (80_000, Some(zones(20, 21)), zones(21, 21)),
+        (83_900, None, zones(21, 21)),
+        (84_100, None, zones(20, 21)),
+    ];
+    for (ms, told, wanted) in cases {
+        match told {
+            Some(told) => sharing.hear(at(ms), &told),
+            None => {
+                sharing.forget(at(ms));
+            }
+        }
+        assert_eq!(sharing.zones(), wanted, "at {ms} ms");
+    }
+}
