--- /dev/null
+++ b/crates/emulator/src/core/edge.rs
@@ -0,0 +1,71 @@
+//! An edge, as far as it depends on the core: the rooms by which it decides which configuration is in force, whether
+//! it may serve tenants by it, and which workers there are.
+
+use std::collections::BTreeSet;
+
+use lynxstair::types::{Span, Time};
+use lynxstair_ridge::feed::Mirror;
+use lynxstair_ridge::register::Register;
+use lynxstair_ridge::trust::Trust;
+use lynxstair_trailbook::words::{Down, Standing};
+
+use super::histories::Version;
+
+/// As in `crates/pass`.
+const FRESH: Span = Span::from_millis(3_000);
+
+#[derive(Default)]
+pub(crate) struct Edge {
+    mirror: Mirror,
+    trust: Trust,
+    pub register: Register,
+    pub has_lives: bool,
+}
+
+impl Edge {
+    /// Whether there is something new that the hut should know of.
+    pub fn hear(&mut self, now: Time, word: Down) -> bool {
+        match word {
+            Down::Book { index, state } => return self.mirror.take(now, index, &state.0),
+            Down::Lives { lives, whole } => {
+                self.has_lives |= whole;
+                lives.iter().for_each(|life| {
+                    self.register.hear(now, life);
+                });
+            }
+            Down::Pong { clock, index, fresh, .. } => {
+                if let Some(fresh) = fresh {
+                    let sent_at = Time::from_nanos(clock);
+                    self.trust.hear(sent_at, index, Span::from_millis(fresh), self.mirror.number());
+                }
+            }
+            _ => {}
+        }
+        false
+    }
+
+    pub fn number(&self) -> u64 {
+        self.mirror.number()
+    }
+
+    /// What a client's request shows to be in force, and which zones get nothing.
+    pub fn in_force(&self) -> Option<(Version, BTreeSet<String>)> {
+        let version = self.mirror.version()?;
+        // The key of the one tenant tells the change that the version came by.
+        let mark = version.configuration.keys.keys().find_map(|k| k.strip_prefix("key-")?.parse().ok())?;
+        Some(((version.configuration.generation, mark), version.evacuated.clone()))
+    }
+
+    pub fn serves_tenants(&self, now: Time, revoke: Span) -> bool {
+        self.trust.holds(now, Some(revoke))
+    }
+
+    pub fn is_fresh(&self, now: Time) -> bool {
+        self.trust.is_fresh(now, FRESH)
+    }
+
+    /// Whether requests go to this life of a worker.
+    pub fn sends_to(&self, id: &str) -> bool {
+        self.register.lives().get(id).is_some_and(|k| k.standing == Standing::Ready)
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/core/histories.rs
@@ -0,0 +1,142 @@
+//! Whether the book's callers could tell it from one book that takes each call at one moment between its sending and
+//! its answer: the search of Wing and Gong, exact, with what was tried remembered.
+//!
+//! What keeps it small: a call that changes nothing and fits what stands is best placed at once, so only changes are
+//! tried in several orders, and a call without an answer matters only where it changes something.
+
+use std::collections::HashSet;
+
+use lynxstair::types::Time;
+
+/// A version as callers see it: its number, and which change made it (numbers are used twice).
+pub type Version = (u64, u32);
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// A configuration of this number on top of `base`; `mark` tells the bytes of one from those of another.
+    Change { base: u64, number: u64, mark: u32 },
+    Read,
+}
+
+/// What it was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// 200 to a change.
+    Taken,
+    /// 4xx to a change.
+    Refused,
+    /// What a read brought; None for nothing yet.
+    Holds(Option<Version>),
+    /// No clear answer, or none at all: it may still come into force, or never.
+    Nothing,
+}
+
+/// One sending of a call, and its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Call {
+    pub sent_at: Time,
+    /// Meaningless where it was told nothing.
+    pub told_at: Time,
+    pub asked: Asked,
+    pub told: Told,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Held {
+    version: Option<Version>,
+    taken: Vec<u32>,
+}
+
+impl Held {
+    fn takes(&self, asked: &Asked) -> Option<Held> {
+        let Asked::Change { base, number, mark } = *asked else { return None };
+        let current = self.version.map_or(0, |(n, _)| n);
+        if self.taken.contains(&mark) || base != current || number <= current {
+            return None;
+        }
+        let mut taken = self.taken.clone();
+        taken.push(mark);
+        taken.sort_unstable();
+        Some(Held { version: Some((number, mark)), taken })
+    }
+
+    /// Whether a call that changes nothing may be answered so.
+    fn fits(&self, call: &Call) -> bool {
+        match (call.asked, call.told) {
+            (Asked::Read, Told::Holds(version)) => version == self.version,
+            (Asked::Change { mark, .. }, Told::Taken) => self.taken.contains(&mark),
+            (Asked::Change { mark, .. }, Told::Refused) => {
+                !self.taken.contains(&mark) && self.takes(&call.asked).is_none()
+            }
+            _ => false,
+        }
+    }
+}
+
+struct Search<'a> {
+    calls: &'a [Call],
+    tried: HashSet<(Vec<u64>, Held)>,
+    /// The most calls that were ever in place at once, and the first that would not fit then.
+    best: (usize, Option<usize>),
+}
+
+/// Ok, or the first call that fits nowhere once as many as can be are in place.
+pub fn linearizable(calls: &[Call]) -> Result<(), Call> {
+    let mut calls: Vec<Call> =
+        calls.iter().copied().filter(|c| c.asked != Asked::Read || c.told != Told::Nothing).collect();
+    calls.sort_by_key(|c| c.sent_at);
+    let mut search = Search { calls: &calls, tried: HashSet::new(), best: (0, None) };
+    let done = vec![0u64; calls.len().div_ceil(64)];
+    if search.goes(done, &Held::default(), 0) {
+        return Ok(());
+    }
+    Err(calls[search.best.1.unwrap_or(0)])
+}
+
+fn has(done: &[u64], n: usize) -> bool {
+    done[n / 64] >> (n % 64) & 1 == 1
+}
+
+impl Search<'_> {
+    fn goes(&mut self, mut done: Vec<u64>, held: &Held, mut placed: usize) -> bool {
+        // Calls that may come next: none that is still out was answered before they were sent.
+        let enabled = loop {
+            let out = |n: &usize| !has(&done, *n);
+            let answered = |n: &usize| self.calls[*n].told != Told::Nothing;
+            let limit = (0..self.calls.len()).filter(out).filter(answered).map(|n| self.calls[n].told_at).min();
+            let Some(limit) = limit else { return true };
+            let enabled: Vec<usize> =
+                (0..self.calls.len()).take_while(|n| self.calls[*n].sent_at <= limit).filter(out).collect();
+            let fitting: Vec<usize> = enabled.iter().copied().filter(|n| held.fits(&self.calls[*n])).collect();
+            if fitting.is_empty() {
+                break enabled;
+            }
+            for n in fitting {
+                done[n / 64] |= 1 << (n % 64);
+                placed += 1;
+            }
+        };
+        if placed >= self.best.0 {
+            let stuck = enabled.iter().copied().filter(|n| self.calls[*n].told != Told::Nothing);
+            self.best = (placed, stuck.min_by_key(|n| self.calls[*n].told_at));
+        }
+        if !self.tried.insert((done.clone(), held.clone())) {
+            return false;
+        }
+        for n in enabled {
+            let call = &self.calls[n];
+            if !matches!(call.told, Told::Taken | Told::Nothing) {
+                continue;
+            }
+            if let Some(next) = held.takes(&call.asked) {
+                let mut with = done.clone();
+                with[n / 64] |= 1 << (n % 64);
+                if self.goes(with, &next, placed + usize::from(call.told == Told::Taken)) {
+                    return true;
+                }
+            }
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/core/workers.rs
@@ -0,0 +1,101 @@
+//! Workers: each says to one hut how it is, goes to the next where it gets no 2xx, and now and then leaves in order,
+//! or dies without a word; another life follows.
+
+use lynxstair::types::{Span, Time};
+use lynxstair_trailbook::words::{Life, Standing};
+
+use super::hut::Ask;
+
+pub(crate) const BEAT: Span = Span::from_millis(1_500);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Goes {
+    Ready,
+    Draining,
+    /// It says that its life ends.
+    Ending,
+    /// Dead without a word, or ended.
+    Over,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub number: usize,
+    pub life: u32,
+    pub goes: Goes,
+    pub seq: u64,
+    /// Where its last beat was acknowledged.
+    pub hut: Option<usize>,
+    pub call: Option<u64>,
+    pub began_at: Time,
+    /// When each of its last beats as a ready one was acknowledged.
+    pub acked: Vec<Time>,
+    /// When a word was acknowledged that it drains or ends.
+    pub out_acked_at: Option<Time>,
+    pub over_at: Option<Time>,
+}
+
+impl Worker {
+    pub fn new(now: Time, number: usize, life: u32) -> Worker {
+        Worker {
+            number,
+            life,
+            goes: Goes::Ready,
+            seq: 0,
+            hut: None,
+            call: None,
+            began_at: now,
+            acked: Vec::new(),
+            out_acked_at: None,
+            over_at: None,
+        }
+    }
+
+    pub fn id(&self) -> String {
+        format!("i-{}-{}", self.number, self.life)
+    }
+
+    pub fn ask(&mut self) -> Option<Ask> {
+        self.seq += 1;
+        let standing = match self.goes {
+            Goes::Over => return None,
+            Goes::Ending => return Some(Ask::Delete(self.id())),
+            Goes::Draining => Standing::Draining,
+            Goes::Ready => Standing::Ready,
+        };
+        Some(Ask::Beat(Life {
+            id: self.id(),
+            service: "s".to_string(),
+            address: format!("10.1.0.{}:80", self.number + 1).parse().expect("an address"),
+            zone: "z1".to_string(),
+            capacity: 3,
+            standing,
+            cold_ms: 0,
+            seq: self.seq,
+            heard_ms: 0,
+        }))
+    }
+
+    /// A word of it was acknowledged.
+    pub fn acked(&mut self, now: Time) {
+        match self.goes {
+            Goes::Ready => {
+                self.acked.push(now);
+                if self.acked.len() > 16 {
+                    self.acked.remove(0);
+                }
+            }
+            _ => self.out_acked_at = self.out_acked_at.or(Some(now)),
+        }
+    }
+
+    /// Whether it has been told without a gap, for so long up to now, that its beats are heard.
+    pub fn is_promised(&self, now: Time, long: Span) -> bool {
+        let gap = BEAT.times(1.7);
+        let since = now.saturating_sub(long);
+        let Some(first) = self.acked.iter().rposition(|at| *at <= since) else { return false };
+        let told = &self.acked[first..];
+        let has_gap = told.windows(2).any(|w| w[1] - w[0] > gap);
+        self.goes == Goes::Ready && !has_gap && told.last().is_some_and(|last| now - *last <= gap)
+    }
+}
