--- a/crates/hut/src/hut.rs
+++ b/crates/hut/src/hut.rs
@@ -9,12 +9,13 @@
 
 use log::{info, warn};
 use lynxstair::types::{Span, Time};
-use lynxstair_cairn::{Cairn, Do, Node, Record};
+use lynxstair_cairn::{Boot, Cairn, Do, Node, Record};
 use lynxstair_lines as lines;
 use lynxstair_ridge::book::{Book, Change, Ruling};
 use lynxstair_ridge::feed::Sent;
 use lynxstair_ridge::purse::{Grant, Purse};
 use lynxstair_ridge::register::Register;
+use lynxstair_ridge::watch::{Answer, Contact, Watch};
 use lynxstair_trailbook::configuration::Configuration;
 use lynxstair_trailbook::settings::Settings;
 use lynxstair_trailbook::values;
@@ -32,8 +33,8 @@
 
 /// How long a call of the operator may wait for the majority; after that the caller moves on anyway.
 const PATIENCE: Span = Span::from_millis(850);
-/// A leader that a majority answered within this long answers for the newest book.
-const SURE: Span = Span::from_millis(400);
+/// How often one that is to end looks whether it may.
+const LOOKS: Span = Span::from_millis(20);
 /// How often silent workers are looked for.
 const SWEEP: Span = Span::from_millis(500);
 /// How often the workers' lives are written, where they changed: known at once after a loss of power, they are served
@@ -79,7 +80,7 @@
     /// As agreed on.
     book: Book,
     configuration: Option<Configuration>,
-    register: Register,
+    watch: Watch,
     /// Since the lives were written last.
     lives_changed: bool,
     purse: Purse,
@@ -125,7 +126,16 @@
     let now = alarms.now();
     let seed = now.nanos() ^ u64::from(me.port()) << 48 ^ hash(&settings.node);
     let is_found = found.is_some();
-    let cairn = Cairn::start(now, me, &settings.seeds, seed, found, settings.bootstrap);
+    let boot = Boot {
+        me,
+        seeds: &settings.seeds,
+        seed,
+        found,
+        bootstrap: settings.bootstrap,
+        tolerated: settings.tolerated,
+        catch_up: settings.bounds.catch_up,
+    };
+    let cairn = Cairn::start(now, boot);
     info!(node = settings.node, found = is_found, bootstrap = settings.bootstrap; "the hut opens");
     let (disk, jobs) = channel();
     let mut register = Register::default();
@@ -134,7 +144,7 @@
         cairn,
         book: Book::default(),
         configuration: None,
-        register,
+        watch: Watch::new(now, register, settings.beat_period),
         lives_changed: false,
         purse: Purse::new(Grant {
             window: settings.bounds.quota_window,
@@ -164,7 +174,7 @@
     go("time", move || h.keep_time());
     {
         let mut rooms = hut.rooms();
-        let members = rooms.cairn.members().to_vec();
+        let members: Vec<Node> = rooms.cairn.voters().iter().map(|m| m.node).collect();
         hut.meet(&mut rooms, &members);
     }
     let h = hut.clone();
@@ -182,6 +192,13 @@
     while signals.forever().next() == Some(SIGHUP) {
         info!("settings are read at the start only");
     }
+    // The main thread only waits; whoever sleeps is a coroutine.
+    let (ended, end) = channel();
+    go("the end", move || {
+        hut.step_down();
+        let _ = ended.send(());
+    });
+    let _ = end.recv();
     info!("the hut closes");
     Ok(())
 }
@@ -190,11 +207,40 @@
     text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
+impl Rooms {
+    /// How this hut stands to the majority now. Sure by an echo, both ways: what is said here reaches the leader.
+    fn stand(&mut self, now: Time) {
+        let in_touch = self.cairn.is_in_touch(now);
+        let contact = match (in_touch, self.cairn.leads()) {
+            (false, _) => Contact::Out,
+            (true, false) => Contact::Follows,
+            (true, true) => Contact::Leads,
+        };
+        self.watch.stand(now, contact);
+    }
+}
+
 impl Hut {
     fn rooms(&self) -> MutexGuard<'_, Rooms> {
         self.rooms.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Told to end: leads no more, and gives its place to one that waits for it, if there is one. It serves on meanwhile.
+    fn step_down(self: &Arc<Self>) {
+        loop {
+            let now = self.alarms.now();
+            {
+                let mut rooms = self.rooms();
+                rooms.cairn.leave(now);
+                self.act(now, &mut rooms);
+                if rooms.cairn.may_end(now) {
+                    return;
+                }
+            }
+            self.alarms.sleep_until(now + LOOKS);
+        }
+    }
+
     // ---- agreement: time, disk, lines ----
 
     /// Keeps a line to each of these huts from now on; those who follow the feed are told of new ones.
@@ -228,11 +274,13 @@
                 self.act(now, &mut rooms);
                 if now >= sweep_at {
                     sweep_at = now + SWEEP;
-                    let silent = rooms.register.sweep(now, self.settings.beat_period);
-                    let lives: Vec<Life> =
-                        silent.iter().filter_map(|id| rooms.register.life(now, id)).collect();
+                    rooms.stand(now);
+                    let lives = rooms.watch.sweep(now);
                     if !lives.is_empty() {
                         info!(lives = lives.len(); "workers have fallen silent");
+                        rooms.lives_changed = true;
+                        let frame = lines::frame(&Up::Heard(lives.clone()));
+                        rooms.lines.values().for_each(|conn| lines::write(conn, &frame, MOST_UNSENT));
                         tell(&rooms, &Down::Lives { lives, whole: false });
                     }
                 }
@@ -240,7 +288,7 @@
                     keep_at = now + KEEP;
                     rooms.lives_changed = false;
                     let mut held = Vec::new();
-                    if ciborium::into_writer(&rooms.register.all(now), &mut held).is_ok() {
+                    if ciborium::into_writer(&rooms.watch.register().all(now), &mut held).is_ok() {
                         let _ = self.disk.send(Job::Lives(held));
                     }
                 }
@@ -282,7 +330,7 @@
         loop {
             let todo = rooms.cairn.todo();
             if todo.is_empty() {
-                let members = rooms.cairn.members().to_vec();
+                let members: Vec<Node> = rooms.cairn.voters().iter().map(|m| m.node).collect();
                 return self.meet(rooms, &members);
             }
             for item in todo {
@@ -292,16 +340,16 @@
                     }
                     Do::Say(to, word) => {
                         if let Some(conn) = rooms.lines.get(&to) {
-                            say(conn, &Up::Vote(word));
+                            say(conn, &Up::Agreement(word));
                         }
                     }
-                    Do::Agreed(stamp, state) => {
+                    Do::Committed(at, state) => {
                         let Some(book) = Book::read(&state.0) else {
-                            warn!(index = stamp.index; "a book that can't be read");
+                            warn!(index = at.index; "a book that can't be read");
                             continue;
                         };
                         if book.number > rooms.book.number {
-                            info!(number = book.number, generation = book.generation, term = stamp.term; "agreed on");
+                            info!(number = book.number, generation = book.generation, term = at.term; "committed");
                             rooms.configuration = book.configuration();
                             rooms.book = book;
                             rooms.book_at = now;
@@ -316,9 +364,9 @@
                             }
                         }
                     }
-                    Do::Settled(number, agreed) => {
+                    Do::Settled(number, is_sure) | Do::Read(number, is_sure) => {
                         if let Some(waiting) = rooms.waiting.remove(&number) {
-                            *waiting.settled.lock().unwrap_or_else(|e| e.into_inner()) = Some(agreed);
+                            *waiting.settled.lock().unwrap_or_else(|e| e.into_inner()) = Some(is_sure);
                             waiting.blocker.unpark();
                         }
                     }
@@ -336,8 +384,9 @@
                     let now = self.alarms.now();
                     let mut rooms = self.rooms();
                     say(&conn, &Up::Core { from: self.me });
-                    say(&conn, &Up::Heard(rooms.register.all(now)));
+                    say(&conn, &Up::Heard(rooms.watch.register().all(now)));
                     rooms.lines.insert(peer, conn.clone());
+                    rooms.cairn.reached(peer);
                 }
                 // Nothing comes back on it but its end.
                 lines::read(&conn, |_: ()| false);
@@ -369,23 +418,21 @@
                     core = Some(from);
                     self.meet(&mut rooms, &[from]);
                 }
-                Up::Vote(vote) => {
+                Up::Agreement(message) => {
                     let Some(from) = core else { return false };
-                    rooms.cairn.hear(now, from, vote);
-                    rooms.cairn.knock(now, from);
+                    rooms.cairn.hear(now, from, message);
+                    rooms.cairn.meet(now, from);
                     self.act(now, &mut rooms);
                 }
                 Up::Heard(lives) => {
-                    let register = &mut rooms.register;
-                    let news: Vec<&Life> = lives.iter().filter(|life| register.hear(now, life)).collect();
-                    let news: Vec<Life> = news.iter().filter_map(|l| register.life(now, &l.id)).collect();
+                    let news = rooms.watch.hear(now, &lives);
                     rooms.lives_changed |= !news.is_empty();
                     // The hut that heard it tells the road; the leader does so too, for those that it can't reach.
                     if !news.is_empty() && rooms.cairn.leader() == Some(self.me) {
                         tell(&rooms, &Down::Lives { lives: news, whole: false });
                     }
                     if let Some(from) = core {
-                        rooms.cairn.knock(now, from);
+                        rooms.cairn.meet(now, from);
                         self.act(now, &mut rooms);
                     }
                 }
@@ -396,7 +443,7 @@
                     follower = Some(number);
                     say(conn, &Down::Huts(self.all_huts(&rooms)));
                     if lives {
-                        say(conn, &Down::Lives { lives: rooms.register.all(now), whole: true });
+                        say(conn, &Down::Lives { lives: rooms.watch.register().all(now), whole: true });
                     }
                     let zones = Vec::new();
                     let new = Follower {
@@ -478,22 +525,17 @@
         };
         let now = self.alarms.now();
         let mut rooms = self.rooms();
-        let is_news = rooms.register.hear(now, &life);
-        rooms.lives_changed |= is_news;
-        if let Some(known) = rooms.register.life(now, id) {
-            pass_on(&rooms, known, is_news);
-        }
-        Reply::json(200, "{}")
+        rooms.stand(now);
+        let answer = rooms.watch.beat(now, &life);
+        answered(&mut rooms, answer)
     }
 
     fn leave(&self, id: &str) -> Reply {
         let now = self.alarms.now();
         let mut rooms = self.rooms();
-        rooms.lives_changed = true;
-        if let Some(life) = rooms.register.leave(now, id) {
-            pass_on(&rooms, life, true);
-        }
-        Reply::json(200, "{}")
+        rooms.stand(now);
+        let answer = rooms.watch.leave(now, id);
+        answered(&mut rooms, answer)
     }
 
     /// Elsewhere: the hut that leads, or nobody knows who does.
@@ -507,19 +549,39 @@
         }
     }
 
-    /// Whether this hut may answer for the book now.
-    fn is_sure(&self, now: Time, rooms: &Rooms) -> bool {
-        rooms.cairn.leads() && rooms.cairn.sure_at().is_some_and(|at| now - at < SURE)
+    /// Whether this hut may answer for the book: it leads, and a majority has answered a round of it that began after
+    /// the call came. Without that a leader that was cut off or stood still would answer by an old book.
+    fn confirm(self: &Arc<Self>, until: Time) -> bool {
+        let now = self.alarms.now();
+        let waiting = Arc::new(Waiting { blocker: Blocker::current(), settled: Mutex::new(None) });
+        let number = {
+            let mut rooms = self.rooms();
+            let Some(number) = rooms.cairn.read(now) else { return false };
+            rooms.waiting.insert(number, waiting.clone());
+            self.act(now, &mut rooms);
+            number
+        };
+        self.wait(number, &waiting, until) == Some(true)
+    }
+
+    /// Waits until what this number stands for is settled; None where nobody knows by then.
+    fn wait(&self, number: u64, waiting: &Arc<Waiting>, until: Time) -> Option<bool> {
+        self.alarms.wake(until, &waiting.blocker);
+        let settled = || *waiting.settled.lock().unwrap_or_else(|e| e.into_inner());
+        while settled().is_none() && self.alarms.now() < until {
+            let _ = waiting.blocker.park(None);
+        }
+        self.rooms().waiting.remove(&number);
+        settled()
     }
 
-    fn read_book(&self) -> Reply {
+    fn read_book(self: &Arc<Self>) -> Reply {
+        let until = self.alarms.now() + PATIENCE;
+        let is_sure = self.confirm(until);
         let rooms = self.rooms();
-        if !rooms.cairn.leads() {
+        if !is_sure {
             return self.elsewhere(&rooms, "/config");
         }
-        if !self.is_sure(self.alarms.now(), &rooms) {
-            return unsettled();
-        }
         if rooms.book.text.is_empty() {
             return error(404, "no configuration yet");
         }
@@ -528,6 +590,9 @@
 
     fn change(self: &Arc<Self>, path: &str, change: Change) -> Reply {
         let until = self.alarms.now() + PATIENCE;
+        if !self.confirm(until) {
+            return self.elsewhere(&self.rooms(), path);
+        }
         let waiting = Arc::new(Waiting { blocker: Blocker::current(), settled: Mutex::new(None) });
         let number = loop {
             let now = self.alarms.now();
@@ -536,10 +601,10 @@
             }
             {
                 let mut rooms = self.rooms();
-                if !rooms.cairn.leads() && rooms.cairn.leader() != Some(self.me) {
+                if !rooms.cairn.leads() {
                     return self.elsewhere(&rooms, path);
                 }
-                if self.is_sure(now, &rooms) && !rooms.cairn.is_open() {
+                if !rooms.cairn.is_open() {
                     match rooms.book.rule(&change, &self.settings.zones) {
                         Ruling::Taken => return Reply::json(200, "{}"),
                         Ruling::Refuse(status, why) => {
@@ -556,16 +621,10 @@
                     }
                 }
             }
-            // Another change is open, or the majority has not answered yet.
+            // Another change is open.
             self.alarms.sleep_until(now + Span::from_millis(4));
         };
-        self.alarms.wake(until, &waiting.blocker);
-        let settled = || *waiting.settled.lock().unwrap_or_else(|e| e.into_inner());
-        while settled().is_none() && self.alarms.now() < until {
-            let _ = waiting.blocker.park(None);
-        }
-        self.rooms().waiting.remove(&number);
-        match settled() {
+        match self.wait(number, &waiting, until) {
             Some(true) => Reply::json(200, "{}"),
             // It may still come into force, or not: the same bytes sent again find out.
             _ => unsettled(),
@@ -576,7 +635,8 @@
         let now = self.alarms.now();
         let rooms = self.rooms();
         let leader = rooms.cairn.leader().map_or("null".to_string(), |l| format!("\"{l}\""));
-        let workers = rooms.register.lives().values().filter(|k| k.standing == Standing::Ready).count();
+        let workers =
+            rooms.watch.register().lives().values().filter(|k| k.standing == Standing::Ready).count();
         let edges = rooms.followers.values().filter(|f| f.ready && now - f.heard_at < ABSENT).count();
         let sure = rooms.cairn.sure_at().map_or("null".to_string(), |at| format!("{:.3}", (now - at).secs()));
         Reply::json(
@@ -631,13 +691,17 @@
     rooms.followers.values().for_each(|f| lines::write(&f.conn, &frame, MOST_UNSENT));
 }
 
-/// What a worker said here goes to the other huts, and where it is news to the road.
-fn pass_on(rooms: &Rooms, life: Life, is_news: bool) {
-    let frame = lines::frame(&Up::Heard(vec![life.clone()]));
-    rooms.lines.values().for_each(|conn| lines::write(conn, &frame, MOST_UNSENT));
-    if is_news {
-        tell(rooms, &Down::Lives { lives: vec![life], whole: false });
+/// What a worker said here goes to the other huts, and where it is news to the road; and what the worker gets.
+fn answered(rooms: &mut Rooms, answer: Answer) -> Reply {
+    rooms.lives_changed |= answer.is_news;
+    if let Some(life) = answer.life {
+        let frame = lines::frame(&Up::Heard(vec![life.clone()]));
+        rooms.lines.values().for_each(|conn| lines::write(conn, &frame, MOST_UNSENT));
+        if answer.is_news {
+            tell(rooms, &Down::Lives { lives: vec![life], whole: false });
+        }
     }
+    if answer.is_promised { Reply::json(200, "{}") } else { error(503, "out of touch with the other huts") }
 }
 
 fn say<W: serde::Serialize>(conn: &Arc<Conn>, word: &W) {
