--- a/crates/emulator/src/core/histories.rs
+++ b/crates/emulator/src/core/histories.rs
@@ -2,9 +2,10 @@
 //! its answer: the search of Wing and Gong, exact, with what was tried remembered.
 //!
 //! What keeps it small: a call that changes nothing and fits what stands is best placed at once, so only changes are
-//! tried in several orders, and a call without an answer matters only where it changes something.
+//! tried in several orders; a call without an answer matters only where it changes something; and numbers only rise, so
+//! whatever is known to have been in force has to come before all that stands above it.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 
 use lynxstair::types::Time;
 
@@ -76,6 +77,8 @@
 
 struct Search<'a> {
     calls: &'a [Call],
+    /// Versions that were in force for certain, as somebody was told so.
+    certain: BTreeSet<Version>,
     tried: HashSet<(Vec<u64>, Held)>,
     /// The most calls that were ever in place at once, and the first that would not fit then.
     best: (usize, Option<usize>),
@@ -86,7 +89,13 @@
     let mut calls: Vec<Call> =
         calls.iter().copied().filter(|c| c.asked != Asked::Read || c.told != Told::Nothing).collect();
     calls.sort_by_key(|c| c.sent_at);
-    let mut search = Search { calls: &calls, tried: HashSet::new(), best: (0, None) };
+    let told = |c: &Call| match (c.asked, c.told) {
+        (Asked::Change { number, mark, .. }, Told::Taken) => Some((number, mark)),
+        (_, Told::Holds(version)) => version,
+        _ => None,
+    };
+    let certain = calls.iter().filter_map(told).collect();
+    let mut search = Search { calls: &calls, certain, tried: HashSet::new(), best: (0, None) };
     let done = vec![0u64; calls.len().div_ceil(64)];
     if search.goes(done, &Held::default(), 0) {
         return Ok(());
@@ -124,15 +133,24 @@
         if !self.tried.insert((done.clone(), held.clone())) {
             return false;
         }
+        let current = held.version.map_or(0, |(n, _)| n);
+        // What has to come next, and may not be passed over.
+        let next_certain = self.certain.iter().copied().find(|(_, mark)| !held.taken.contains(mark));
+        if next_certain.is_some_and(|(number, _)| number <= current) {
+            return false;
+        }
+        let mut seen = Vec::new();
         for n in enabled {
             let call = &self.calls[n];
-            if !matches!(call.told, Told::Taken | Told::Nothing) {
+            let Asked::Change { number, mark, .. } = call.asked else { continue };
+            let is_passed_over = next_certain.is_some_and(|c| c != (number, mark) && c.0 <= number);
+            if !matches!(call.told, Told::Taken | Told::Nothing) || is_passed_over || seen.contains(&mark) {
                 continue;
             }
             if let Some(next) = held.takes(&call.asked) {
-                let mut with = done.clone();
-                with[n / 64] |= 1 << (n % 64);
-                if self.goes(with, &next, placed + usize::from(call.told == Told::Taken)) {
+                // Whichever of its sendings came into force, the others find it there.
+                seen.push(mark);
+                if self.goes(done.clone(), &next, placed) {
                     return true;
                 }
             }
