--- a/crates/cairn/tests/agreement.rs
+++ b/crates/cairn/tests/agreement.rs
@@ -440,26 +440,55 @@
     }
 }
 
+/// Five, founded by three of them: a disk that is emptied before all five vote is taken out and in as well, and nothing is
+/// acknowledged on fewer disks than the budget asks for.
+#[test]
+fn emptied_before_all_vote() {
+    for seed in 0..24 {
+        let mut world = World::new(seed, 5);
+        world.losses = 0.0;
+        let founded = (0..2000).any(|_| {
+            world.step();
+            world.propose();
+            world.leader().is_some()
+        });
+        assert!(founded, "seed {seed}");
+        let lost = (seed % 3) as usize;
+        world.stop(lost, false, Span::from_millis(400));
+        world.huts[lost].disk = None;
+        for _ in 0..4000 {
+            world.step();
+            world.propose();
+            let holds = |h: &&Hut| h.disk.as_ref().is_some_and(|d| d.state.book.0.len() >= world.acked.len());
+            assert!(world.acked.is_empty() || world.huts.iter().filter(holds).count() > 2, "seed {seed}");
+        }
+        let leader = world.leader().unwrap_or_else(|| panic!("seed {seed}: nobody leads"));
+        assert_eq!(world.huts[leader].room.as_ref().map(|r| r.voters().len()), Some(5), "seed {seed}");
+        assert!(!world.acked.is_empty() && world.is_well(lost), "seed {seed}");
+    }
+}
+
 /// A replacement that was planned: the new one comes first, then the old one is told to end; it leads no more, has
 /// been replaced, and knows that it may end, within the time that the platform grants.
 #[test]
 fn one_that_is_told_to_end() {
-    for seed in 0..24 {
+    for (seed, is_leader) in (0..48).map(|n| (n / 2, n % 2 == 0)) {
         let mut world = World::new(seed, 3);
         world.losses = 0.0;
         (0..2000).for_each(|_| world.step());
         let leader = world.leader().expect("one leads");
         world.propose();
+        let ends = if is_leader { leader } else { (leader + 1) % 3 };
         world.come(Span::ZERO);
         (0..1000).for_each(|_| world.step());
         assert!(!world.is_well(3), "seed {seed}: three vote, so a fourth has no vote");
         let now = world.now;
-        world.huts[leader].room.as_mut().expect("runs").leave(now);
-        world.act(leader);
+        world.huts[ends].room.as_mut().expect("runs").leave(now);
+        world.act(ends);
         let mut ended = None;
         for ms in 0..1500 {
             world.step();
-            let room = world.huts[leader].room.as_ref().expect("runs");
+            let room = world.huts[ends].room.as_ref().expect("runs");
             if ended.is_none() && room.may_end(world.now) {
                 ended = Some(ms);
                 assert!(!room.is_voter() && !room.leads(), "seed {seed}: ends before it is replaced");
--- a/crates/pass/src/feed.rs
+++ b/crates/pass/src/feed.rs
@@ -1,17 +1,21 @@
 //! The feed on sockets: one line to each hut, by which the book, the workers' lives and the purse's shares come, and
 //! by which this gatekeeper says what it counted and whether clients may come.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use log::info;
+use log::{info, warn};
 use lynxstair::types::{Span, Time};
 use lynxstair_lines as lines;
-use lynxstair_trailbook::words::{Down, Up};
+use lynxstair_ridge::huts::Huts;
+use lynxstair_trailbook::settings::Reload;
+use lynxstair_trailbook::words::{Count, Down, Ping, Readiness, Up};
 use lynxstair_wire::conn::Conn;
 use lynxstair_wire::coroutine::go;
 
 use crate::road::Road;
+use crate::rooms::Rooms;
 
 /// How often it speaks, and what it takes a hut for that answered none of that for so long.
 const PING: Span = Span::from_millis(1_000);
@@ -19,9 +23,8 @@
 /// A hut may be a region away.
 const OPENING: Span = Span::from_millis(350);
 const AGAIN: Span = Span::from_millis(150);
+const AGAIN_AT_MOST: Span = Span::from_millis(200);
 const MOST_UNSENT: usize = 1 << 20;
-/// No system has more huts than this.
-const MOST_HUTS: usize = 16;
 
 /// A line to one hut.
 struct Line {
@@ -34,16 +37,43 @@
     knows: bool,
 }
 
-#[derive(Default)]
 struct Lines {
-    /// The huts that are followed, by their control addresses.
-    huts: Vec<SocketAddr>,
+    /// Those that are followed, by their control addresses, and which of them the leader named last.
+    huts: Huts,
+    named: Vec<SocketAddr>,
     open: Vec<Line>,
+    /// What was counted, and when, and not told yet: no hut that leads is in reach.
+    untold: VecDeque<(Time, Vec<Count>)>,
+}
+
+impl Lines {
+    /// What was counted since the last time goes behind what is not told yet, as far back as a window of the quotas.
+    fn keep(&mut self, now: Time, counts: Vec<Count>, window: Span) {
+        self.untold.push_back((now, counts));
+        self.untold.retain(|(at, _)| now - *at < window);
+    }
+
+    /// All that is not told yet, each with its age.
+    fn counts(&mut self, now: Time) -> Vec<Count> {
+        let aged = |(at, counts): (Time, Vec<Count>)| {
+            let ago_ms = ((now - at).nanos() / 1_000_000) as u32;
+            counts.into_iter().map(move |count| Count { ago_ms, ..count })
+        };
+        self.untold.drain(..).flat_map(aged).collect()
+    }
 }
 
-#[derive(Default)]
 pub struct Feed {
     lines: Mutex<Lines>,
+    reload: Mutex<Reload>,
+}
+
+impl Default for Feed {
+    fn default() -> Feed {
+        let huts = Huts::new(Time::default());
+        let lines = Lines { huts, named: Vec::new(), open: Vec::new(), untold: VecDeque::new() };
+        Feed { lines: Mutex::new(lines), reload: Mutex::new(Reload::from_environment()) }
+    }
 }
 
 impl Feed {
@@ -53,22 +83,63 @@
 
     /// Follows each of these huts from now on.
     pub fn meet(road: &Arc<Road>, huts: &[SocketAddr]) {
+        let now = road.alarms.now();
         let mut lines = road.feed.lines();
         for hut in huts {
-            if !lines.huts.contains(hut) && lines.huts.len() < MOST_HUTS {
-                lines.huts.push(*hut);
+            if let Some(keeper) = lines.huts.meet(now, *hut) {
                 let (r, hut) = (road.clone(), *hut);
-                go("the feed", move || Feed::follow(&r, hut));
+                go("the feed", move || Feed::follow(&r, hut, keeper));
             }
         }
     }
 
-    /// Keeps a line to one hut, for ever.
-    fn follow(road: &Arc<Road>, hut: SocketAddr) {
+    /// Lets go of huts that can't be reached for long, while another is, unless the leader names them.
+    fn keep_up(&self, now: Time) {
+        let mut lines = self.lines();
+        let Lines { huts, named, open, .. } = &mut *lines;
+        if open.is_empty() {
+            return;
+        }
+        huts.reached(now);
+        open.iter().for_each(|line| huts.heard(now, line.hut));
+        huts.let_go(now, |hut| named.contains(&hut));
+    }
+
+    /// Looks at the settings file, which may change with a signal or without one, and is asked as well while no hut
+    /// is in reach: the seeds that it names are followed. A file that can't be used changes nothing.
+    pub fn look_at_settings(road: &Arc<Road>, is_told: bool) {
+        let now = road.alarms.now();
+        let (is_alone, known) = {
+            let mut lines = road.feed.lines();
+            (lines.huts.is_alone(now), lines.huts.len())
+        };
+        let looked = road.feed.reload.lock().unwrap_or_else(|e| e.into_inner()).look(is_told || is_alone);
+        match looked {
+            None => {}
+            Some(Ok(seeds)) => {
+                Feed::meet(road, &seeds);
+                let is_news = road.feed.lines().huts.len() > known;
+                if is_news || !is_alone || is_told {
+                    let why = match (is_told, is_alone) {
+                        (true, _) => "told to",
+                        (_, true) => "no hut was reached",
+                        _ => "the file has changed",
+                    };
+                    info!(why = why, seeds = seeds.len(); "the settings are read again: seeds only");
+                }
+            }
+            Some(Err(error)) => warn!(error = error; "the settings can't be read again: the old ones stay"),
+        }
+    }
+
+    /// Keeps a line to one hut, for as long as it is followed.
+    fn follow(road: &Arc<Road>, hut: SocketAddr, keeper: u64) {
         let inner = SocketAddr::new(hut.ip(), road.settings.ports.0);
         let mut is_first = true;
-        loop {
+        let mut again = AGAIN;
+        while road.feed.lines().huts.is_kept(hut, keeper) {
             if let Some(conn) = lines::open(&road.alarms, inner, OPENING) {
+                again = AGAIN;
                 // Who begins needs to know all lives once; who was away from one hut, what that one heard.
                 let lives = !is_first || !road.rooms().has_lives;
                 is_first = false;
@@ -86,9 +157,12 @@
                 conn.close();
                 road.feed.lines().open.retain(|l| !Arc::ptr_eq(&l.conn, &conn));
                 info!(hut = hut.to_string(); "a line of the feed has ended");
+            } else {
+                again = again.times(1.25).min(AGAIN_AT_MOST);
             }
-            road.alarms.sleep_until(road.alarms.now() + AGAIN);
+            road.alarms.sleep_until(road.alarms.now() + again);
         }
+        info!(hut = hut.to_string(); "a hut is followed no more");
     }
 
     fn listen(road: &Arc<Road>, conn: &Arc<Conn>) {
@@ -103,9 +177,9 @@
                 Down::Book { index, state } => {
                     if road.rooms().take_book(now, index, &state.0) {
                         info!(number = index; "a book is in force");
-                        // So that the hut knows, and its next answer counts.
-                        Feed::speak_to(road, Some(conn));
                     }
+                    // So that the hut knows what is here, whether it fitted or not, and its next answer counts.
+                    Feed::speak_to(road, Some(conn));
                 }
                 Down::Lives { lives, .. } => road.rooms().take_lives(now, &lives),
                 Down::Pong { clock, index, fresh, leads } => {
@@ -122,7 +196,12 @@
                     Feed::heard(road, conn, |line| line.got = line.got.max(number));
                 }
                 Down::Zones(zones) => road.rooms().take_zones(now, &zones),
-                Down::Huts(huts) => Feed::meet(road, &huts),
+                Down::Huts { huts, whole } => {
+                    Feed::meet(road, &huts);
+                    if whole {
+                        road.feed.lines().named = huts;
+                    }
+                }
             }
             true
         });
@@ -141,6 +220,8 @@
             road.alarms.sleep_until(at);
             at = at + PING;
             Feed::speak_to(road, None);
+            road.feed.keep_up(road.alarms.now());
+            Feed::look_at_settings(road, false);
         }
     }
 
@@ -148,12 +229,17 @@
     pub fn speak_to(road: &Road, only: Option<&Arc<Conn>>) {
         let now = road.alarms.now();
         let mut lines = road.feed.lines();
-        let (have, ready, mut counts, held) = {
+        let (have, readiness, counts, held) = {
             let mut rooms = road.rooms();
-            let leads = lines.open.iter().any(|l| l.leads) && only.is_none();
-            let counts = if leads { rooms.buckets.counts() } else { Vec::new() };
+            let counts = if only.is_none() { rooms.buckets.counts() } else { Vec::new() };
             let held = lines.open.iter().any(|l| l.leads && !l.knows).then(|| rooms.buckets.holds(now));
-            (rooms.mirror.number(), rooms.is_ready(now), counts, held)
+            (rooms.mirror.have(), readiness(road, &rooms, now), counts, held)
+        };
+        let mut counts = if only.is_none() {
+            lines.keep(now, counts, road.settings.bounds.quota_window);
+            if lines.open.iter().any(|l| l.leads) { lines.counts(now) } else { Vec::new() }
+        } else {
+            Vec::new()
         };
         // Of two that say that they lead, one has not heard yet that it does no more.
         lines.open.sort_by_key(|l| (!l.leads, l.hut));
@@ -161,8 +247,23 @@
             let counts = if line.leads { std::mem::take(&mut counts) } else { Vec::new() };
             let holds = if line.leads && !line.knows { held.clone() } else { None };
             line.knows |= holds.is_some();
-            let ping = Up::Ping { clock: now.nanos(), have, ready, got: line.got, counts, holds };
-            lines::write(&line.conn, &lines::frame(&ping), MOST_UNSENT);
+            let ping = Ping { clock: now.nanos(), have, readiness, got: line.got, counts, holds };
+            lines::write(&line.conn, &lines::frame(&Up::Ping(ping)), MOST_UNSENT);
         }
     }
 }
+
+/// Whether clients may come, as the directory is told.
+fn readiness(road: &Road, rooms: &Rooms, now: Time) -> Readiness {
+    let bounds = &road.settings.bounds;
+    let can_serve = rooms.has_lives && rooms.mirror.version().is_some();
+    if rooms.is_leaving {
+        Readiness::Leaving
+    } else if rooms.is_ready(now) {
+        Readiness::Ready
+    } else if can_serve && rooms.trust.holds(now, bounds.revoke_final.then_some(bounds.revoke)) {
+        Readiness::Stale
+    } else {
+        Readiness::Starting
+    }
+}
--- a/crates/trailbook/src/words.rs
+++ b/crates/trailbook/src/words.rs
@@ -70,6 +70,8 @@
     pub tenant: String,
     pub passed: u32,
     pub refused: u32,
+    /// How long ago it was counted, in milliseconds: no core that leads was in reach since.
+    pub ago_ms: u32,
 }
 
 /// A gatekeeper of the road, as the board needs it.
@@ -94,24 +96,55 @@
     pub tight_ms: u32,
 }
 
+/// Whether clients may come to a gatekeeper.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Readiness {
+    Ready,
+    /// It is not sure of its book, and serves on by what it has.
+    Stale,
+    /// It can't serve yet, or no more until it is sure again.
+    Starting,
+    /// It was told to end.
+    Leaving,
+    /// Its line has ended, or is silent.
+    Gone,
+}
+
+/// How a gatekeeper was last heard by one hut.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sighting {
+    pub edge: Edge,
+    pub readiness: Readiness,
+}
+
+/// How a gatekeeper is. To the core that leads it also says what it counted and, where that one has just begun to
+/// lead, which parts of quotas it holds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ping {
+    /// Its own clock, in nanoseconds; comes back in the answer.
+    pub clock: u64,
+    /// The number of the book that it has.
+    pub have: u64,
+    pub readiness: Readiness,
+    /// The number of the shares that it got last.
+    pub got: u64,
+    pub counts: Vec<Count>,
+    pub holds: Option<Vec<(String, f32)>>,
+}
+
 /// From one who follows the feed: a gatekeeper, or a core another core.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Up {
     /// Begins the feed. `lives`: all that is known of workers is wanted.
     Hello { edge: Edge, lives: bool },
-    /// Every second and when something changed: its own clock, what it has, whether clients may come, which of the
-    /// shares it got last; to the core that leads also what it counted and, where that one has just begun to lead,
-    /// which parts of quotas it holds.
-    Ping {
-        clock: u64,
-        have: u64,
-        ready: bool,
-        got: u64,
-        counts: Vec<Count>,
-        holds: Option<Vec<(String, f32)>>,
-    },
-    /// Begins a line between cores, by the control address of the one who speaks.
+    /// Every second and when something changed.
+    Ping(Ping),
+    /// Begins a line between cores, by the control address of the one who speaks; and says again and again that it is
+    /// there.
     Core { from: SocketAddr },
+    /// Which gatekeepers follow the core that speaks: all where `whole`, else what changed. `has_gathered`: it has
+    /// been up for long enough that all of them have found it.
+    Sightings { sightings: Vec<Sighting>, whole: bool, has_gathered: bool },
     /// About the book.
     Agreement(Message),
     /// A worker said something to the core that speaks.
@@ -131,6 +164,6 @@
     Shares { number: u64, shares: Vec<Share> },
     /// How many gatekeepers there are in each zone.
     Zones(Vec<(String, u32)>),
-    /// The control addresses of all cores.
-    Huts(Vec<SocketAddr>),
+    /// The control addresses of cores: all there are where `whole`, as the leader says, else some.
+    Huts { huts: Vec<SocketAddr>, whole: bool },
 }
