--- a/crates/emulator/src/core/edge.rs
+++ b/crates/emulator/src/core/edge.rs
@@ -23,10 +23,14 @@
 }
 
 impl Edge {
-    /// Whether there is something new that the hut should know of.
+    /// Whether the hut is to hear at once what is here now.
     pub fn hear(&mut self, now: Time, word: Down) -> bool {
         match word {
-            Down::Book { index, state } => return self.mirror.take(now, index, &state.0),
+            Down::Book { index, state } => {
+                self.mirror.take(now, index, &state.0);
+                // So that the hut knows what is here, whether it fitted or not.
+                return true;
+            }
             Down::Lives { lives, whole } => {
                 self.has_lives |= whole;
                 lives.iter().for_each(|life| {
@@ -44,15 +48,16 @@
         false
     }
 
-    pub fn number(&self) -> u64 {
-        self.mirror.number()
+    /// Which book the huts may build on.
+    pub fn have(&self) -> u64 {
+        self.mirror.have()
     }
 
     /// What a client's request shows to be in force, and which zones get nothing.
     pub fn in_force(&self) -> Option<(Version, BTreeSet<String>)> {
         let version = self.mirror.version()?;
-        // The key of the one tenant tells the change that the version came by.
-        let mark = version.configuration.keys.keys().find_map(|k| k.strip_prefix("key-")?.parse().ok())?;
+        // What the one tenant may send tells the change that the version came by.
+        let mark = version.configuration.tenants.first()?.rate as u32;
         Some(((version.configuration.generation, mark), version.evacuated.clone()))
     }
 
--- a/crates/emulator/src/core/hut.rs
+++ b/crates/emulator/src/core/hut.rs
@@ -6,8 +6,8 @@
 
 use lynxstair::types::{Span, Time};
 use lynxstair_cairn::{Boot, Cairn, Do, Record};
-use lynxstair_ridge::book::{Book, Change, Ruling};
-use lynxstair_ridge::feed::Sent;
+use lynxstair_ridge::book::{Book, Change, Order as Read, Ruling};
+use lynxstair_ridge::feed::{Sent, Steps};
 use lynxstair_ridge::register::Register;
 use lynxstair_ridge::watch::{Contact, Watch};
 use lynxstair_trailbook::agreement::Message;
@@ -61,16 +61,19 @@
 
 struct Order {
     call: u64,
-    ask: Ask,
+    /// None: the book is read.
+    change: Option<Read>,
     until: Time,
     step: Step,
+    /// A majority has said that this hut still led after the order came.
+    is_confirmed: bool,
 }
 
 pub(crate) struct Hut {
     me: SocketAddr,
     pub cairn: Cairn,
     pub book: Book,
-    book_at: Time,
+    steps: Steps,
     pub watch: Watch,
     orders: Vec<Order>,
     /// The edges that follow here.
@@ -95,7 +98,7 @@
             me,
             cairn,
             book: Book::default(),
-            book_at: now,
+            steps: Steps::default(),
             watch: Watch::new(now, register, beat),
             orders: Vec::new(),
             followers: BTreeMap::new(),
@@ -175,11 +178,13 @@
 
     pub fn ping(&mut self, now: Time, edge: usize, clock: u64, have: u64) {
         let Some(sent) = self.followers.get_mut(&edge) else { return };
-        let leads = self.cairn.leads();
+        let leads = self.cairn.leads() && self.cairn.is_in_touch(now);
         let index = self.book.number;
-        if sent.due(have, index, leads, now - self.book_at) {
-            let state = Bytes(self.book.for_the_road().into());
-            self.out.push(Out::Tell(Some(edge), Down::Book { index, state }));
+        sent.hear(now, have);
+        if let Some(over) = sent.due(now, index, leads, self.book.bytes()) {
+            let page = self.steps.page(&self.book, over);
+            sent.flies(now, index, page.len());
+            self.out.push(Out::Tell(Some(edge), Down::Book { index, state: Bytes(page.into()) }));
         }
         let fresh = self.cairn.sure_at().map(|at| (now - at).nanos().div_ceil(1_000_000));
         self.out.push(Out::Tell(Some(edge), Down::Pong { clock, index, fresh, leads }));
@@ -200,7 +205,17 @@
             Ask::Change(_) | Ask::Read => None,
         };
         let Some(answer) = answer else {
-            self.orders.push(Order { call, ask, until: now + PATIENCE, step: Step::Waits });
+            let change = match ask {
+                Ask::Change(change) => {
+                    let mut order = Read::new(change);
+                    order.read();
+                    Some(order)
+                }
+                _ => None,
+            };
+            let order =
+                Order { call, change, until: now + PATIENCE, step: Step::Waits, is_confirmed: false };
+            self.orders.push(order);
             return self.work(now);
         };
         if let Some(life) = answer.life {
@@ -213,25 +228,18 @@
         self.out.push(Out::Answer(call, Answer::Status(if is_promised { 200 } else { 503 })));
     }
 
+    /// Whoever asked has gone: taken late, an order would undo what came after it.
+    pub fn hangs_up(&mut self, call: u64) {
+        self.orders.retain(|o| o.call != call || o.step != Step::Waits);
+    }
+
     /// Goes on with the orders that wait for their turn; lets go of those that waited for too long.
     pub fn work(&mut self, now: Time) {
-        let leader = self.cairn.leader();
-        let is_elsewhere = !self.cairn.leads() && leader != Some(self.me);
         for mut order in std::mem::take(&mut self.orders) {
-            let answer = if now >= order.until {
-                Some(Answer::Status(503))
-            } else if order.step == Step::Waits && is_elsewhere {
-                Some(leader.map_or(Answer::Status(503), Answer::Elsewhere))
-            } else if order.step == Step::Waits && self.may_by_lease(now) {
-                self.rule(now, &mut order)
-            } else {
-                if order.step == Step::Waits
-                    && !self.cairn.is_open()
-                    && let Some(number) = self.cairn.read(now)
-                {
-                    order.step = Step::Reads(number);
-                }
-                None
+            let answer = match order.step {
+                _ if now >= order.until => Some(Answer::Status(503)),
+                Step::Waits => self.turn(now, &mut order),
+                _ => None,
             };
             match answer {
                 Some(answer) => self.out.push(Out::Answer(order.call, answer)),
@@ -241,33 +249,48 @@
         self.act(now);
     }
 
-    fn may_by_lease(&self, now: Time) -> bool {
-        self.fault == Some(Deliberate::LeaseRead)
-            && self.cairn.leads()
-            && !self.cairn.is_open()
-            && self.cairn.sure_at().is_some_and(|at| now - at < LEASE)
-    }
-
-    /// What becomes of an order by the committed book; None: it waits on.
-    fn rule(&mut self, now: Time, order: &mut Order) -> Option<Answer> {
-        let change = match &order.ask {
-            Ask::Change(change) => change,
-            _ => return Some(Answer::Holds(version(&self.book))),
+    fn turn(&mut self, now: Time, order: &mut Order) -> Option<Answer> {
+        let leads = self.cairn.leads();
+        if !leads && self.cairn.leader() != Some(self.me) {
+            let leader = self.cairn.leader().filter(|_| self.cairn.is_in_touch(now));
+            return Some(leader.map_or(Answer::Status(503), Answer::Elsewhere));
+        }
+        if leads && !self.cairn.is_in_touch(now) && self.fault != Some(Deliberate::LeaseRead) {
+            return Some(Answer::Status(503));
+        }
+        if !leads || self.cairn.is_open() {
+            return None;
+        }
+        let is_confirmed = order.is_confirmed || self.may_by_lease(now);
+        let Some(change) = &order.change else {
+            return if is_confirmed { Some(Answer::Holds(version(&self.book))) } else { self.confirm(now, order) };
         };
         match self.book.rule(change, &self.zones) {
-            Ruling::Taken => Some(Answer::Status(200)),
-            Ruling::Refuse(status, _) => Some(Answer::Status(status)),
             Ruling::Take(book) => {
-                order.step = match self.cairn.propose(now, book.written()) {
-                    Some(_) if self.fault == Some(Deliberate::EarlyAnswer) => {
-                        return Some(Answer::Status(200));
-                    }
-                    Some(number) => Step::Proposed(number),
-                    None => Step::Waits,
-                };
+                let number = self.cairn.propose(now, book.written())?;
+                if self.fault == Some(Deliberate::EarlyAnswer) {
+                    return Some(Answer::Status(200));
+                }
+                order.step = Step::Proposed(number);
                 None
             }
+            Ruling::Unclear => Some(Answer::Status(503)),
+            Ruling::Taken if is_confirmed => Some(Answer::Status(200)),
+            Ruling::Refuse(status, _) if is_confirmed => Some(Answer::Status(status)),
+            Ruling::Taken | Ruling::Refuse(..) => self.confirm(now, order),
+        }
+    }
+
+    fn confirm(&mut self, now: Time, order: &mut Order) -> Option<Answer> {
+        match self.cairn.read(now) {
+            Some(number) => order.step = Step::Reads(number),
+            None => return Some(Answer::Status(503)),
         }
+        None
+    }
+
+    fn may_by_lease(&self, now: Time) -> bool {
+        self.fault == Some(Deliberate::LeaseRead) && self.cairn.sure_at().is_some_and(|at| now - at < LEASE)
     }
 
     // ---- what the agreement wants ----
@@ -291,17 +314,22 @@
     }
 
     fn committed(&mut self, now: Time, state: &Bytes) {
-        let Some(book) = Book::read(&state.0) else { return };
+        let Some(book) = self.book.after(&state.0) else { return };
         if book.number <= self.book.number {
             return;
         }
+        self.steps.note(&self.book, &book);
         self.book = book;
-        self.book_at = now;
-        if self.cairn.leads() {
-            let state = Bytes(self.book.for_the_road().into());
-            let index = self.book.number;
-            self.out.push(Out::Tell(None, Down::Book { index, state }));
-            self.followers.values_mut().for_each(|f| f.all(index));
+        if !self.cairn.leads() {
+            return;
+        }
+        let index = self.book.number;
+        for (edge, sent) in &mut self.followers {
+            if let Some(over) = sent.due(now, index, true, self.book.bytes()) {
+                let page = self.steps.page(&self.book, over);
+                sent.flies(now, index, page.len());
+                self.out.push(Out::Tell(Some(*edge), Down::Book { index, state: Bytes(page.into()) }));
+            }
         }
     }
 
@@ -315,8 +343,13 @@
     fn may_read(&mut self, now: Time, number: u64, may: bool) {
         let Some(which) = self.orders.iter().position(|o| o.step == Step::Reads(number)) else { return };
         let mut order = self.orders.remove(which);
-        order.step = Step::Waits;
-        let answer = if may { self.rule(now, &mut order) } else { Some(Answer::Status(503)) };
+        (order.step, order.is_confirmed) = (Step::Waits, true);
+        let answer = match &order.change {
+            _ if !may => Some(Answer::Status(503)),
+            None => Some(Answer::Holds(version(&self.book))),
+            // Ruled on again by the book as it is now.
+            Some(_) => self.turn(now, &mut order),
+        };
         match answer {
             Some(answer) => self.out.push(Out::Answer(order.call, answer)),
             None => self.orders.push(order),
@@ -326,10 +359,7 @@
 
 /// What a reader of the book sees: its number, and which change made it.
 pub(crate) fn version(book: &Book) -> Option<Version> {
-    if book.text.is_empty() {
-        return None;
-    }
-    let value = values::read(book.text.as_bytes()).ok()?;
+    let value = values::read(book.text()?.as_bytes()).ok()?;
     let all = values::object(&value, "book").ok()?;
     let mark = values::at(all, "mark").and_then(|v| values::number(v, "mark").ok())?;
     Some((book.generation, mark as u32))
--- a/crates/emulator/src/core/operators.rs
+++ b/crates/emulator/src/core/operators.rs
@@ -77,7 +77,7 @@
     let base = on.map_or(0, |(number, _)| number);
     let number = base + chance.random_range(1..4);
     let tenants =
-        format!(r#""tenants":{{"columns":["name","api-keys"],"rows":[["t",["key-{mark}"]]]}},"mark":{mark}"#);
+        format!(r#""tenants":{{"columns":["name","api-keys","rate-per-s"],"rows":[["t",["key"],{mark}]]}},"mark":{mark}"#);
     let head = format!(r#""generation":"{number:08x}","base-version":"{base:08x}""#);
     let change = if on.is_some() && chance.random_bool(0.4) {
         Change::Patch(format!(r#"{{{head},"upsert":{{{tenants}}}}}"#).into_bytes())
--- a/crates/emulator/src/core/world.rs
+++ b/crates/emulator/src/core/world.rs
@@ -8,7 +8,6 @@
 use lynxstair_cairn::Boot;
 use lynxstair_trailbook::agreement::Message;
 use lynxstair_trailbook::words::{Bytes, Down, Life};
-use lynxstair_ridge::book::Book;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -377,7 +376,12 @@
                         self.plan_at(machine, at, Event::Written);
                     }
                 }
-                Event::Called { call, ask } => hut.call(now, call, ask),
+                Event::Called { call, ask } => {
+                    // Whoever has hung up meanwhile asks for nothing any more.
+                    if self.calls.contains_key(&call) {
+                        hut.call(now, call, ask);
+                    }
+                }
                 Event::MayEnd => {
                     if hut.cairn.may_end(now) {
                         return self.ends(machine);
@@ -508,7 +512,10 @@
         if machine != hut && !self.machines[machine].known.contains(&hut) {
             self.machines[machine].known.push(hut);
             if machine >= EDGES {
-                let huts = Down::Huts(self.machines[machine].known.iter().map(|h| address(*h)).collect());
+                let huts = Down::Huts {
+                    huts: self.machines[machine].known.iter().map(|h| address(*h)).collect(),
+                    whole: false,
+                };
                 for edge in 0..EDGES {
                     self.send((edge, machine), machine, Word::Down(Box::new(huts.clone())));
                 }
@@ -542,7 +549,7 @@
 
     fn pings(&mut self, edge: usize, only: Option<usize>) {
         let clock = self.clock(edge).nanos();
-        let Some(have) = self.edge(edge).map(Edge::number) else { return };
+        let Some(have) = self.edge(edge).map(Edge::have) else { return };
         for hut in self.machines[edge].known.clone().into_iter().filter(|h| only.is_none_or(|o| o == *h)) {
             self.send((edge, hut), edge, Word::Ping { clock, have });
         }
@@ -564,14 +571,14 @@
                 Word::Hello { lives } => {
                     hut.follow(now, from, lives);
                     let huts = self.machines[machine].known.iter().chain([&machine]);
-                    let huts = Down::Huts(huts.map(|h| address(*h)).collect());
+                    let huts = Down::Huts { huts: huts.map(|h| address(*h)).collect(), whole: false };
                     self.send((from, machine), machine, Word::Down(Box::new(huts)));
                 }
                 Word::Ping { clock, have } => hut.ping(now, from, clock, have),
                 Word::Down(_) => {}
             },
             (Some(Process::Edge(edge)), Word::Down(word)) => {
-                if let Down::Huts(huts) = &*word {
+                if let Down::Huts { huts, .. } = &*word {
                     for hut in huts.clone() {
                         self.knows(machine, self::machine(hut));
                     }
@@ -620,6 +627,11 @@
     fn answered(&mut self, call: u64, answer: Option<Answer>) {
         let Some(calling) = self.calls.remove(&call) else { return };
         let now = self.now;
+        if answer.is_none()
+            && let Some(Process::Hut(hut)) = &mut self.machines[calling.hut].process
+        {
+            hut.hangs_up(call);
+        }
         let told = match &answer {
             Some(Answer::Status(200)) => Told::Taken,
             Some(Answer::Status(status)) if *status < 500 => Told::Refused,
@@ -1255,8 +1267,12 @@
     let Message::Append { term, round, last, state: Some(mut state), committed, echo, fresh } = message else {
         return message;
     };
-    if let Some(book) = Book::read(&state.book.0) {
-        state.book = Bytes(book.for_the_road().into());
+    if let Ok(ciborium::Value::Map(mut book)) = ciborium::from_reader(&state.book.0[..]) {
+        book.retain(|(key, _)| key.as_text() != Some("marks"));
+        let mut out = Vec::new();
+        if ciborium::into_writer(&ciborium::Value::Map(book), &mut out).is_ok() {
+            state.book = Bytes(out.into());
+        }
     }
     Message::Append { term, round, last, state: Some(state), committed, echo, fresh }
 }
