--- a/crates/hut/examples/state.rs
+++ b/crates/hut/examples/state.rs
@@ -100,15 +100,17 @@
     let (routes, text) = configuration(kilobytes * 1000);
     let folder = tempfile::tempdir().expect("a folder");
     let mut times = Times::default();
-    let mut sqlite = Sqlite::open(folder.path(), || false).expect("open");
+    let mut sqlite = Sqlite::open(folder.path(), |_| false).expect("open");
     println!("configuration {} bytes, {routes} routes; {changes} changes", text.len());
     let mut order = Order::new(Change::Put(text.into_bytes()));
     times.of("PUT: read, before the lock", || order.read());
     let mut book = times.of("PUT: rule", || taken(&Book::default(), &order));
+    println!("peak memory of a PUT {} kB", peak_kb());
     let state = book.written();
     let mut agreed = times.of("a hut: read a PUT that was agreed on", || Book::read(&state).expect("read"));
     times.of("a new leader: read what it says", || assert!(agreed.configuration().is_some()));
     let (mut mirror, mut steps) = (Mirror::default(), Steps::default());
+    let first = agreed.clone();
     let page = times.of("a hut: write the whole for the road", || steps.page(&agreed, 0));
     let whole = page.len();
     times.of("a gatekeeper: take the whole", || {
@@ -137,13 +139,23 @@
             assert!(mirror.take(Time::from_nanos(2), agreed.number, &page));
         });
     }
+    // A member that was away through all of them, and one with an empty disk: one state brings either up.
+    let state = book.written();
+    let stale = first;
+    times.of("catch up: read, after all changes", || assert!(stale.after(&state).is_some()));
+    times.of("catch up: read, on an empty disk", || assert!(Book::read(&state).is_some()));
+    let page = times.of("catch up: write the whole for the road", || Steps::default().page(&agreed, 0));
+    let mut late = Mirror::default();
+    times.of("catch up: a new gatekeeper takes it", || {
+        assert!(late.take(Time::from_nanos(3), agreed.number, &page));
+    });
     times.print();
     let on_disk: u64 = std::fs::read_dir(folder.path())
         .expect("read")
         .filter_map(|f| f.ok()?.metadata().ok().map(|m| m.len()))
         .sum();
     drop(sqlite);
-    let mut sqlite = Sqlite::open(folder.path(), || false).expect("open");
+    let mut sqlite = Sqlite::open(folder.path(), |_| false).expect("open");
     let mut times = Times::default();
     times.of("load after a start", || assert!(sqlite.load().expect("loads").is_some()));
     times.of("GET: write the configuration", || book.text().map(|t| t.len()));
