--- a/crates/emulator/src/core/world/probes.rs
+++ b/crates/emulator/src/core/world/probes.rs
@@ -84,8 +84,15 @@
                     let dead = worker
                         .over_at
                         .is_some_and(|at| now - at > ms(16_000) && now - self.troubled_at > ms(16_000));
-                    if sends && (told || dead) {
-                        broken.push((Judge::Drained, what("leaves, or is dead, and is still sent to")));
+                    if sends && told {
+                        broken.push((Judge::Drained, what("was told that it leaves, and is sent to")));
+                    }
+                    if sends && dead {
+                        let known = self.leader().and_then(|l| self.hut(l)).map(|h| {
+                            h.watch.register().lives().get(&worker.id()).map(|known| known.standing)
+                        });
+                        let of = format!("is dead for long, and is sent to; the leader knows {known:?}");
+                        broken.push((Judge::Drained, what(&of)));
                     }
                 }
             }
--- a/crates/emulator/tests/core.rs
+++ b/crates/emulator/tests/core.rs
@@ -4,6 +4,7 @@
 use lynxstair::types::Time;
 use lynxstair_emulator::core::histories::{Asked, Call, Told, linearizable};
 use lynxstair_emulator::core::{Deliberate, Judge, Story, play};
+use lynxstair_ridge::tries::{Heard, Met, Step, Try, Whose};
 use rayon::prelude::*;
 
 /// A call from one millisecond to another.
@@ -228,3 +229,38 @@
         );
     }
 }
+
+/// How often a request that can't be repeated has run, where a worker that runs it has a late answer to another request
+/// on the same connection go first: the road sends it on where the room of tries says that it never ran.
+fn runs(surplus: u16, has_id: bool, is_first: bool, is_matched: bool) -> usize {
+    let whose = if has_id { Whose::Anothers } else { Whose::Nobodys };
+    let late = Heard {
+        whose: if is_matched { whose } else { Whose::Ours },
+        status: surplus,
+        says_not_run: true,
+        is_sealed: false,
+        is_encoded: false,
+        is_clean: true,
+    };
+    let own = Heard { whose: Whose::Ours, status: 200, says_not_run: false, is_sealed: true, ..late };
+    let mut one = Try::begin(is_first);
+    let mut runs = 1;
+    for met in [Met::Taken { all: true }, Met::Answer(late), Met::Answer(own)] {
+        if let Step::Over(end) = one.step(met) {
+            runs += usize::from(end.verdict.may_go_again(false));
+            break;
+        }
+    }
+    runs
+}
+
+/// The tenth fault, `Not-Run` without its id, is found by counting runs.
+#[test]
+fn not_run_of_another_request() {
+    for surplus in [400, 429, 503, 421] {
+        for has_id in [false, true] {
+            assert_eq!(runs(surplus, has_id, false, true), 1, "{surplus}, with an id: {has_id}");
+            assert_eq!(runs(surplus, has_id, false, false), 2, "a hole in the judge: {surplus}");
+        }
+    }
+}
