Huts name each other: a newcomer that knows only followers is met by the leader

Change: the word by which a hut says that it is there names the huts that it heard in the last 1.5 s; whoever hears it opens lines to those. One that is gone is not handed round. Test: crates/hut/tests/core.rs, a_newcomer_that_knows_one_finds_all.

--- a/crates/hut/src/inner.rs
+++ b/crates/hut/src/inner.rs
@@ -27,9 +27,10 @@
             let came = self.alarms.came_at(now);
             let mut rooms = self.rooms();
             match (word, core, follower) {
-                (Up::Core { from, hears }, ..) => {
+                (Up::Core { from, hears, others }, ..) => {
                     core = Some(from);
                     self.meet(now, &mut rooms, &[from]);
+                    self.meet(now, &mut rooms, &others);
                     rooms.heard_hut(now, from);
                     if !hears {
                         rooms.peers.is_not_heard_by(now, from);
--- a/crates/hut/src/peers.rs
+++ b/crates/hut/src/peers.rs
@@ -52,10 +52,15 @@
     /// To each its own: that this hut is there, and whether it hears the other.
     fn show(&self, now: Time, me: Node) {
         for (peer, (conn, _)) in &self.open {
-            say(conn, &Up::Core { from: me, hears: self.huts.hears(now, *peer) });
+            say(conn, &self.here(now, me, *peer));
         }
     }
 
+    /// The word that this hut is there.
+    fn here(&self, now: Time, me: Node, to: Node) -> Up {
+        Up::Core { from: me, hears: self.huts.hears(now, to), others: self.huts.heard_lately(now) }
+    }
+
     /// A hut says that it does not hear this one: the line to it brings nothing, unless it is new. Its keeper opens
     /// another.
     pub fn is_not_heard_by(&self, now: Time, peer: Node) {
@@ -144,8 +149,7 @@
                 {
                     let now = self.alarms.now();
                     let mut rooms = self.rooms();
-                    let hears = rooms.peers.huts.hears(now, peer);
-                    say(&conn, &Up::Core { from: self.me, hears });
+                    say(&conn, &rooms.peers.here(now, self.me, peer));
                     say(&conn, &Up::Heard(rooms.lives.all(now)));
                     say(&conn, &self.sightings(now, &rooms));
                     rooms.peers.open.insert(peer, (conn.clone(), now));
--- a/crates/hut/tests/core.rs
+++ b/crates/hut/tests/core.rs
@@ -351,7 +351,7 @@
     let mut ended = first.try_clone().expect("the same");
     ended.set_nonblocking(true).expect("looked at only");
     until("the line that is not heard ends", || {
-        says.say(&Up::Core { from: core.at(2), hears: false });
+        says.say(&Up::Core { from: core.at(2), hears: false, others: Vec::new() });
         let mut piece = [0; 4096];
         loop {
             match ended.read(&mut piece) {
@@ -364,10 +364,26 @@
     });
     let (again, _) = other.accept().expect("another line");
     until("it stands as long as it is heard", || {
-        says.say(&Up::Core { from: core.at(2), hears: true });
+        says.say(&Up::Core { from: core.at(2), hears: true, others: Vec::new() });
         core.status(1).map(|_| ())
     });
     again.set_read_timeout(Some(PATIENCE)).expect("a limit");
     let mut piece = [0; 4096];
     assert!(matches!((&again).read(&mut piece), Ok(n) if n > 0), "it speaks on the new one");
 }
+
+/// A newcomer that was told of one hut only, and not of the one that leads, finds the others by it, and becomes a learner
+/// at least: before, the leader never spoke to it.
+#[test]
+fn a_newcomer_that_knows_one_finds_all() {
+    let mut core = Core::new(6);
+    (1..=3).for_each(|n| core.start(n, &[1, 2, 3], true));
+    let leader = until("a leader", || core.leader());
+    let knows = (1..=3).find(|n| *n != leader).expect("one that follows");
+    core.start(4, &[knows], false);
+    let leads = until("the newcomer hears a leader", || {
+        let said = core.says(4, "leader");
+        (!said.is_empty() && said != "null").then_some(said)
+    });
+    assert!((1..=3).any(|n| leads.contains(&core.at(n).to_string())), "{leads}");
+}
--- a/crates/ridge/src/huts.rs
+++ b/crates/ridge/src/huts.rs
@@ -25,6 +25,8 @@
     keeper: u64,
     /// When it was first named, or heard last.
     heard_at: Time,
+    /// It was heard, not only named.
+    has_spoken: bool,
 }
 
 #[derive(Debug)]
@@ -64,14 +66,14 @@
             self.known.shift_remove(&oldest);
         }
         self.keepers += 1;
-        self.known.insert(hut, Known { keeper: self.keepers, heard_at: now });
+        self.known.insert(hut, Known { keeper: self.keepers, heard_at: now, has_spoken: false });
         Some(self.keepers)
     }
 
     /// A hut is there.
     pub fn heard(&mut self, now: Time, hut: SocketAddr) {
         if let Some(known) = self.known.get_mut(&hut) {
-            known.heard_at = now;
+            (known.heard_at, known.has_spoken) = (now, true);
         }
     }
 
@@ -80,6 +82,15 @@
         self.known.get(&hut).is_some_and(|known| now - known.heard_at < DEAF)
     }
 
+    /// Those that were heard a moment ago, to be named to others: one that is gone is not handed round for ever.
+    pub fn heard_lately(&self, now: Time) -> Vec<SocketAddr> {
+        self.all().filter(|hut| self.is_speaking(now, *hut)).collect()
+    }
+
+    fn is_speaking(&self, now: Time, hut: SocketAddr) -> bool {
+        self.known.get(&hut).is_some_and(|k| k.has_spoken && now - k.heard_at < DEAF)
+    }
+
     /// Whether this keeper still keeps a line to it.
     pub fn is_kept(&self, hut: SocketAddr, keeper: u64) -> bool {
         self.known.get(&hut).is_some_and(|known| known.keeper == keeper)
--- a/crates/trailbook/src/words.rs
+++ b/crates/trailbook/src/words.rs
@@ -141,8 +141,9 @@
     Ping(Ping),
     /// Begins a line between cores, by the control address of the one who speaks; and says again and again that it is
     /// there. `hears`: whether it has heard the one it speaks to a moment ago. A line that was cut may stand and bring
-    /// nothing: only the other end can tell.
-    Core { from: SocketAddr, hears: bool },
+    /// nothing: only the other end can tell. `others`: the huts that it heard a moment ago, as a newcomer may have been
+    /// told of some only, and not of the one that leads.
+    Core { from: SocketAddr, hears: bool, others: Vec<SocketAddr> },
     /// Which gatekeepers follow the core that speaks: all where `whole`, else what changed. `has_gathered`: it has
     /// been up for long enough that all of them have found it.
     Sightings { sightings: Vec<Sighting>, whole: bool, has_gathered: bool },
