Agreement: a read goes by the number of its round, not by when it began

Cause: answer_reads took the newest round begun no later than the newest that a majority answered. Two rounds may begin by one time, or the later by an earlier one (the hut looks at the clock before it has the lock; a thread held up there, as by a machine that stands still, begins a round by an old time), so a round that nobody answered let a read go: a deposed leader answered it without a change that was acknowledged before. Found by reading for the exhaustive check, shown by a_read_in_the_instant_of_a_round (red before, green after).

Change: Leading.sure_round, the newest round that a majority answered; reads go by it. Ruled out: locking before the clock is looked at (mends the hut, not the room's claim that no clock takes part).

--- a/crates/cairn/src/reads.rs
+++ b/crates/cairn/src/reads.rs
@@ -40,7 +40,7 @@
     /// Lets go of the reads whose round a majority has answered.
     pub(crate) fn answer_reads(&mut self) {
         let Role::Leader(l) = &mut self.role else { return };
-        let sure = l.begun.iter().rev().find(|(_, at)| *at <= l.sure_at).map_or(0, |(round, _)| *round);
+        let sure = l.sure_round;
         while let Some((number, _)) = l.reads.pop_front_if(|(_, round)| *round <= sure) {
             self.out.push(Do::Read(number, true));
         }
--- a/crates/cairn/src/replication.rs
+++ b/crates/cairn/src/replication.rs
@@ -107,6 +107,7 @@
         }
         if alone {
             l.sure_at = now;
+            l.sure_round = l.round;
             self.answer_reads();
         }
     }
@@ -175,9 +176,11 @@
         rounds.sort_unstable_by(|a, b| b.cmp(a));
         if majority >= 2
             && let Some(sure) = rounds.get(majority - 2)
-            && let Some((_, at)) = l.begun.iter().find(|(r, _)| r == sure)
         {
-            l.sure_at = l.sure_at.max(*at);
+            l.sure_round = l.sure_round.max(*sure);
+            if let Some((_, at)) = l.begun.iter().find(|(r, _)| r == sure) {
+                l.sure_at = l.sure_at.max(*at);
+            }
         }
         self.answer_reads();
         self.count(now);
--- a/crates/cairn/src/role.rs
+++ b/crates/cairn/src/role.rs
@@ -50,6 +50,8 @@
     pub progress: BTreeMap<Member, Progress>,
     /// A majority, this hut with it, answered a round begun then.
     pub sure_at: Time,
+    /// The newest round that a majority answered: reads go by it, as no clock tells which of two rounds was first.
+    pub sure_round: u64,
     /// Since when a majority is on too few disks to bear what may be lost.
     pub thin_since: Option<Time>,
     /// What is proposed, by whoever did so.
@@ -103,6 +105,7 @@
             contacts: others.iter().map(|m| (m.node, Contact::seen(now))).collect(),
             progress: others.iter().map(|m| (*m, Progress::unheard(now))).collect(),
             sure_at: now,
+            sure_round: 0,
             thin_since: None,
             proposed: None,
             reads: VecDeque::new(),
--- a/crates/cairn/tests/model.rs
+++ b/crates/cairn/tests/model.rs
@@ -736,3 +736,46 @@
     let deposed = Budget { campaigns: 1, proposals: 1, reads: 1, ..Budget::default() };
     finds("ReadAtOnce", with(Outside::ReadAtOnce, Start::Led, deposed), FRESH);
 }
+
+/// Two rounds may begin by the same time, or the later one by an earlier: whoever calls may have been held up after it
+/// looked at the clock. A read goes by the number of its round.
+#[test]
+fn a_read_in_the_instant_of_a_round() {
+    let budget = Budget { campaigns: 1, proposals: 2, reads: 1, ..Budget::default() };
+    let case = Case { lane: 9, ..case(Start::Led, 60, budget) };
+    let mut world = World::new(&case);
+    let (old, new) = (LogId { term: 1, index: 1 }, LogId { term: 1, index: 2 });
+    let act = |world: &mut World, acts: &[Act]| acts.iter().for_each(|act| world.step(&case, *act));
+    // The newest message from one to another.
+    let hear = |world: &mut World, from: usize, to: usize| {
+        let at = world.way.iter().rposition(|p| (p.from, p.to) == (from, to)).expect("a message");
+        world.step(&case, Act::Deliver(at));
+    };
+    let hear_stored = |world: &mut World, what: LogId| {
+        let says = |p: &Parcel| matches!(&*p.message, Message::AppendReply { stored, .. } if *stored == what);
+        let at = world.way.iter().position(|p| p.to == 0 && says(p)).expect("an answer");
+        world.step(&case, Act::Deliver(at));
+    };
+    // Hut 2 answers a round of hut 0 twice, at once and from its disk. Both answers are held up.
+    act(&mut world, &[Act::Propose(0), Act::Sync(0)]);
+    hear(&mut world, 0, 2);
+    act(&mut world, &[Act::Sync(2), Act::Campaign(2), Act::Sync(2)]);
+    // Hut 2 leads by the vote of hut 1, and has a change committed.
+    hear(&mut world, 2, 1);
+    act(&mut world, &[Act::Sync(1)]);
+    hear(&mut world, 1, 2);
+    act(&mut world, &[Act::Sync(2)]);
+    hear(&mut world, 2, 1);
+    act(&mut world, &[Act::Sync(1)]);
+    hear(&mut world, 1, 2);
+    act(&mut world, &[Act::Propose(2), Act::Sync(2)]);
+    hear(&mut world, 2, 1);
+    act(&mut world, &[Act::Sync(1)]);
+    hear(&mut world, 1, 2);
+    assert_eq!(world.seen.acked, [2]);
+    // Hut 0 knows nothing of it. Its own change is committed by the one answer, by which a round begins.
+    act(&mut world, &[Act::Read(0)]);
+    hear_stored(&mut world, new);
+    hear_stored(&mut world, old);
+    assert!(world.seen.wrong.is_empty(), "{:?}", world.seen.wrong);
+}
