One loop that waits for what is to come, in the stand-ins

`until` and its patience stood three times, word for word, in tests with real processes (hut/tests/core, pass/tests/leaving, pass/tests/whole_path). They call lynxstair_standins::until now; patience, assertion and message are the same. No program changed.

--- a/crates/hut/tests/core.rs
+++ b/crates/hut/tests/core.rs
@@ -5,10 +5,9 @@
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::thread;
 use std::time::{Duration, Instant};
 
-use lynxstair_standins::Message;
+use lynxstair_standins::{Message, PATIENCE, until};
 use lynxstair_trailbook::frames;
 use lynxstair_trailbook::values::{self, Object, Value};
 use lynxstair_trailbook::words::{Down, Edge, Ping, Readiness, Up};
@@ -16,21 +15,9 @@
 use nix::unistd::Pid;
 use tempfile::TempDir;
 
-const PATIENCE: Duration = Duration::from_secs(30);
 /// A process told to end has this long, by the operators' usual grace.
 const GRACE: Duration = Duration::from_secs(6);
 
-fn until<T>(what: &str, mut get: impl FnMut() -> Option<T>) -> T {
-    let began = Instant::now();
-    loop {
-        if let Some(got) = get() {
-            return got;
-        }
-        assert!(began.elapsed() < PATIENCE, "not in time: {what}");
-        thread::yield_now();
-    }
-}
-
 /// One call on a connection of its own, not read yet.
 fn send(to: SocketAddr, head: &str, body: &str) -> Option<TcpStream> {
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
--- a/crates/pass/tests/leaving.rs
+++ b/crates/pass/tests/leaving.rs
@@ -8,13 +8,11 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use lynxstair_standins::Message;
+use lynxstair_standins::{Message, PATIENCE, until};
 use tempfile::TempDir;
 
-const PATIENCE: Duration = Duration::from_secs(30);
-
 struct System {
     _folder: TempDir,
     huts: Vec<SocketAddr>,
@@ -79,17 +77,6 @@
     }
 }
 
-fn until<T>(what: &str, mut get: impl FnMut() -> Option<T>) -> T {
-    let began = Instant::now();
-    loop {
-        if let Some(got) = get() {
-            return got;
-        }
-        assert!(began.elapsed() < PATIENCE, "not in time: {what}");
-        thread::yield_now();
-    }
-}
-
 fn call(to: SocketAddr, head: &str, body: &str) -> Option<Message> {
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
--- a/crates/pass/tests/whole_path.rs
+++ b/crates/pass/tests/whole_path.rs
@@ -9,13 +9,11 @@
 use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use lynxstair_standins::Message;
+use lynxstair_standins::{Message, PATIENCE, until};
 use tempfile::TempDir;
 
-const PATIENCE: Duration = Duration::from_secs(30);
-
 /// A message's body, as text.
 fn text(message: &Message) -> &str {
     std::str::from_utf8(&message.body).expect("text")
@@ -31,17 +29,6 @@
     Message::read(&mut BufReader::new(stream))
 }
 
-fn until<T>(what: &str, mut get: impl FnMut() -> Option<T>) -> T {
-    let began = Instant::now();
-    loop {
-        if let Some(got) = get() {
-            return got;
-        }
-        assert!(began.elapsed() < PATIENCE, "not in time: {what}");
-        thread::yield_now();
-    }
-}
-
 /// What a worker does with requests under a path that holds this word.
 fn does(path: &str) -> &'static str {
     ["cut", "late", "500", "full"].into_iter().find(|d| path.contains(d)).unwrap_or("serve")
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 mod list;
 mod load;
 mod message;
+mod patience;
 mod sink;
 mod worker;
 
@@ -22,6 +23,7 @@
 pub use list::{Discovery, discovery, member};
 pub use load::{Answered, Delivered, Load, Plan, Traffic, mono};
 pub use message::{Message, ask, text};
+pub use patience::{PATIENCE, until};
 pub use sink::{Landed, Sink};
 pub use worker::{Does, Seen, worker};
 
