--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod experiment;
 mod fleet;
 mod owners;
+mod soak;
 mod trial;
 
 use std::process::ExitCode;
@@ -26,6 +27,8 @@
     Fleet(fleet::Args),
     /// Several processes with faults between them
     Trial(trial::Args),
+    /// The system's own programs under signals, restarts and changes that overlap
+    Soak(soak::Args),
     /// The project's own code on a virtual clock, at sizes that sockets don't reach
     Experiment(experiment::Args),
 }
@@ -35,6 +38,7 @@
     let done = match Args::parse().command {
         Command::Fleet(args) => fleet::run(args),
         Command::Trial(args) => trial::run(args),
+        Command::Soak(args) => soak::run(&args),
         Command::Experiment(args) => experiment::run(args),
     };
     match done {
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -12,6 +12,7 @@
 mod ports;
 mod relay;
 mod run;
+pub mod soak;
 
 pub use file::{Disk, Fault, Kind, Links, LoadPlan, Must, Trial};
 pub use hunt::{drawn, shortened};
