--- a/crates/proxy/tests/pipeline.rs
+++ b/crates/proxy/tests/pipeline.rs
@@ -103,3 +103,21 @@
     }
     assert!(broken > 1000 && finished > 1000, "{broken} {finished}");
 }
+
+/// A client that was told that its connection stays may send at any time: what it sends must not be read and thrown away
+/// (issue 49: a request that crossed the end of a long response, on a proxy that was closing).
+#[test]
+fn behind_a_response_that_keeps_the_connection_requests_are_still_answered() {
+    let mut pipeline = ResponsePipeline::default();
+    let long = pipeline.on_request(false);
+    assert!(!pipeline.closes_after(long, false), "its head says that the connection stays");
+    // Its body is still being relayed when the proxy begins to close.
+    pipeline.stop_reading();
+    assert!(pipeline.accepts_requests());
+    let next = pipeline.on_request(false);
+    pipeline.on_answered(long);
+    assert_eq!(pipeline.on_request_done(long), AfterRequest::Next(next));
+    assert!(pipeline.closes_after(next, true), "that one says that the connection ends");
+    pipeline.on_answered(next);
+    assert_eq!((pipeline.on_request_done(next), pipeline.is_done()), (AfterRequest::Finish, true));
+}
