--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -31,6 +31,8 @@
     answered: u64,
     /// The response with this number is the last one; nothing is read behind its request.
     last: Option<u64>,
+    /// The newest response that told its client that the connection stays.
+    keeps_open: u64,
     is_over: bool,
 }
 
@@ -44,10 +46,11 @@
         self.received
     }
 
-    /// The connection is closing: with responses outstanding, nothing is read behind their requests. What a client sent
-    /// there is not forwarded, and it sends it again elsewhere.
+    /// The connection is closing: behind a request whose response is still to be begun, nothing is read. That response says
+    /// so, and its client sends elsewhere what it sent behind it. Where the client was told that the connection stays, what
+    /// it sends is read, and answered.
     pub fn stop_reading(&mut self) {
-        if self.unanswered() > 0 && self.last.is_none() {
+        if self.received > self.answered.max(self.keeps_open) && self.last.is_none() {
             self.last = Some(self.received);
         }
     }
@@ -77,7 +80,11 @@
         if is_closing {
             self.stop_reading();
         }
-        self.last == Some(number)
+        let closes = self.last == Some(number);
+        if !closes {
+            self.keeps_open = number;
+        }
+        closes
     }
 
     /// A response was written completely.
