--- a/crates/emulator/src/core/faults.rs
+++ b/crates/emulator/src/core/faults.rs
@@ -38,6 +38,11 @@
         others: bool,
         down: u64,
     },
+    /// As many lose their disks with the power as the budget allows, and all others lose power at the same moment.
+    WipeToBudget {
+        target: Target,
+        down: u64,
+    },
     Freeze {
         target: Target,
         long: u64,
@@ -109,6 +114,8 @@
     Planned,
     FourInARow,
     WipedAfterAck,
+    /// Five controllers, two of which lose their disks right after an acknowledgement while the rest loses power.
+    WipedToBudget,
     AllAtOnce,
     LeaderFrozen,
     OneWay,
@@ -121,12 +128,13 @@
 }
 
 impl Scenario {
-    pub const ALL: [Scenario; 14] = [
+    pub const ALL: [Scenario; 15] = [
         Scenario::Mixed,
         Scenario::Replaced,
         Scenario::Planned,
         Scenario::FourInARow,
         Scenario::WipedAfterAck,
+        Scenario::WipedToBudget,
         Scenario::AllAtOnce,
         Scenario::LeaderFrozen,
         Scenario::OneWay,
@@ -145,6 +153,7 @@
             Scenario::Planned => "planned",
             Scenario::FourInARow => "four-in-a-row",
             Scenario::WipedAfterAck => "wiped-after-ack",
+            Scenario::WipedToBudget => "wiped-to-budget",
             Scenario::AllAtOnce => "all-at-once",
             Scenario::LeaderFrozen => "leader-frozen",
             Scenario::OneWay => "one-way",
@@ -159,7 +168,7 @@
 
     /// How many controllers there are at the start, and how many disks may be lost at once.
     pub(crate) fn size(self, chance: &mut Pcg64Mcg) -> (usize, usize) {
-        let five = matches!(self, Scenario::FiveByThree)
+        let five = matches!(self, Scenario::FiveByThree | Scenario::WipedToBudget)
             || matches!(self, Scenario::Mixed | Scenario::WipedAfterAck | Scenario::AllAtOnce)
                 && chance.random_bool(0.3);
         if five { (5, 2) } else { (3, 1) }
@@ -230,6 +239,16 @@
                     at += 10_500;
                 }
             }
+            Scenario::WipedToBudget => {
+                for _ in 0..2 {
+                    let slow = |target| SlowDisk { target, sync: 400, long: 2_500 };
+                    all.extend([(at, slow(Target::Follower)), (at, slow(Target::Any))]);
+                    at += chance.random_range(100..1_000);
+                    let wipe = WipeToBudget { target: target(chance), down: chance.random_range(200..1_500) };
+                    all.push((at, AfterAck(Box::new(wipe))));
+                    at += 10_500;
+                }
+            }
             Scenario::AllAtOnce => {
                 for _ in 0..3 {
                     let fault = All { power: chance.random_bool(0.5), down: chance.random_range(100..1_200) };
--- a/crates/emulator/src/core/world/fault_actions.rs
+++ b/crates/emulator/src/core/world/fault_actions.rs
@@ -1,6 +1,7 @@
 //! What each fault does to machines, links and disks.
 
 use super::*;
+use rand::seq::{IndexedRandom, SliceRandom};
 
 impl World {
     pub(super) fn log_event(&mut self, what: String) {
@@ -105,6 +106,17 @@
                 }
                 self.machines[machine].disk.wipe();
             }
+            Fault::WipeToBudget { target, down } => {
+                let Some(first) = self.target(target).filter(|_| self.all_well()) else { return };
+                let mut others: Vec<usize> = self.controllers().filter(|m| *m != first).collect();
+                others.shuffle(&mut self.chance);
+                let wiped: Vec<usize> = std::iter::once(first).chain(others.iter().copied()).collect();
+                for machine in self.controllers().collect::<Vec<_>>() {
+                    let later = down + self.chance.random_range(0..300);
+                    self.stop(machine, true, Some(ms(later)));
+                }
+                wiped.iter().take(self.tolerated).for_each(|m| self.machines[*m].disk.wipe());
+            }
             Fault::Freeze { target, long } => {
                 let Some(machine) = self.target(target).filter(|m| self.may_lose(*m)) else { return };
                 self.machines[machine].frozen = true;
--- a/crates/emulator/tests/core.rs
+++ b/crates/emulator/tests/core.rs
@@ -189,6 +189,7 @@
     replaced_as_planned: Planned;
     four_replaced_in_a_row: FourInARow;
     emptied_right_after_an_acknowledgement: WipedAfterAck;
+    as_many_emptied_as_the_budget_allows_while_all_lose_power: WipedToBudget;
     all_at_once: AllAtOnce;
     a_leader_stands_still: LeaderFrozen;
     cut_one_way: OneWay;
