--- a/crates/proxy/src/routing_state.rs
+++ b/crates/proxy/src/routing_state.rs
@@ -1,6 +1,7 @@
 //! The routing state of a proxy: what becomes of a request is decided here, in one place. No I/O, clock or thread; the
 //! proxy calls it under one short lock.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use lynxstair::rng::Rng;
@@ -17,6 +18,7 @@
 use lynxstair_routing::retry_budget::RetryBudget;
 use lynxstair_routing::slow_start::{SlowStart, WarmUpKnowledge};
 use lynxstair_routing::token_buckets::TokenBuckets;
+use lynxstair_routing::weighted_split::WeightedSplit;
 
 use crate::local_response::LocalResponse;
 use crate::phase::Phase;
@@ -77,6 +79,7 @@
     buckets: TokenBuckets,
     retry_budget: RetryBudget,
     balancer: LocalityBalancer,
+    split: WeightedSplit,
     proxy_counts: ProxyCounts,
     has_instances: bool,
     phase: Phase,
@@ -100,6 +103,7 @@
                 &settings.zones,
                 SlowStart::new(bounds.cold_overshoot, bounds.cold_slack),
             ),
+            split: WeightedSplit::default(),
             proxy_counts: ProxyCounts::default(),
             has_instances: false,
             phase: Phase::Serving,
@@ -163,6 +167,10 @@
             let configuration = &version.configuration;
             self.balancer.configure(now, configuration);
             self.buckets.retain_tenants(|tenant| configuration.tenants.iter().any(|t| t.name == tenant));
+            let is_split = |route: &&Arc<Route>| route.services.len() > 1;
+            let routes = configuration.routes.values().flatten().filter(is_split);
+            let split: HashSet<&str> = routes.map(|route| &route.name[..]).collect();
+            self.split.retain_routes(|name| split.contains(name));
             self.retry_budget.retain_services(|service| configuration.services.contains_key(service));
         }
         true
@@ -299,12 +307,8 @@
         if let [(service, _)] = services {
             return service.clone();
         }
-        let mut point = self.rng.next_f64() * services.iter().map(|(_, weight)| weight).sum::<f64>();
-        let drawn = services.iter().find(|(_, weight)| {
-            point -= weight;
-            point < 0.0
-        });
-        drawn.unwrap_or(&services[0]).0.clone()
+        let drawn = self.split.next(&route.name, services, self.rng.next_f64());
+        services[drawn].0.clone()
     }
 
     /// The worker that a request goes to now, the first time or again; else the final response, at once.
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! The system's programs on loopback, and plain HTTP calls to them.
 #![allow(dead_code, reason = "each test uses a part")]
 
+pub mod scene;
+
 use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod retry_budget;
 pub mod slow_start;
 pub mod token_buckets;
+pub mod weighted_split;
