--- a/crates/emulator/src/owners.rs
+++ b/crates/emulator/src/owners.rs
@@ -1,6 +1,9 @@
 //! Voters and members that stand for a duty, on a virtual clock: disks that are slow, fail, are emptied, torn or
 //! set back; pauses between a check and the write it was for; and a place where effects land.
 
+mod judging;
+mod processes;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -200,141 +203,6 @@
         self.chance.random_range(0..below.max(1))
     }
 
-    /// Starts a process with what is on its disk.
-    pub fn start(&mut self, who: usize) {
-        self.start_having_lost(who, false);
-    }
-
-    /// The same; the end of its records is missing.
-    pub fn start_having_lost(&mut self, who: usize, lost: bool) {
-        if self.nodes[who].process.is_some() {
-            return;
-        }
-        let named: Vec<_> = (0..self.plan.voters).map(|v| (name(v), address(v))).collect();
-        let (seed, stand) = (self.chance.next_u64(), self.chance.next_u64());
-        let now = self.clock(who);
-        let image = PersistentState::decode(&self.nodes[who].disk).expect("its own records");
-        let (times, broken) = (self.plan.times, self.plan.broken);
-        let voter = Voter::new(
-            now,
-            VoterConfig {
-                fleet: "f".to_string(),
-                name: name(who),
-                addr: address(who),
-                initial_voters: named.clone(),
-                state: image,
-                has_lost_records: lost,
-                seed,
-                times,
-                disabled: broken,
-            },
-        );
-        let holder = LeaseHolder::new(
-            now,
-            HolderConfig {
-                fleet: "f".to_string(),
-                name: name(who),
-                voters: named.into_iter().map(|(_, a)| a).collect(),
-                duties: vec![DUTY.to_string()],
-                seed,
-                incarnation: stand,
-                times,
-                disabled: broken,
-            },
-        );
-        let node = &mut self.nodes[who];
-        node.runs += 1;
-        let run = node.runs;
-        let buffer = VecDeque::new();
-        let checked = None;
-        node.process = Some(Process {
-            voter,
-            holder,
-            stopped: false,
-            buffer,
-            wakes_at: None,
-            checked,
-            effects: 0,
-            last_kept: 0,
-        });
-        self.later(EFFECT, Next::Checks { who, run });
-        self.after(who);
-    }
-
-    /// Ended without a word. What was being written may be on disk or not.
-    pub fn kill(&mut self, who: usize) {
-        let lost = self.draw(self.nodes[who].untold as u64 + 1) as usize;
-        let node = &mut self.nodes[who];
-        node.process = None;
-        node.disk.truncate(node.disk.len().saturating_sub(lost));
-        node.untold = 0;
-    }
-
-    /// Ended at the point where it would write or send for this time more: before it, and nothing after it.
-    pub fn die_at(&mut self, who: usize, write_or_send: u64) {
-        self.nodes[who].dies_at = Some(write_or_send);
-    }
-
-    pub fn empty_disk(&mut self, who: usize) {
-        self.nodes[who].disk.clear();
-        self.nodes[who].untold = 0;
-    }
-
-    /// The last record is gone.
-    pub fn tear_disk(&mut self, who: usize) {
-        self.nodes[who].disk.pop();
-    }
-
-    pub fn disk(&mut self, who: usize) -> &mut Vec<Vec<u8>> {
-        &mut self.nodes[who].disk
-    }
-
-    /// Writing takes so long from now on.
-    pub fn slow_disk(&mut self, who: usize, takes: Span) {
-        self.nodes[who].disk_takes = takes;
-    }
-
-    pub fn fail_disk(&mut self, who: usize, fails: bool) {
-        self.nodes[who].disk_fails = fails;
-    }
-
-    pub fn pause(&mut self, who: usize) {
-        if let Some(process) = self.nodes[who].process.as_mut() {
-            process.stopped = true;
-        }
-    }
-
-    /// It goes on with what it had begun: what was checked before is written now.
-    pub fn resume(&mut self, who: usize) {
-        let now = self.clock(who);
-        let run = self.nodes[who].runs;
-        let timers_first: bool = self.chance.random();
-        let Some(process) = self.nodes[who].process.as_mut().filter(|p| p.stopped) else { return };
-        process.stopped = false;
-        process.wakes_at = None;
-        if timers_first {
-            process.voter.tick(now);
-            process.holder.tick(now);
-        }
-        let checked = process.checked.take();
-        for (from, datagram) in std::mem::take(&mut process.buffer) {
-            hear(process, now, from, &datagram);
-        }
-        if let Some((epoch, number)) = checked {
-            self.later(ms(1), Next::Lands { who, epoch, number });
-        }
-        self.later(EFFECT, Next::Checks { who, run });
-        self.after(who);
-    }
-
-    pub fn leave(&mut self, who: usize) {
-        let now = self.clock(who);
-        if let Some(process) = self.nodes[who].process.as_mut() {
-            process.holder.leave(now);
-        }
-        self.after(who);
-    }
-
     /// An operator asks by way of a member.
     pub fn question(&mut self, who: usize, id: u64, wants: Option<&AdminCommand>) -> Option<QueryStatus> {
         let now = self.clock(who);
@@ -396,12 +264,6 @@
         Some(self.now - began)
     }
 
-    fn breaks(&mut self, rule: &'static str, what: String) {
-        if !self.broke.iter().any(|b| b.rule == rule) {
-            self.broke.push(Broke { rule, at: self.now, what });
-        }
-    }
-
     fn happen(&mut self, next: Next) {
         match next {
             Next::Arrives { from, to, datagram } => {
@@ -475,38 +337,6 @@
         }
     }
 
-    fn checks(&mut self, who: usize, run: u32) {
-        let now = self.clock(who);
-        if self.nodes[who].runs != run {
-            return;
-        }
-        let Some(process) = self.nodes[who].process.as_mut() else { return };
-        if process.stopped {
-            return;
-        }
-        let may = process.holder.may_begin(now, DUTY);
-        let kept = process.holder.state(DUTY).try_into().map_or(0, u64::from_be_bytes);
-        if let Some(epoch) = may {
-            process.effects = process.effects.max(kept) + 1;
-            process.checked = Some((epoch, process.effects));
-        }
-        let way = ON_ITS_WAY.times(self.chance.random());
-        if let Some((epoch, number)) = self.nodes[who].process.as_mut().and_then(|p| p.checked.take()) {
-            // Between the check and the write it may be paused: the write waits for it then.
-            if self.chance.random_bool(0.5) {
-                self.later(way, Next::Lands { who, epoch, number });
-            } else if let Some(process) = self.nodes[who].process.as_mut() {
-                process.checked = Some((epoch, number));
-            }
-        }
-        self.later(EFFECT, Next::Checks { who, run });
-        let owners = self.owners();
-        if owners.len() > 1 && self.now >= self.deposed_until {
-            let names: Vec<_> = owners.iter().map(|w| name(*w)).collect();
-            self.breaks("leases-apart", format!("{} hold a lease at once", names.join(" and ")));
-        }
-    }
-
     /// Carries out what a process wants done, and plans its next wake.
     fn after(&mut self, who: usize) {
         let (run, ahead) = (self.nodes[who].runs, self.nodes[who].ahead);
@@ -564,39 +394,6 @@
         let takes = node.disk_takes;
         self.later(takes, Next::Written { who, run, ticket, ok });
     }
-
-    fn heard_of(&mut self, who: usize, event: Event) {
-        match &event {
-            Event::Granted { owner, incarnation, epoch, .. } => {
-                let to = (owner.clone(), *incarnation);
-                let before = self.granted.insert(*epoch, to.clone());
-                if before.as_ref().is_some_and(|b| *b != to) {
-                    let what = format!("{epoch:?} was given to {before:?} and to {to:?}");
-                    self.breaks("epoch-has-one-owner", what);
-                }
-            }
-            Event::Owns { epoch, .. } => {
-                if self.granted.get(epoch).is_some_and(|(n, _)| *n != name(who)) {
-                    let what = format!("{} owns in {epoch:?}, and it was given to another", name(who));
-                    self.breaks("epoch-has-one-owner", what);
-                }
-                let again = |(_, w, e): &(Time, usize, Event)| {
-                    *w == who && matches!(e, Event::Owns { epoch: before, .. } if before == epoch)
-                };
-                let first = !self.events.iter().rev().take(2_000).any(again);
-                let process = self.nodes[who].process.as_ref();
-                let state =
-                    process.map_or(0, |p| p.holder.state(DUTY).try_into().map_or(0, u64::from_be_bytes));
-                if first && state < self.promised {
-                    let what =
-                        format!("{} was promised to be kept, and {} finds {state}", self.promised, name(who));
-                    self.breaks("kept-is-kept", what);
-                }
-            }
-            _ => {}
-        }
-        self.events.push((self.now, who, event));
-    }
 }
 
 fn hear(process: &mut Process, now: Time, from: SocketAddrV4, datagram: &[u8]) {
