--- a/crates/fault-injection/src/file.rs
+++ b/crates/fault-injection/src/file.rs
@@ -24,28 +24,41 @@
 /// A trial, checked: all names are numbers of gatekeepers from 0.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Trial {
+    /// What it is called in the verdict.
     pub name: String,
-    /// Of faults and load.
+    /// How long faults and load last.
     pub seconds: f64,
+    /// How many gatekeepers there are.
     pub gatekeepers: usize,
+    /// How many zones (`halls` in the file) they are spread over.
     pub halls: usize,
+    /// How many of them vote; none: no duty has an owner.
     pub voters: Option<usize>,
+    /// What chance is drawn from.
     pub seed: u64,
+    /// Clients and workers, if there are any.
     pub load: Option<LoadPlan>,
+    /// In the order of the file.
     pub faults: Vec<Fault>,
+    /// What must hold besides the rules.
     pub must: Must,
 }
 
+/// The load of a trial.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadPlan {
+    /// By all clients together.
     pub invocations_per_second: f64,
 }
 
+/// What must hold in this trial besides the rules.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Must {
-    /// Seconds after the last fault's end.
+    /// All agree by then, in seconds after the last fault's end.
     pub agree_within: f64,
+    /// Nobody may declare these failed.
     pub never_failed: Vec<usize>,
+    /// All others declare these failed, at some time.
     pub seen_failed: Vec<usize>,
 }
 
@@ -56,14 +69,17 @@
     pub at: f64,
     /// None: to the end of the trial, or where the kind has no end.
     pub lasts: Option<f64>,
+    /// What is done, and to whom.
     pub kind: Kind,
 }
 
 /// What a killed process finds on its disk.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Disk {
+    /// All that it wrote.
     #[default]
     Kept,
+    /// Nothing.
     Emptied,
     /// The last record is cut short.
     Torn,
@@ -73,21 +89,34 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Links(pub BTreeSet<(usize, usize)>);
 
+/// What is done to processes (`who`, by number) or to links.
 #[derive(Clone, Debug, PartialEq)]
+#[allow(missing_docs, reason = "fields are named as in the file; the variants say what they mean")]
 pub enum Kind {
+    /// SIGSTOP, and SIGCONT at its end.
     Pause { who: Vec<usize> },
+    /// SIGKILL; started again after so many seconds, with this disk.
     Kill { who: Vec<usize>, restart_after: Option<f64>, disk: Disk },
+    /// SIGTERM; started again after so many seconds.
     Stop { who: Vec<usize>, restart_after: Option<f64> },
+    /// Nothing gets through.
     Cut { links: Links },
+    /// This share of the datagrams is lost.
     Lose { links: Links, share: f64 },
+    /// This share comes twice.
     Double { links: Links, share: f64 },
+    /// This share comes behind later ones.
     Reorder { links: Links, share: f64 },
+    /// All come later, by this much and up to the jitter.
     Delay { links: Links, ms: f64, jitter_ms: f64 },
+    /// Writes of records fail.
     DiskFull { who: Vec<usize> },
+    /// Cut and whole in turn, each for half of the period in seconds.
     Flap { links: Links, period: f64 },
 }
 
 impl Kind {
+    /// As in the file.
     pub fn name(&self) -> &'static str {
         match self {
             Kind::Pause { .. } => "pause",
--- a/crates/fault-injection/src/file/reader.rs
+++ b/crates/fault-injection/src/file/reader.rs
@@ -183,9 +183,9 @@
         Ok(Links(links))
     }
 
-    fn fault(&mut self, text: &FaultText, at: usize, seconds: f64) -> Result<Fault, ConfigError> {
-        let kind = text.kind.get_ref().as_str();
-        let keys: &[&str] = match kind {
+    /// The keys that a kind has besides `at` and `kind`; an error where another one is given.
+    fn check_keys(&self, text: &FaultText, kind: &str) -> Result<&'static [&'static str], ConfigError> {
+        let keys: &'static [&'static str] = match kind {
             "pause" | "disk_full" => &["lasts", "who"],
             "kill" => &["who", "restart_after", "disk"],
             "stop" => &["who", "restart_after"],
@@ -222,6 +222,25 @@
                 return Err(self.invalid(span.start, key, why));
             }
         }
+        Ok(keys)
+    }
+
+    /// What the process finds on its disk.
+    fn disk(&self, text: &FaultText) -> Result<Disk, ConfigError> {
+        Ok(match text.disk.as_ref().map(|d| (d.get_ref().as_str(), d.span().start)) {
+            None | Some(("kept", _)) => Disk::Kept,
+            Some(("emptied", _)) => Disk::Emptied,
+            Some(("torn", _)) => Disk::Torn,
+            Some((other, at)) => {
+                let why = format!("{other:?} is no state of a disk; \"kept\", \"emptied\" and \"torn\" are");
+                return Err(self.invalid(at, "disk", why));
+            }
+        })
+    }
+
+    fn fault(&mut self, text: &FaultText, at: usize, seconds: f64) -> Result<Fault, ConfigError> {
+        let kind = text.kind.get_ref().as_str();
+        let keys = self.check_keys(text, kind)?;
         let begins = self.within("at", &text.at, 0.0, seconds)?;
         let positive = |key: &str, value: &Option<Spanned<f64>>| {
             value.as_ref().map(|v| self.within(key, v, 0.0, LONGEST_SECONDS)).transpose()
@@ -242,15 +261,7 @@
             let jitter = text.jitter_ms.as_ref().map(|j| self.within("jitter_ms", j, 0.0, 60_000.0));
             Ok((self.within("ms", ms, 0.0, 60_000.0)?, jitter.transpose()?.unwrap_or_default()))
         };
-        let disk = match text.disk.as_ref().map(|d| (d.get_ref().as_str(), d.span().start)) {
-            None | Some(("kept", _)) => Disk::Kept,
-            Some(("emptied", _)) => Disk::Emptied,
-            Some(("torn", _)) => Disk::Torn,
-            Some((other, at)) => {
-                let why = format!("{other:?} is no state of a disk; \"kept\", \"emptied\" and \"torn\" are");
-                return Err(self.invalid(at, "disk", why));
-            }
-        };
+        let disk = self.disk(text)?;
         // Checked before anything is drawn, so that what is drawn hangs on the seed alone.
         let (share, period, ms) = match kind {
             "lose" | "double" | "reorder" => (share()?, 0.0, (0.0, 0.0)),
--- a/crates/fault-injection/src/judge.rs
+++ b/crates/fault-injection/src/judge.rs
@@ -24,7 +24,9 @@
 /// Something that must hold in every trial.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct Rule {
+    /// As verdicts name it.
     pub name: &'static str,
+    /// What must hold.
     pub says: &'static str,
 }
 
@@ -89,11 +91,13 @@
 /// A rule that was broken.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Break {
+    /// The rule's name.
     pub rule: &'static str,
     /// Seconds after all served.
     pub at: f64,
     /// Between whom.
     pub who: Vec<String>,
+    /// What was seen.
     pub what: String,
     /// Of the histories.
     pub lines: Vec<String>,
@@ -102,14 +106,18 @@
 /// What came of a trial.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Verdict {
+    /// The trial's name.
     pub name: String,
+    /// No rule was broken.
     pub kept: bool,
+    /// What broke, in the order of time.
     pub breaks: Vec<Break>,
     /// Seconds from the last fault's end until all agreed for good; measured, and no rule.
     pub agreed_after: Option<f64>,
     /// For each that was declared failed after its process was killed: seconds until the first and until the
     /// last of the others had.
     pub detections: Vec<Detection>,
+    /// What clients and workers saw.
     pub invocations: Invocations,
     /// Of the owner of export, at the sink; none: there was no sink.
     pub effects: Option<Effects>,
@@ -120,14 +128,18 @@
 /// How long a death took to be seen.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Detection {
+    /// Who was killed.
     pub who: String,
+    /// Seconds until the first of the others had declared it failed.
     pub first: f64,
+    /// Seconds until the last of them had.
     pub last: f64,
 }
 
 /// Counts of what came to a sink.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Effects {
+    /// They were new.
     pub taken: usize,
     /// They were there already: nothing changed.
     pub again: usize,
@@ -138,17 +150,24 @@
 /// Counts of a load.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Invocations {
+    /// By clients.
     pub sent: usize,
+    /// Answered with success.
     pub succeeded: usize,
+    /// Told to come back.
     pub throttled: usize,
+    /// Answered with an error.
     pub errored: usize,
+    /// Without a final answer.
     pub unanswered: usize,
+    /// Attempts that came to workers.
     pub deliveries: usize,
 }
 
 /// One gatekeeper as the trial had it.
 #[derive(Clone, Debug, Default)]
 pub struct Process {
+    /// As the others know it.
     pub name: String,
     /// At the end.
     pub runs: bool,
@@ -168,6 +187,7 @@
     pub status: Option<BTreeSet<String>>,
     /// The duties that it said it owned at the end, with the epoch; none: no answer.
     pub owns: Option<BTreeMap<String, u64>>,
+    /// The lines that it wrote down.
     pub history: Vec<String>,
 }
 
@@ -181,26 +201,37 @@
 /// All that was seen. Times are of the machine's monotonic clock, in nanoseconds.
 #[derive(Clone, Debug, Default)]
 pub struct Observed {
+    /// The trial's name.
     pub name: String,
+    /// All served.
     pub began: u64,
+    /// The last fault was over.
     pub faults_over: u64,
     /// Before anybody was told to end.
     pub ended: u64,
+    /// As the trial's `must` has it.
     pub agree_within: f64,
+    /// The same.
     pub never_failed: Vec<String>,
+    /// The same.
     pub seen_failed: Vec<String>,
     /// The first so many gatekeepers; none: no duty has an owner.
     pub voters: usize,
     /// What came to the sink, in its order; none: there was none.
     pub landed: Option<Vec<ReceivedBatch>>,
+    /// Each gatekeeper.
     pub processes: Vec<Process>,
+    /// What clients were answered.
     pub answered: Vec<RequestOutcome>,
+    /// What workers received.
     pub delivered: Vec<ReceivedAttempt>,
+    /// The worker that drained, and when.
     pub drained: Option<(usize, u64)>,
     /// Stretches in which nothing but cuts lasted, and had lasted for some time.
     pub only_cuts: Vec<(u64, u64)>,
     /// Not all were in when the time for it was up: what each said.
     pub not_joined: Option<String>,
+    /// CPU of a gatekeeper a second, as a part of a core.
     pub cpu: Option<f64>,
 }
 
--- a/crates/fault-injection/src/judge/tests.rs
+++ b/crates/fault-injection/src/judge/tests.rs
@@ -101,6 +101,7 @@
 
 /// A whole trial is kept; and each rule has something done to it that it, and it alone, cries out at.
 #[test]
+#[allow(clippy::too_many_lines, reason = "one case for each rule")]
 fn each_rule_cries_out() {
     assert_eq!(broken(&good()), Vec::<&str>::new());
     let cases: [(&str, Breaks); 33] = [
--- a/crates/fault-injection/src/run.rs
+++ b/crates/fault-injection/src/run.rs
@@ -61,10 +61,18 @@
 /// The machine failed the trial, or it was told to stop: nothing is known of the rules.
 #[derive(Debug, thiserror::Error)]
 pub enum Failed {
+    /// The machine refused something: trying again may help.
     #[error("{what}: {source}")]
-    Io { what: String, source: io::Error },
+    Io {
+        /// What.
+        what: String,
+        /// Why.
+        source: io::Error,
+    },
+    /// A gatekeeper, by name, and the last lines of its log.
     #[error("{0} ended before it served: {1}")]
     DidNotStart(String, String),
+    /// Told to stop from outside.
     #[error("told to stop")]
     Stopped,
 }
@@ -80,7 +88,9 @@
     pub program: &'a Path,
     /// Histories, logs and records are left in a folder of the trial's name in here; none: nothing is left.
     pub keep: Option<&'a Path>,
+    /// Parts of membership that are taken out.
     pub broken: DisabledParts,
+    /// Parts of the leases that are taken out.
     pub broken_ownership: lynxstair_leases::DisabledParts,
     /// Told to stop from outside.
     pub stop: &'a AtomicBool,
