--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -27,8 +27,8 @@
 const BUFFER_DIVISOR: usize = 2;
 /// How often the periodic upkeep is done.
 const UPKEEP_INTERVAL: Span = Span::from_millis(200);
-/// After SIGTERM clients still come for this part of the grace, as they learn of it late. Whatever is admitted has the rest
-/// of the first nine tenths to be answered by its worker: more than half of the grace.
+/// After SIGTERM clients still come for this part of the grace, as they learn of it late. What is admitted last has the time
+/// up to `ANSWERING_PART` to be answered by its worker.
 const DRAINING_PART: f64 = 0.48;
 /// After this part no worker is waited for any more: what has no reply gets a response of the proxy's own,
 const ANSWERING_PART: f64 = 0.9;
--- a/crates/proxy/tests/forwarding.rs
+++ b/crates/proxy/tests/forwarding.rs
@@ -363,6 +363,39 @@
     }
 }
 
+/// A process that is about to end waits for no worker any more, and claims no more than it knows. A reply that is here by then
+/// still counts.
+#[test]
+fn a_process_that_ends_waits_no_more() {
+    let rig = Rig::new();
+    let ending = || Arc::new(CancelToken::default());
+    // Nothing was sent: not begun, or given up while the connection came up.
+    let cancel = ending();
+    cancel.shut_down();
+    let heard = rig.send(true, "unsent", 0, rig.after(20_000), &cancel);
+    assert_eq!(heard.recv_timeout(WAIT_TIMEOUT).as_deref(), Ok("NeverRan Cancelled"));
+    // The worker has it, and has not answered.
+    let cancel = ending();
+    let heard = rig.send(true, "at-work", 0, rig.after(20_000), &cancel);
+    let connection = rig.accept();
+    assert_eq!(request(&connection).as_deref(), Some("at-work"));
+    cancel.shut_down();
+    assert_eq!(heard.recv_timeout(WAIT_TIMEOUT).as_deref(), Ok("MayHaveRun Cancelled"));
+    // The client's leaving outweighs it, whichever comes first.
+    cancel.cancel();
+    cancel.shut_down();
+    assert!(cancel.is_cancelled());
+    // Its reply lies with the kernel when the process hears that it ends.
+    let cancel = ending();
+    let heard = rig.send(true, "answered", 0, rig.after(20_000), &cancel);
+    let connection = rig.accept();
+    assert_eq!(request(&connection).as_deref(), Some("answered"));
+    (&connection).write_all(answer("200 answered seal :a", "").as_bytes()).expect("written");
+    rig.turns();
+    cancel.shut_down();
+    assert_eq!(heard.recv_timeout(WAIT_TIMEOUT).as_deref(), Ok("Ran Succeeded 200 a"));
+}
+
 /// What comes on a connection that rests is nobody's: no request is put on it any more.
 #[test]
 fn idle_connections_with_surplus_bytes_are_not_reused() {
