--- a/crates/routing/tests/slow_start.rs
+++ b/crates/routing/tests/slow_start.rs
@@ -29,3 +29,16 @@
         assert!(sent.len() as f64 > 20.0 * most * 0.5, "{} in 20 s, {most} a second allowed", sent.len());
     }
 }
+
+/// A proxy that has just begun knows neither how many share a worker with it nor, while controllers are out of reach, whether
+/// the worker warms up. Several of them would each take all that it bears.
+#[test]
+fn a_proxy_that_does_not_know_how_many_there_are_sends_to_no_worker_that_may_be_warming_up() {
+    let now = Time::from_nanos(1_000_000_000);
+    let mut slow_start = SlowStart::new(1.5, 8.0);
+    for ms in [0, 100, 5_000] {
+        assert!(!slow_start.admits_unknown(now + Span::from_millis(ms), "i-1", 2.9, 0), "after {ms} ms");
+    }
+    // As soon as it knows, it takes its part.
+    assert!(slow_start.admits_unknown(now + Span::from_millis(5_100), "i-1", 2.9, 22));
+}
