--- a/crates/routing/src/slow_start.rs
+++ b/crates/routing/src/slow_start.rs
@@ -52,9 +52,13 @@
     }
 
     /// Whether a worker that may be warming up, unknown to this proxy, may get a request. `rate`: what it bears while it
-    /// warms up, in requests a second; `proxies`: how many there are in its zone.
+    /// warms up, in requests a second; `proxies`: how many there are in its zone, 0 where that is not known. Proxies that
+    /// have just begun and do not know it would each take the whole.
     pub fn admits_unknown(&mut self, now: Time, worker: &str, rate: f64, proxies: u32) -> bool {
-        let own = (rate * self.overshoot + self.slack) / f64::from(proxies.max(1));
+        if proxies == 0 {
+            return false;
+        }
+        let own = (rate * self.overshoot + self.slack) / f64::from(proxies);
         let burst = (own * UNKNOWN_BURST_PART).max(1.0);
         let bucket =
             self.unknown.entry(worker.to_string()).or_insert(TokenBucket { level: 1.0, refilled_at: now });
