--- /dev/null
+++ b/crates/routing/tests/unknown_warm_up.rs
@@ -0,0 +1,90 @@
+//! While the controllers are silent a worker may have turned cold unknown to any proxy. What all of them send to it together
+//! stays within what a cold one may get, whichever zone they are in: FAILBACK binds machines out of touch as well.
+
+use lynxstair::types::{Span, Time};
+use lynxstair_config::configuration::{Configuration, RouteKind};
+use lynxstair_config::json;
+use lynxstair_config::table::ConfigTable;
+use lynxstair_control_state::instance_registry::{InstanceRegistry, RegisteredInstance};
+use lynxstair_protocol::messages::{Instance, InstanceState};
+use lynxstair_routing::locality_balancer::{EndpointQuery, LocalityBalancer, Pick};
+use lynxstair_routing::slow_start::{SlowStart, WarmUpKnowledge};
+
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+/// How many proxies there are in each zone.
+const PROXIES_A_ZONE: u32 = 2;
+/// `cold-per-s`, `cold-overshoot` and `cold-slack`.
+const RATE: f64 = 22.0;
+const OVERSHOOT: f64 = 1.5;
+const SLACK: f64 = 5.0;
+
+const CONFIGURATION: &str = r#"{"generation":"00000001","base-version":"00000000",
+    "routes":{"columns":["name","host","path-prefix","route-kind","timeout-s","target-s","service","max-attempts"],
+    "rows":[["r","h","/","safe",3,1,"s",2]]},
+    "services":{"columns":["name","max-conns","cold-s","cold-per-s"],"rows":[["s",1000,3.0,22.0]]},
+    "limits":{},"tenants":{"columns":["name","api-keys"],"rows":[]}}"#;
+
+fn configuration() -> Configuration {
+    let value = json::parse(CONFIGURATION.as_bytes()).expect("JSON");
+    Configuration::from_table(&ConfigTable::from_json(&value).expect("a table")).expect("valid")
+}
+
+/// The only worker of the service, in zone a.
+fn worker(now: Time) -> RegisteredInstance {
+    let mut registry = InstanceRegistry::default();
+    let instance = Instance {
+        id: "i-1".to_string(),
+        service: "s".to_string(),
+        address: "127.0.0.1:9000".parse().expect("an address"),
+        zone: "a".to_string(),
+        capacity: 1_000,
+        state: InstanceState::Ready,
+        warming_up_ms: 0,
+        call_seq: 1,
+        heartbeat_age_ms: 0,
+    };
+    assert!(registry.update(now, &instance));
+    registry.instances().get("i-1").expect("known").clone()
+}
+
+fn proxies(now: Time) -> Vec<LocalityBalancer> {
+    let zones: Vec<(String, String)> = ZONES.iter().map(|z| (z.to_string(), "r".to_string())).collect();
+    let counts: Vec<(String, u32)> = ZONES.iter().map(|z| (z.to_string(), PROXIES_A_ZONE)).collect();
+    let new = |(n, zone): (u64, &str)| {
+        let mut balancer = LocalityBalancer::new(n, zone, "r", &zones, SlowStart::new(OVERSHOOT, SLACK));
+        balancer.configure(now, &configuration());
+        balancer.set_proxy_counts(now, &counts);
+        balancer.update_instance(now, "i-1", &worker(now));
+        balancer
+    };
+    (0..).zip(ZONES.iter().copied().flat_map(|zone| [zone; PROXIES_A_ZONE as usize])).map(new).collect()
+}
+
+#[test]
+fn all_zones_together_keep_to_what_a_cold_worker_may_get() {
+    let start = Time::from_nanos(10_000_000_000);
+    let mut proxies = proxies(start);
+    let mut sent: Vec<u64> = Vec::new();
+    for ms in (0..4_000).step_by(10) {
+        let now = start + Span::from_millis(ms);
+        for balancer in &mut proxies {
+            let query = EndpointQuery {
+                service: "s",
+                kind: RouteKind::Safe,
+                target: Span::from_millis(1_000),
+                deadline: now + Span::from_millis(3_000),
+                is_zone_allowed: &|_| true,
+                tried: &[],
+            };
+            if let Pick::Endpoint(_) = balancer.pick(now, &query, &|_| WarmUpKnowledge::Unknown) {
+                sent.push(ms);
+            }
+        }
+    }
+    let allowed = RATE * OVERSHOOT + SLACK;
+    assert!(!sent.is_empty(), "its own zone sends to it");
+    for ms in (0..3_000).step_by(100) {
+        let n = sent.iter().filter(|at| (ms..ms + 1_000).contains(*at)).count();
+        assert!(n as f64 <= allowed, "{n} in the second from {ms} ms, {allowed} allowed");
+    }
+}
