While the controllers are silent, and a heartbeat after, zones keep to their own workers

Change: WarmUpKnowledge::Unknown keeps to the own zone; ControllerContact holds it for 1.6 heartbeat periods after a silence.

--- a/crates/proxy/src/control_client.rs
+++ b/crates/proxy/src/control_client.rs
@@ -133,7 +133,7 @@
         ToProxy::HeartbeatAck { clock, revision, confirmed_ms_ago, is_leader } => {
             let sent_at = Time::from_nanos(clock);
             let confirmed_ago = confirmed_ms_ago.map(Span::from_millis);
-            proxy.routing().on_heartbeat_ack(sent_at, revision, confirmed_ago, is_leader);
+            proxy.routing().on_heartbeat_ack(now, sent_at, revision, confirmed_ago, is_leader);
             proxy.control().on_heartbeat_ack(connection, is_leader);
             proxy.alarms.wake_connection(now + ACKNOWLEDGEMENT_TIMEOUT, connection);
         }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -44,7 +44,7 @@
         max_workers: usize,
     ) -> Proxy {
         Proxy {
-            routing: Mutex::new(RoutingState::new(&settings, info.incarnation)),
+            routing: Mutex::new(RoutingState::new(alarms.now(), &settings, info.incarnation)),
             control: Mutex::default(),
             reload: Mutex::new(SettingsReload::from_environment()),
             clients: ClientRegistry::new(max_clients),
--- a/crates/proxy/src/routing_state.rs
+++ b/crates/proxy/src/routing_state.rs
@@ -12,6 +12,7 @@
 use lynxstair_control_state::instance_registry::InstanceRegistry;
 use lynxstair_protocol::messages::{Instance, QuotaShare, Readiness};
 use lynxstair_routing::config_lease::ConfigLease;
+use lynxstair_routing::controller_contact::{CONTACT_TIMEOUT, ControllerContact};
 use lynxstair_routing::execution::Execution;
 use lynxstair_routing::locality_balancer::{EndpointQuery, LocalityBalancer, Pick, PickedEndpoint, Worker};
 use lynxstair_routing::proxy_counts::ProxyCounts;
@@ -29,9 +30,6 @@
 const SHUTDOWN_RETRY_AFTER: Span = Span::from_millis(1);
 /// When a client may come back for whom no attempt may be made, as a fraction of the route's latency target.
 const RETRY_AFTER_PART: f64 = 0.25;
-/// If controllers were heard within this time, what workers report arrives here through them: somewhat more than the
-/// heartbeat interval.
-const CONTROLLER_CONTACT: Span = Span::from_millis(1_700);
 /// A proxy is ready for clients if its configuration was confirmed within this time.
 const READY_FRESHNESS: Span = Span::from_millis(3_000);
 /// The heartbeat period that the registry of a proxy goes by. It is very long, so that silence alone never makes an instance
@@ -75,6 +73,7 @@
     rng: Rng,
     replica: ConfigReplica,
     lease: ConfigLease,
+    contact: ControllerContact,
     registry: InstanceRegistry,
     buckets: TokenBuckets,
     retry_budget: RetryBudget,
@@ -87,12 +86,13 @@
 
 impl RoutingState {
     /// A proxy that knows nothing yet.
-    pub fn new(settings: &Settings, seed: u64) -> RoutingState {
+    pub fn new(now: Time, settings: &Settings, seed: u64) -> RoutingState {
         let bounds = &settings.bounds;
         RoutingState {
             rng: Rng::new(seed),
             replica: ConfigReplica::default(),
             lease: ConfigLease::default(),
+            contact: ControllerContact::new(now),
             registry: InstanceRegistry::default(),
             buckets: TokenBuckets::new(bounds.quota_slack, bounds.quota_overshoot),
             retry_budget: RetryBudget::new(bounds.retry_ratio, bounds.retry_slack),
@@ -196,6 +196,7 @@
     /// A heartbeat that was sent at `sent_at` is acknowledged.
     pub fn on_heartbeat_ack(
         &mut self,
+        now: Time,
         sent_at: Time,
         revision: u64,
         confirmed_ago: Option<Span>,
@@ -204,6 +205,9 @@
         if let Some(confirmed_ago) = confirmed_ago {
             self.lease.renew(sent_at, revision, confirmed_ago, self.replica.revision());
         }
+        if self.lease.is_fresh(now, CONTACT_TIMEOUT) {
+            self.contact.on_heard(now);
+        }
         if is_leader {
             self.buckets.renew_shares(sent_at);
         }
@@ -328,7 +332,7 @@
         }
         let version = self.newest_version(request);
         let settings = &self.settings;
-        let (replica, lease) = (&self.replica, &self.lease);
+        let (replica, lease, contact) = (&self.replica, &self.lease, &self.contact);
         let query = EndpointQuery {
             service: &request.service,
             kind: request.kind,
@@ -337,7 +341,7 @@
             is_zone_allowed: &|zone| is_zone_allowed(settings, &version, request, zone),
             tried: &request.tried,
         };
-        let warm_up = |zone: &str| warm_up_knowledge(now, settings, replica, lease, zone);
+        let warm_up = |zone: &str| warm_up_knowledge(now, settings, replica, lease, contact, zone);
         match self.balancer.pick(now, &query, &warm_up) {
             Pick::Endpoint(picked) => {
                 if is_first {
@@ -410,12 +414,15 @@
     settings: &Settings,
     replica: &ConfigReplica,
     lease: &ConfigLease,
+    contact: &ControllerContact,
     zone: &str,
 ) -> WarmUpKnowledge {
     let unreported = SlowStart::unreported_time(settings.heartbeat_period);
     match replica.restored_at(zone) {
         Some(at) if now - at < unreported => WarmUpKnowledge::NotYetReported,
-        _ if lease.is_fresh(now, CONTROLLER_CONTACT) => WarmUpKnowledge::Reported,
+        _ if lease.is_fresh(now, CONTACT_TIMEOUT) && contact.is_settled(now, unreported) => {
+            WarmUpKnowledge::Reported
+        }
         _ => WarmUpKnowledge::Unknown,
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod attempt;
 pub mod config_lease;
+pub mod controller_contact;
 pub mod execution;
 pub mod locality_balancer;
 pub mod proxy_counts;
--- a/crates/routing/src/locality_balancer.rs
+++ b/crates/routing/src/locality_balancer.rs
@@ -304,6 +304,10 @@
                 continue;
             }
             let knowledge = warm_up(&self.zones[n]);
+            // What a worker that may be cold bears is split over the proxies of its own zone.
+            if knowledge == WarmUpKnowledge::Unknown && self.zones[n] != self.own_zone {
+                continue;
+            }
             if let Some(picked) = self.pick_in_zone(now, n, query, request, rate, knowledge) {
                 return Pick::Endpoint(Box::new(picked));
             }
--- /dev/null
+++ b/crates/routing/tests/controller_contact.rs
@@ -0,0 +1,40 @@
+//! After a silence of the controllers, what they say of workers counts once the workers have had time to report.
+
+use lynxstair::types::{Span, Time};
+use lynxstair_routing::controller_contact::{CONTACT_TIMEOUT, ControllerContact};
+
+const UNREPORTED: Span = Span::from_millis(2_400);
+
+fn at(ms: u64) -> Time {
+    Time::from_nanos(1_000_000_000) + Span::from_millis(ms)
+}
+
+#[test]
+fn workers_have_a_heartbeats_time_to_report_after_a_silence() {
+    let mut contact = ControllerContact::new(at(0));
+    // A process that begins and is heard at once has missed nothing.
+    for ms in (900..5_000).step_by(1_000) {
+        contact.on_heard(at(ms));
+        assert!(contact.is_settled(at(ms), UNREPORTED), "{ms}");
+    }
+    // Silence: not known any more; then heard again, and known only after the workers' time.
+    assert!(contact.is_settled(at(4_899) + CONTACT_TIMEOUT, UNREPORTED));
+    assert!(!contact.is_settled(at(4_900) + CONTACT_TIMEOUT, UNREPORTED));
+    for ms in (9_000..11_400).step_by(600) {
+        contact.on_heard(at(ms));
+        assert!(!contact.is_settled(at(ms), UNREPORTED), "{ms}");
+    }
+    contact.on_heard(at(11_300));
+    assert!(!contact.is_settled(at(11_399), UNREPORTED));
+    assert!(contact.is_settled(at(11_400), UNREPORTED));
+}
+
+#[test]
+fn a_process_that_begins_while_the_controllers_are_silent_waits_as_well() {
+    let mut contact = ControllerContact::new(at(0));
+    contact.on_heard(at(5_000));
+    assert!(!contact.is_settled(at(5_000), UNREPORTED));
+    contact.on_heard(at(6_000));
+    contact.on_heard(at(7_000));
+    assert!(contact.is_settled(at(7_400), UNREPORTED));
+}
