Soak: clients leave out an address that served them nothing, as the operators' do

Traced by its logs: clients with an old answer of the directory came back at once, again and again, to proxies that were closing for 0.6 to 2 s.

--- a/crates/fault-injection/src/soak/clients.rs
+++ b/crates/fault-injection/src/soak/clients.rs
@@ -142,16 +142,27 @@
             return thread::sleep(Duration::from_millis(50));
         };
         let Some(proxy) = (0..self.proxies).find(|n| self.net.front(*n) == address) else { return };
-        let Ok(stream) = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT) else { return };
+        if !self.use_connection_to(address, proxy, is_over) {
+            // Left out until the directory is asked again.
+            self.addresses.retain(|a| *a != address);
+        }
+    }
+
+    /// Whether the address served anything.
+    fn use_connection_to(&mut self, address: SocketAddr, proxy: usize, is_over: &AtomicBool) -> bool {
+        let Ok(stream) = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT) else { return false };
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
         let mut reader = BufReader::new(&stream);
+        let mut batches = 0;
         while !is_over.load(Ordering::Relaxed) {
             if !self.send_batch(&stream, &mut reader, proxy) {
-                return;
+                break;
             }
+            batches += 1;
             thread::sleep(Duration::from_millis(self.chance.random_range(0..MAX_PAUSE_MS)));
         }
+        batches > 0
     }
 
     /// Sends one request, or several safe ones behind one another; false where the connection has ended.
