Sight: each proxy logs what it sent to workers that are or may be warming up

The incident's hypotheses could not be told apart: nobody counted which proxy sent what. A line for each second with such requests: workers, requests known and unknown, the most to one worker, proxies in the zone.

--- a/crates/proxy/src/routing_state.rs
+++ b/crates/proxy/src/routing_state.rs
@@ -17,7 +17,7 @@
 use lynxstair_routing::locality_balancer::{EndpointQuery, LocalityBalancer, Pick, PickedEndpoint, Worker};
 use lynxstair_routing::proxy_counts::ProxyCounts;
 use lynxstair_routing::retry_budget::RetryBudget;
-use lynxstair_routing::slow_start::{SlowStart, WarmUpKnowledge};
+use lynxstair_routing::slow_start::{SlowStart, WarmUpKnowledge, WarmUpUsage};
 use lynxstair_routing::token_buckets::TokenBuckets;
 use lynxstair_routing::weighted_split::WeightedSplit;
 
@@ -229,6 +229,17 @@
         self.share_with_proxies(now);
     }
 
+    /// How many proxies there may be in the own zone, 0 where that is not known.
+    pub fn proxies_in_zone(&self) -> u32 {
+        let zones = self.proxy_counts.zones();
+        zones.iter().find(|(zone, _)| *zone == self.settings.zone).map_or(0, |(_, count)| *count)
+    }
+
+    /// What went to workers that may be warming up, since the last call; None for nothing.
+    pub fn take_warm_up_usage(&mut self) -> Option<WarmUpUsage> {
+        self.balancer.take_warm_up_usage()
+    }
+
     fn share_with_proxies(&mut self, now: Time) {
         let zones = self.proxy_counts.zones();
         let total = zones.iter().map(|(_, count)| count).sum();
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -27,6 +27,8 @@
 const BUFFER_DIVISOR: usize = 2;
 /// How often the periodic upkeep is done.
 const UPKEEP_INTERVAL: Span = Span::from_millis(200);
+/// How often it is logged what went to workers that may be warming up.
+const USAGE_LOG_INTERVAL: Span = Span::from_millis(1_000);
 /// After SIGTERM clients still come for this part of the grace, as they learn of it late. What is admitted last has the time
 /// up to `ANSWERING_PART` to be answered by its worker.
 const DRAINING_PART: f64 = 0.48;
@@ -97,14 +99,32 @@
 }
 
 fn do_upkeep(proxy: &Proxy) {
+    let mut usage_logged_at = proxy.alarms.now();
     loop {
         let now = proxy.alarms.now();
         proxy.routing().tick(now);
         proxy.workers.expire(now);
+        if now - usage_logged_at >= USAGE_LOG_INTERVAL {
+            usage_logged_at = now;
+            log_warm_up_usage(proxy);
+        }
         proxy.alarms.sleep_until(now + UPKEEP_INTERVAL);
     }
 }
 
+/// A line for each second in which workers that may be warming up got requests: who sent what is not seen anywhere else.
+fn log_warm_up_usage(proxy: &Proxy) {
+    let (usage, proxies) = {
+        let mut routing = proxy.routing();
+        (routing.take_warm_up_usage(), routing.proxies_in_zone())
+    };
+    let Some(usage) = usage else { return };
+    info!(
+        workers = usage.workers, known = usage.known, unknown = usage.unknown, most = usage.most, proxies = proxies;
+        "requests to warming workers"
+    );
+}
+
 fn answer_readiness(proxy: &Proxy, call: &Request) -> Response {
     match (call.method, &call.segments[..]) {
         ("GET", ["readiness"]) => {
--- a/crates/routing/src/locality_balancer.rs
+++ b/crates/routing/src/locality_balancer.rs
@@ -17,7 +17,7 @@
 use lynxstair_dispatch::{Assignment, Decision, Dispatcher};
 use lynxstair_protocol::messages::InstanceState;
 
-use crate::slow_start::{SlowStart, WarmUpKnowledge};
+use crate::slow_start::{SlowStart, WarmUpKnowledge, WarmUpUsage};
 
 /// Events closer together than this count as simultaneous for the decision module.
 const STEP: Span = Span::from_millis(1);
@@ -371,6 +371,11 @@
         }
     }
 
+    /// What went to workers that may be warming up, since the last call; None for nothing.
+    pub fn take_warm_up_usage(&mut self) -> Option<WarmUpUsage> {
+        self.slow_start.take_usage()
+    }
+
     /// The module's own upkeep; several times a second.
     pub fn tick(&mut self, now: Time) {
         for locality in self.localities.values() {
--- a/crates/routing/src/slow_start.rs
+++ b/crates/routing/src/slow_start.rs
@@ -35,9 +35,24 @@
     Unknown,
 }
 
+/// What went to workers that are, or may be, warming up: for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WarmUpUsage {
+    /// How many such workers got requests.
+    pub workers: usize,
+    /// How many requests went to those that are known to warm up.
+    pub known: u32,
+    /// How many to those that may, unknown to this proxy.
+    pub unknown: u32,
+    /// The most that went to one of them.
+    pub most: u32,
+}
+
 /// Token buckets of the workers that are, or may be, warming up.
 #[derive(Default)]
 pub struct SlowStart {
+    /// Requests that went to each since the last look: to it as known to warm up, and as one that may.
+    sent: HashMap<String, (u32, u32)>,
     warming: HashMap<String, TokenBucket>,
     unknown: HashMap<String, TokenBucket>,
     overshoot: f64,
@@ -70,6 +85,7 @@
         if let Some(bucket) = self.unknown.get_mut(worker) {
             bucket.level -= 1.0;
         }
+        self.sent.entry(worker.to_string()).or_default().1 += 1;
     }
 
     /// Whether a request may go to a warming worker now.
@@ -88,6 +104,7 @@
         if let Some(bucket) = self.warming.get_mut(worker) {
             bucket.level -= 1.0;
         }
+        self.sent.entry(worker.to_string()).or_default().0 += 1;
     }
 
     /// Forgets workers that are warm or gone, and what was counted while the controllers were out of reach.
@@ -96,6 +113,20 @@
         self.warming.retain(|worker, _| is_warming(worker));
     }
 
+    /// What was sent since the last call; None for nothing.
+    pub fn take_usage(&mut self) -> Option<WarmUpUsage> {
+        if self.sent.is_empty() {
+            return None;
+        }
+        let mut usage = WarmUpUsage { workers: self.sent.len(), ..WarmUpUsage::default() };
+        for (_, (known, unknown)) in self.sent.drain() {
+            usage.known += known;
+            usage.unknown += unknown;
+            usage.most = usage.most.max(known + unknown);
+        }
+        Some(usage)
+    }
+
     /// For how long the workers of a restored zone count as warming up, until they say otherwise.
     pub fn unreported_time(heartbeat_period: Span) -> Span {
         heartbeat_period.times(UNREPORTED_HEARTBEATS)
