--- a/crates/routing/tests/controller_contact.rs
+++ b/crates/routing/tests/controller_contact.rs
@@ -38,3 +38,14 @@
     contact.on_heard(at(7_000));
     assert!(contact.is_settled(at(7_400), UNREPORTED));
 }
+
+/// Proxies and controllers begin together after a loss of power: the controllers tell at once what their disks hold of the
+/// workers, who have turned cold meanwhile and have said so to nobody.
+#[test]
+fn a_process_that_begins_with_the_controllers_waits_for_what_workers_say() {
+    let mut contact = ControllerContact::new(at(0));
+    contact.on_heard(at(300));
+    assert!(!contact.is_settled(at(300), UNREPORTED));
+    contact.on_heard(at(1_300));
+    assert!(!contact.is_settled(at(1_300), UNREPORTED));
+}
