Whole permits for cold workers, by a replicated membership of the proxies

Change: the proxies of all zones are part of the replicated state and change as in joint consensus (control-state: proxy_membership, membership_planner). Each holds whole permits for each worker by rendezvous hashing, one request in any 1.1 s each, whatever is known of the worker, taken again in the step that hands the request over. Three quarters are the worker's own zone's, a quarter the others', for when it is not known whether it is cold. A process uses none in its first window. A proxy relies on what controllers say of workers once the leader has heard all of them for a heartbeat's time (knows_lives in the acknowledgement), or 1.6 heartbeats after a silence. One test changed its claim: a process that begins and is heard at once has missed nothing only beside a leader that all have reported to.

--- a/crates/control-state/src/config_replica.rs
+++ b/crates/control-state/src/config_replica.rs
@@ -8,6 +8,7 @@
 use lynxstair_config::table::ConfigTable;
 
 use crate::config_update::{ConfigUpdate, TableDelta};
+use crate::proxy_membership::ProxyMembership;
 
 /// One revision, as all decisions on a request see it.
 #[derive(Debug)]
@@ -18,6 +19,8 @@
     pub configuration: Arc<Configuration>,
     /// Zones that requests are kept out of.
     pub evacuated: BTreeSet<String>,
+    /// Over which proxies whole permits are split.
+    pub membership: Arc<ProxyMembership>,
 }
 
 /// What a proxy holds of the configuration.
@@ -25,6 +28,7 @@
 pub struct ConfigReplica {
     version: Option<Arc<ConfigVersion>>,
     table: ConfigTable,
+    membership: Arc<ProxyMembership>,
     revision: u64,
     /// An update did not fit what is here: a snapshot is needed.
     needs_snapshot: bool,
@@ -39,10 +43,11 @@
         if revision < self.revision || revision == self.revision && !self.needs_snapshot {
             return false;
         }
-        let Some((table, evacuated)) = self.updated(update) else { return false };
+        let Some((table, evacuated, membership)) = self.updated(update) else { return false };
         let is_newer = revision > self.revision;
         self.needs_snapshot = false;
         self.revision = revision;
+        self.membership = membership;
         self.record_restored(now, &evacuated);
         let older = self.version.as_ref().map(|v| (&self.table, &*v.configuration));
         // Where the last table could not be read, the version in force is of one before it.
@@ -54,32 +59,33 @@
             _ => self.version.as_ref().map(|v| v.configuration.clone()),
         };
         if let Some(configuration) = configuration {
-            self.version = Some(Arc::new(ConfigVersion { revision, configuration, evacuated }));
+            let membership = self.membership.clone();
+            self.version = Some(Arc::new(ConfigVersion { revision, configuration, evacuated, membership }));
         }
         self.table = table;
         is_newer
     }
 
-    /// The tables and evacuated zones that an update makes of what is here; None where it does not fit.
-    fn updated(&mut self, update: &[u8]) -> Option<(ConfigTable, BTreeSet<String>)> {
+    /// The tables, evacuated zones and membership that an update makes of what is here; None where it does not fit.
+    fn updated(&mut self, update: &[u8]) -> Option<(ConfigTable, BTreeSet<String>, Arc<ProxyMembership>)> {
         match ciborium::from_reader(update) {
             Err(_) => {
                 self.needs_snapshot = true;
                 None
             }
-            Ok(ConfigUpdate::Snapshot { mut table, evacuated }) => {
+            Ok(ConfigUpdate::Snapshot { mut table, evacuated, membership }) => {
                 table.share_rows_with(&self.table);
-                Some((table, evacuated))
+                Some((table, evacuated, Arc::new(membership.unwrap_or_default())))
             }
             // It builds on a revision that is not the one here: the next heartbeat tells the controller which one is.
             Ok(ConfigUpdate::Delta { from, .. }) if from != self.revision => None,
-            Ok(ConfigUpdate::Delta { generation, extra, tables, evacuated, digest, .. }) => {
+            Ok(ConfigUpdate::Delta { generation, extra, tables, evacuated, digest, membership, .. }) => {
                 let table = self.patched(generation, extra, tables);
                 if table.digest() != digest {
                     self.needs_snapshot = true;
                     return None;
                 }
-                Some((table, evacuated))
+                Some((table, evacuated, membership.map_or_else(|| self.membership.clone(), Arc::new)))
             }
         }
     }
--- a/crates/control-state/src/config_store.rs
+++ b/crates/control-state/src/config_store.rs
@@ -13,6 +13,7 @@
 
 use crate::applied_commands::AppliedCommands;
 use crate::command::{Command, Operation, ParsedCommand};
+use crate::proxy_membership::ProxyMembership;
 
 pub use crate::applied_commands::MAX_APPLIED_COMMANDS;
 
@@ -25,6 +26,8 @@
     pub generation: u64,
     /// Zones that requests are kept out of.
     pub evacuated: BTreeSet<String>,
+    /// Over which proxies whole permits are split.
+    pub membership: Arc<ProxyMembership>,
     table: ConfigTable,
     /// What the table says, once that was asked for; None where there is none yet, or this build can't act on it.
     configuration: Arc<OnceLock<Option<Arc<Configuration>>>>,
@@ -44,6 +47,8 @@
     #[serde(rename = "marks")]
     applied: &'a Bytes,
     forgotten: Option<u64>,
+    #[serde(skip_serializing_if = "ProxyMembership::is_empty")]
+    membership: &'a ProxyMembership,
 }
 
 #[derive(Deserialize)]
@@ -56,6 +61,8 @@
     #[serde(default, rename = "marks")]
     applied: Bytes,
     forgotten: Option<u64>,
+    #[serde(default)]
+    membership: ProxyMembership,
     /// The JSON text of the configuration, as the first landing stored it instead of a table and applied commands.
     #[serde(default)]
     text: String,
@@ -151,6 +158,7 @@
             revision: decoded.revision,
             generation: table.generation,
             evacuated: decoded.evacuated,
+            membership: Arc::new(decoded.membership),
             table,
             configuration: Arc::new(configuration),
             applied: AppliedCommands { entries: decoded.applied, forgotten },
@@ -166,6 +174,7 @@
             evacuated: &self.evacuated,
             applied: &self.applied.entries,
             forgotten: self.applied.forgotten,
+            membership: &self.membership,
         };
         let mut out = Vec::new();
         ciborium::into_writer(&encoded, &mut out).expect("the state encodes, and memory takes it");
@@ -223,6 +232,13 @@
         }
     }
 
+    /// The state with another proxy membership, which is changed by this revision.
+    pub fn with_membership(&self, mut membership: ProxyMembership) -> ConfigStore {
+        let revision = self.revision + 1;
+        membership.revision = revision;
+        ConfigStore { revision, membership: Arc::new(membership), ..self.clone() }
+    }
+
     fn set_evacuated(&self, zone: &str, is_evacuated: bool, zones: &[(String, String)]) -> CommandOutcome {
         if !zones.iter().any(|(known, _)| known == zone) {
             return CommandOutcome::Rejected(Rejection::UnknownZone(zone.to_string()));
@@ -321,6 +337,7 @@
             revision: self.revision + 1,
             generation: table.generation,
             evacuated: self.evacuated.clone(),
+            membership: self.membership.clone(),
             table,
             configuration: Arc::new(OnceLock::from(Some(configuration))),
             applied,
@@ -335,6 +352,7 @@
         self.revision == other.revision
             && self.table == other.table
             && self.evacuated == other.evacuated
+            && self.membership == other.membership
             && self.applied == other.applied
     }
 }
--- a/crates/control-state/src/config_update.rs
+++ b/crates/control-state/src/config_update.rs
@@ -6,6 +6,8 @@
 use lynxstair_protocol::digest;
 use serde::{Deserialize, Serialize};
 
+use crate::proxy_membership::ProxyMembership;
+
 /// One committed configuration.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum ConfigUpdate {
@@ -14,6 +16,8 @@
         #[serde(rename = "sheet")]
         table: ConfigTable,
         evacuated: BTreeSet<String>,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        membership: Option<ProxyMembership>,
     },
     /// What to change in the configuration of revision `from`.
     Delta {
@@ -26,6 +30,9 @@
         evacuated: BTreeSet<String>,
         /// Of the resulting table.
         digest: [u8; digest::LENGTH],
+        /// Where it changed.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        membership: Option<ProxyMembership>,
     },
 }
 
--- a/crates/control-state/src/delta_log.rs
+++ b/crates/control-state/src/delta_log.rs
@@ -18,6 +18,7 @@
     to: u64,
     tables: [TableDiff; 3],
     is_extra_changed: bool,
+    is_membership_changed: bool,
 }
 
 /// The newest steps from revision to revision, without a gap.
@@ -52,6 +53,7 @@
         let update = self.delta(store, from).unwrap_or_else(|| ConfigUpdate::Snapshot {
             table: store.table().clone(),
             evacuated: store.evacuated.clone(),
+            membership: (!store.membership.is_empty()).then(|| (*store.membership).clone()),
         });
         let mut out = Vec::new();
         ciborium::into_writer(&update, &mut out).expect("an update encodes, and memory takes it");
@@ -64,6 +66,7 @@
             return None;
         }
         let table = store.table();
+        let has_new_membership = self.steps.range(first..).any(|step| step.is_membership_changed);
         Some(ConfigUpdate::Delta {
             from,
             generation: table.generation,
@@ -71,6 +74,7 @@
             tables: std::array::from_fn(|n| self.table_delta(store, n, first)),
             evacuated: store.evacuated.clone(),
             digest: table.digest(),
+            membership: has_new_membership.then(|| (*store.membership).clone()),
         })
     }
 
@@ -101,6 +105,7 @@
             to: newer.revision,
             tables: diffs.try_into().ok()?,
             is_extra_changed: old.extra != new.extra,
+            is_membership_changed: older.membership != newer.membership,
         })
     }
 
--- a/crates/control-state/src/failure_detector.rs
+++ b/crates/control-state/src/failure_detector.rs
@@ -5,7 +5,7 @@
 use lynxstair::types::{Span, Time};
 use lynxstair_protocol::messages::Instance;
 
-use crate::instance_registry::InstanceRegistry;
+use crate::instance_registry::{InstanceRegistry, report_time};
 
 /// A detector that has not been called for this long was stopped with its process: heartbeats that arrived meanwhile may
 /// still be unread.
@@ -85,6 +85,17 @@
         };
     }
 
+    /// Whether every worker has had the time to report since this controller began to lead, without a break: what it says of
+    /// workers is then what they say themselves, and not what an earlier leader or its disk held.
+    pub fn has_complete_view(&self, now: Time) -> bool {
+        self.leader_since.is_some_and(|since| now - since >= self.report_time())
+    }
+
+    /// How long workers may need to say that they have turned cold.
+    pub fn report_time(&self) -> Span {
+        report_time(self.heartbeat_period)
+    }
+
     /// A worker has sent a heartbeat.
     pub fn record_heartbeat(&mut self, now: Time, instance: &Instance) -> HeartbeatOutcome {
         let is_changed = self.registry.update(now, instance);
--- a/crates/control-state/src/instance_registry.rs
+++ b/crates/control-state/src/instance_registry.rs
@@ -18,6 +18,14 @@
 /// A change of the end of warm-up by less than this is not passed on.
 const WARM_UP_TOLERANCE: Span = Span::from_millis(400);
 
+/// By this many heartbeat periods after something that may have made workers cold, each has had the time to say so.
+const REPORT_HEARTBEATS: f64 = 1.6;
+
+/// How long workers may need to say that they have turned cold.
+pub fn report_time(heartbeat_period: Span) -> Span {
+    heartbeat_period.times(REPORT_HEARTBEATS)
+}
+
 /// An instance, with spans turned into times of this process's clock.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RegisteredInstance {
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`instance_registry`], [`failure_detector`] | worker instances; who is unresponsive | both; controllers |
 //! | [`quota_allocator`], [`quota_limits`] | shares of quotas | the leader |
 //! | [`directory`] | proxies that clients may connect to | controllers |
+//! | [`proxy_membership`], [`membership_planner`] | over which proxies whole permits are split; when that changes | both; the leader |
 //! | [`peer_set`] | controllers to connect to | both |
 #![forbid(unsafe_code)]
 
@@ -23,7 +24,9 @@
 pub mod directory;
 pub mod failure_detector;
 pub mod instance_registry;
+pub mod membership_planner;
 pub mod peer_set;
+pub mod proxy_membership;
 pub mod quota_allocator;
 pub mod quota_limits;
 pub mod subscription;
--- a/crates/control-state/tests/golden.rs
+++ b/crates/control-state/tests/golden.rs
@@ -8,6 +8,7 @@
 use lynxstair_control_state::config_replica::ConfigReplica;
 use lynxstair_control_state::config_store::{CommandOutcome, ConfigStore};
 use lynxstair_control_state::delta_log::DeltaLog;
+use lynxstair_control_state::proxy_membership::{Members, ProxyMembership};
 
 const FIRST: &str = r#"{"generation":"00000003","base-version":"00000000","note":"first",
     "routes":{"columns":["name","host","path-prefix","route-kind","service"],
@@ -76,3 +77,27 @@
     let version = replica.version().expect("one is in force");
     assert_eq!((version.configuration.generation, version.evacuated.contains("z")), (5, true));
 }
+
+fn members(names: &[&str]) -> Members {
+    [("z".to_string(), names.iter().map(|name| name.to_string()).collect())].into()
+}
+
+/// With proxies that hold permits, and a change of them under way.
+#[test]
+fn a_stored_membership_keeps_its_names() {
+    let [first, ..] = stores();
+    let store = first.with_membership(ProxyMembership::new(0, members(&["e-2", "e-1"])));
+    let changing = store.with_membership(store.membership.changed_to(members(&["e-1", "e-3"])));
+    let encoded = stored("configuration-membership", &changing.encode());
+    assert_eq!(changing.encode(), encoded, "written otherwise than it is stored");
+    assert_eq!(ConfigStore::decode(&encoded).expect("readable"), changing);
+
+    let mut steps = DeltaLog::default();
+    steps.record(&store, &changing);
+    let mut replica = ConfigReplica::default();
+    assert!(replica.apply_update(Time::default(), store.revision, &steps.encode_update(&store, 0)));
+    let delta = stored("feed-delta-membership", &steps.encode_update(&changing, store.revision));
+    assert_eq!(steps.encode_update(&changing, store.revision), delta, "written otherwise than it is stored");
+    assert!(replica.apply_update(Time::default(), changing.revision, &delta));
+    assert_eq!(replica.version().expect("one is in force").membership, changing.membership);
+}
--- a/crates/controller/src/consensus_driver.rs
+++ b/crates/controller/src/consensus_driver.rs
@@ -63,7 +63,7 @@
         return;
     };
     let (revision, generation) = (store.revision, store.generation);
-    if !state.committed.advance(store) {
+    if !state.committed.advance(now, store) {
         return;
     }
     info!(revision = revision, generation = generation, term = position.term; "configuration committed");
--- a/crates/controller/src/startup.rs
+++ b/crates/controller/src/startup.rs
@@ -11,6 +11,7 @@
 use lynxstair_config::settings_reload::ReloadTrigger;
 use lynxstair_consensus::{Consensus, ConsensusConfig, NodeAddress};
 use lynxstair_control_state::directory::Directory;
+use lynxstair_control_state::membership_planner::MembershipPlanner;
 use lynxstair_net::alarms::Alarms;
 use lynxstair_net::clock::Clock;
 use lynxstair_net::coroutine::{configure_runtime, spawn};
@@ -112,6 +113,7 @@
         instances: Instances::new(now, &instances, settings.heartbeat_period),
         subscribers: Subscribers::new(&settings.bounds),
         peers: PeerConnections::new(now),
+        membership: MembershipPlanner::default(),
         directory: Directory::default(),
         logged: LoggedStatus::default(),
         timer: Timer::default(),
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -5,6 +5,7 @@
 use lynxstair_consensus::{Consensus, NodeAddress};
 use lynxstair_control_state::directory::Directory;
 use lynxstair_control_state::failure_detector::{HeartbeatOutcome, QuorumRole};
+use lynxstair_control_state::membership_planner::MembershipPlanner;
 use lynxstair_protocol::messages::{Instance, ProxyHeartbeat, Readiness, ToController, ToProxy};
 
 use crate::committed_config::CommittedConfig;
@@ -39,6 +40,8 @@
     pub subscribers: Subscribers,
     /// The other controllers.
     pub peers: PeerConnections,
+    /// When this controller, as the leader, changes the proxy membership.
+    pub membership: MembershipPlanner,
     /// Where clients may connect.
     pub directory: Directory,
     /// The consensus status as logged last.
@@ -141,15 +144,18 @@
     ) -> bool {
         let Some(proxy) = self.subscribers.proxy(id) else { return false };
         let is_changed = self.directory.on_heartbeat(received_at, proxy, heartbeat.readiness);
+        self.membership.on_heartbeat(received_at, &proxy.node, &proxy.zone, heartbeat.membership);
         if is_changed && heartbeat.readiness == Readiness::ShuttingDown {
             self.publish_proxy_changes(now);
         }
+        self.update_quorum_role(now);
         let context = HeartbeatContext {
             committed: &self.committed,
             is_active_leader: self.is_active_leader(now),
             is_established_leader: self.consensus.is_established_leader(),
             confirmed_at: self.consensus.confirmed_at(),
             knows_all_proxies: now - self.started_at >= PROXY_SETTLE_TIME,
+            knows_instances: self.knows_instances(now),
         };
         self.subscribers.on_heartbeat(now, id, heartbeat, &context);
         true
@@ -170,6 +176,14 @@
         self.instances.detector.set_quorum_role(now, quorum_role);
     }
 
+    /// Whether what is said here of workers is what they say themselves: all have had the time to report to this leader, also
+    /// since the last evacuation ended.
+    fn knows_instances(&self, now: Time) -> bool {
+        let detector = &self.instances.detector;
+        let has_reported = |at: Time| now - at >= detector.report_time();
+        detector.has_complete_view(now) && self.committed.zone_restored_at.is_none_or(has_reported)
+    }
+
     /// What another controller says of instances. That one tells its subscribers; the leader does so too, for those that
     /// can't be reached from there.
     pub fn on_instance_updates(&mut self, now: Time, instances: &[Instance]) {
--- a/crates/controller/src/subscribers.rs
+++ b/crates/controller/src/subscribers.rs
@@ -42,6 +42,8 @@
     pub confirmed_at: Option<Time>,
     /// It has been up for long enough that every proxy has found it, so that it may say how many there are.
     pub knows_all_proxies: bool,
+    /// What it says of workers is what they say themselves.
+    pub knows_instances: bool,
 }
 
 /// All subscriptions.
@@ -176,6 +178,7 @@
             revision: context.committed.store.revision,
             confirmed_ms_ago,
             is_leader: context.is_active_leader,
+            knows_instances: context.knows_instances,
         };
         send(&subscriber.connection, &acknowledgement);
         let proxy = &subscriber.proxy;
--- a/crates/controller/src/timers.rs
+++ b/crates/controller/src/timers.rs
@@ -44,9 +44,28 @@
     check_instances(controller, now, state);
     peer_links::maintain(controller, now, state);
     state.publish_proxy_changes(now);
+    propose_membership(controller, now, state);
     state.log_status(now);
 }
 
+/// Has a change of the proxy membership replicated, where one is due. It is tried again until it is committed.
+fn propose_membership(controller: &Arc<Controller>, now: Time, state: &mut ControllerState) {
+    let is_leading = state.is_active_leader(now) && !state.committed.is_unreadable;
+    let Some(membership) = state.membership.plan(now, is_leading, &state.committed.store.membership) else {
+        return;
+    };
+    if state.consensus.has_uncommitted() {
+        return;
+    }
+    let members: usize = membership.current().values().map(Vec::len).sum();
+    let is_changing = membership.is_changing();
+    let store = state.committed.store.with_membership(membership);
+    if state.consensus.propose(now, store.encode()).is_some() {
+        info!(members = members, is_changing = is_changing; "proxy membership proposed");
+        perform_actions(controller, now, state);
+    }
+}
+
 /// Publishes which instances have become unresponsive, and has changed ones stored.
 fn check_instances(controller: &Controller, now: Time, state: &mut ControllerState) {
     state.update_quorum_role(now);
--- a/crates/controller/tests/cluster.rs
+++ b/crates/controller/tests/cluster.rs
@@ -170,6 +170,7 @@
 
     fn ping(&mut self, readiness: Readiness) {
         self.say(&ToController::Heartbeat(ProxyHeartbeat {
+            membership: 0,
             clock: 1,
             revision: 0,
             readiness,
--- a/crates/emulator/src/core/controller.rs
+++ b/crates/emulator/src/core/controller.rs
@@ -204,7 +204,13 @@
         let fresh = self.consensus.confirmed_at().map(|at| (now - at).nanos().div_ceil(1_000_000));
         self.out.push(Out::Tell(
             Some(edge),
-            ToProxy::HeartbeatAck { clock, revision: index, confirmed_ms_ago: fresh, is_leader: leads },
+            ToProxy::HeartbeatAck {
+                clock,
+                revision: index,
+                confirmed_ms_ago: fresh,
+                is_leader: leads,
+                knows_instances: false,
+            },
         ));
     }
 
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -169,6 +169,9 @@
     /// The number of the quota shares that it received last.
     #[serde(rename = "got")]
     pub received_shares: u64,
+    /// The revision of the proxy membership that it has held for as long as a confirmation of one may be old; 0 for none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub membership: u64,
     /// Usage since the last report.
     #[serde(rename = "counts")]
     pub usage: Vec<TenantUsage>,
@@ -177,6 +180,10 @@
     pub held_shares: Option<Vec<(String, f32)>>,
 }
 
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 /// To a controller, from a proxy or from another controller.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ToController {
@@ -265,6 +272,10 @@
         /// The sender leads, in contact with a quorum.
         #[serde(rename = "leads")]
         is_leader: bool,
+        /// What the sender has said of workers is what they say themselves: all have had the time to report to it, also
+        /// since the last evacuation ended.
+        #[serde(rename = "knows_lives", default, skip_serializing_if = "std::ops::Not::not")]
+        knows_instances: bool,
     },
     /// From the leader: quota shares that changed.
     #[serde(rename = "Shares")]
--- a/crates/protocol/tests/golden.rs
+++ b/crates/protocol/tests/golden.rs
@@ -64,6 +64,7 @@
         revision: 4,
         readiness,
         received_shares: 3,
+        membership: 0,
         usage: vec![count],
         held_shares: holds,
     }
@@ -112,6 +113,8 @@
         "to-controller-ping",
         &ToController::Heartbeat(ping(Readiness::Ready, Some(vec![("t".into(), 0.25)]))),
     );
+    let with_membership = ProxyHeartbeat { membership: 7, ..ping(Readiness::Ready, None) };
+    check("to-controller-ping-membership", &ToController::Heartbeat(with_membership));
     check("to-controller-ping-stale", &ToController::Heartbeat(ping(Readiness::Stale, None)));
     check(
         "to-controller-core",
@@ -157,6 +160,17 @@
             revision: 4,
             confirmed_ms_ago: Some(15),
             is_leader: true,
+            knows_instances: false,
+        },
+    );
+    check(
+        "to-proxy-pong-knows-lives",
+        &ToProxy::HeartbeatAck {
+            clock: 123_456_789,
+            revision: 4,
+            confirmed_ms_ago: Some(15),
+            is_leader: true,
+            knows_instances: true,
         },
     );
     check("to-proxy-shares", &ToProxy::QuotaShares { number: 3, shares: vec![share] });
--- a/crates/proxy/src/control_client.rs
+++ b/crates/proxy/src/control_client.rs
@@ -14,6 +14,7 @@
 
 use crate::control_connections::{ControlConnections, HeartbeatContents, MAX_UNSENT_BYTES};
 use crate::proxy::Proxy;
+use crate::routing_state::HeartbeatAck;
 
 /// How often heartbeats are sent.
 const HEARTBEAT_INTERVAL: Span = Span::from_millis(1_000);
@@ -82,6 +83,7 @@
     HeartbeatContents {
         revision: routing.delta_base(),
         readiness: routing.readiness(now),
+        membership: routing.reported_membership(now),
         usage: Vec::new(),
         held_shares: connections.needs_held_shares().then(|| routing.buckets().held_shares(now)),
     }
@@ -130,10 +132,11 @@
             send_heartbeat_on(proxy, connection);
         }
         ToProxy::Instances { instances, .. } => proxy.routing().apply_instances(now, &instances),
-        ToProxy::HeartbeatAck { clock, revision, confirmed_ms_ago, is_leader } => {
+        ToProxy::HeartbeatAck { clock, revision, confirmed_ms_ago, is_leader, knows_instances } => {
             let sent_at = Time::from_nanos(clock);
             let confirmed_ago = confirmed_ms_ago.map(Span::from_millis);
-            proxy.routing().on_heartbeat_ack(now, sent_at, revision, confirmed_ago, is_leader);
+            let ack = HeartbeatAck { sent_at, revision, confirmed_ago, is_leader, knows_instances };
+            proxy.routing().on_heartbeat_ack(now, &ack);
             proxy.control().on_heartbeat_ack(connection, is_leader);
             proxy.alarms.wake_connection(now + ACKNOWLEDGEMENT_TIMEOUT, connection);
         }
--- a/crates/proxy/src/control_connections.rs
+++ b/crates/proxy/src/control_connections.rs
@@ -31,6 +31,8 @@
     pub revision: u64,
     /// Whether clients may connect.
     pub readiness: Readiness,
+    /// The revision of the proxy membership that is held, as a controller is told.
+    pub membership: u64,
     /// Usage since the last heartbeat to all.
     pub usage: Vec<TenantUsage>,
     /// Shares of quotas that are held, where a leader needs to be told.
@@ -165,6 +167,7 @@
             clock: now.nanos(),
             revision: contents.revision,
             readiness: contents.readiness,
+            membership: contents.membership,
             received_shares: self.received_shares,
             usage,
             held_shares: if tells_shares { contents.held_shares.clone() } else { None },
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -97,7 +97,7 @@
             (Err(_), Some(failure)) => return Ok((request, failure)),
             (Err(response), None) => return Err(response),
         };
-        let may_forward = |now| proxy.routing().may_forward(now, &request, &picked.worker);
+        let may_forward = |now| proxy.routing().may_forward(now, &request, &picked);
         let tenant = request.tenant.as_deref();
         let outgoing = OutgoingRequest { head, body, tenant, attempt_id, may_forward: &may_forward };
         let result = proxy.workers.forward(&proxy.alarms, &picked.worker, &outgoing, deadline, cancel);
--- a/crates/proxy/src/routing_state.rs
+++ b/crates/proxy/src/routing_state.rs
@@ -9,7 +9,8 @@
 use lynxstair_config::configuration::{Configuration, Route, RouteKind, Tenant};
 use lynxstair_config::settings::Settings;
 use lynxstair_control_state::config_replica::{ConfigReplica, ConfigVersion};
-use lynxstair_control_state::instance_registry::InstanceRegistry;
+use lynxstair_control_state::instance_registry::{InstanceRegistry, report_time};
+use lynxstair_control_state::membership_planner::CONFIRMATION_AGE;
 use lynxstair_protocol::messages::{Instance, QuotaShare, Readiness};
 use lynxstair_routing::config_lease::ConfigLease;
 use lynxstair_routing::controller_contact::{CONTACT_TIMEOUT, ControllerContact};
@@ -48,6 +49,21 @@
     pub time_left: Option<Span>,
 }
 
+/// A controller's acknowledgement of a heartbeat.
+#[derive(Clone, Copy, Debug)]
+pub struct HeartbeatAck {
+    /// When the heartbeat was sent.
+    pub sent_at: Time,
+    /// The newest revision committed as far as the controller knows.
+    pub revision: u64,
+    /// How long before the heartbeat arrived it was certain that there was no newer one; None where it is not.
+    pub confirmed_ago: Option<Span>,
+    /// It leads.
+    pub is_leader: bool,
+    /// What it has said of workers is what they say themselves.
+    pub knows_instances: bool,
+}
+
 /// A request that was admitted, with the version of the configuration that admitted it.
 pub struct AdmittedRequest {
     version: Arc<ConfigVersion>,
@@ -80,6 +96,8 @@
     balancer: LocalityBalancer,
     split: WeightedSplit,
     proxy_counts: ProxyCounts,
+    /// The revision of the proxy membership that is held, and since when.
+    membership: (u64, Time),
     has_instances: bool,
     phase: Phase,
 }
@@ -92,7 +110,7 @@
             rng: Rng::new(seed),
             replica: ConfigReplica::default(),
             lease: ConfigLease::default(),
-            contact: ControllerContact::new(now),
+            contact: ControllerContact::default(),
             registry: InstanceRegistry::default(),
             buckets: TokenBuckets::new(bounds.quota_slack, bounds.quota_overshoot),
             retry_budget: RetryBudget::new(bounds.retry_ratio, bounds.retry_slack),
@@ -101,10 +119,11 @@
                 &settings.zone,
                 &settings.region,
                 &settings.zones,
-                SlowStart::new(bounds.cold_overshoot, bounds.cold_slack),
+                SlowStart::new(now, &settings.zone, &settings.node, bounds.cold_overshoot, bounds.cold_slack),
             ),
             split: WeightedSplit::default(),
             proxy_counts: ProxyCounts::default(),
+            membership: (0, now),
             has_instances: false,
             phase: Phase::Serving,
             settings: settings.clone(),
@@ -166,6 +185,10 @@
         if let Some(version) = self.replica.version() {
             let configuration = &version.configuration;
             self.balancer.configure(now, configuration);
+            if version.membership.revision != self.membership.0 {
+                self.membership = (version.membership.revision, now);
+                self.balancer.set_membership(&version.membership);
+            }
             self.buckets.retain_tenants(|tenant| configuration.tenants.iter().any(|t| t.name == tenant));
             let is_split = |route: &&Arc<Route>| route.services.len() > 1;
             let routes = configuration.routes.values().flatten().filter(is_split);
@@ -176,6 +199,13 @@
         true
     }
 
+    /// The proxy membership that a controller is told of, by its revision: one that has been held for long enough that a
+    /// process that begins after this one finds it confirmed.
+    pub fn reported_membership(&self, now: Time) -> u64 {
+        let (revision, since) = self.membership;
+        if now - since >= CONFIRMATION_AGE { revision } else { 0 }
+    }
+
     /// Whether any instance was heard of.
     pub fn has_instances(&self) -> bool {
         self.has_instances
@@ -193,22 +223,19 @@
         }
     }
 
-    /// A heartbeat that was sent at `sent_at` is acknowledged.
-    pub fn on_heartbeat_ack(
-        &mut self,
-        now: Time,
-        sent_at: Time,
-        revision: u64,
-        confirmed_ago: Option<Span>,
-        is_leader: bool,
-    ) {
-        if let Some(confirmed_ago) = confirmed_ago {
-            self.lease.renew(sent_at, revision, confirmed_ago, self.replica.revision());
+    /// A controller has acknowledged a heartbeat.
+    pub fn on_heartbeat_ack(&mut self, now: Time, ack: &HeartbeatAck) {
+        let sent_at = ack.sent_at;
+        if let Some(confirmed_ago) = ack.confirmed_ago {
+            self.lease.renew(sent_at, ack.revision, confirmed_ago, self.replica.revision());
         }
         if self.lease.is_fresh(now, CONTACT_TIMEOUT) {
-            self.contact.on_heard(now);
+            self.contact.on_heard(now, ack.knows_instances);
+        }
+        if self.lease.is_fresh(now, CONFIRMATION_AGE) {
+            self.balancer.on_membership_confirmed(now);
         }
-        if is_leader {
+        if ack.is_leader {
             self.buckets.renew_shares(sent_at);
         }
     }
@@ -376,9 +403,15 @@
     }
 
     /// Whether a request may still go to the worker that was picked for it, right before it is handed over.
-    pub fn may_forward(&self, now: Time, request: &AdmittedRequest, worker: &Worker) -> bool {
+    pub fn may_forward(&mut self, now: Time, request: &AdmittedRequest, picked: &PickedEndpoint) -> bool {
         let version = self.newest_version(request);
-        self.may_serve(now, request) && is_zone_allowed(&self.settings, &version, request, &worker.zone)
+        let zone = &picked.worker.zone;
+        if !self.may_serve(now, request) || !is_zone_allowed(&self.settings, &version, request, zone) {
+            return false;
+        }
+        let knowledge =
+            warm_up_knowledge(now, &self.settings, &self.replica, &self.lease, &self.contact, zone);
+        self.balancer.may_hand_over(now, picked, knowledge)
     }
 
     /// An attempt has ended.
@@ -428,7 +461,7 @@
     contact: &ControllerContact,
     zone: &str,
 ) -> WarmUpKnowledge {
-    let unreported = SlowStart::unreported_time(settings.heartbeat_period);
+    let unreported = report_time(settings.heartbeat_period);
     match replica.restored_at(zone) {
         Some(at) if now - at < unreported => WarmUpKnowledge::NotYetReported,
         _ if lease.is_fresh(now, CONTACT_TIMEOUT) && contact.is_settled(now, unreported) => {
--- a/crates/routing/src/controller_contact.rs
+++ b/crates/routing/src/controller_contact.rs
@@ -9,30 +9,30 @@
 pub const CONTACT_TIMEOUT: Span = Span::from_millis(1_700);
 
 /// When controllers with quorum contact were heard.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct ControllerContact {
-    /// Last; at first, when this process began.
-    heard_at: Time,
-    /// When the last silence that was longer than the time-out ended.
+    heard_at: Option<Time>,
+    /// When the last silence that was longer than the time-out ended, where what workers said since is not known to be
+    /// here. To a process, the time before it began is such a silence.
     regained_at: Option<Time>,
 }
 
 impl ControllerContact {
-    /// A process that begins. Where it hears nothing for longer than the time-out, that is a silence like any other.
-    pub fn new(started_at: Time) -> ControllerContact {
-        ControllerContact { heard_at: started_at, regained_at: None }
-    }
-
-    /// A controller with quorum contact was heard.
-    pub fn on_heard(&mut self, now: Time) {
-        if now - self.heard_at >= CONTACT_TIMEOUT {
+    /// A controller with quorum contact was heard. `knows_instances`: every worker has had the time to report to it, and
+    /// what it knows of them came before this (`HeartbeatAck`).
+    pub fn on_heard(&mut self, now: Time, knows_instances: bool) {
+        if self.heard_at.is_none_or(|at| now - at >= CONTACT_TIMEOUT) {
             self.regained_at = Some(now);
         }
-        self.heard_at = self.heard_at.max(now);
+        self.heard_at = self.heard_at.max(Some(now));
+        if knows_instances {
+            self.regained_at = None;
+        }
     }
 
     /// Whether workers have had time to report since the last silence. `unreported`: how long they may need.
     pub fn is_settled(&self, now: Time, unreported: Span) -> bool {
-        now - self.heard_at < CONTACT_TIMEOUT && self.regained_at.is_none_or(|at| now - at >= unreported)
+        self.heard_at.is_some_and(|at| now - at < CONTACT_TIMEOUT)
+            && self.regained_at.is_none_or(|at| now - at >= unreported)
     }
 }
--- a/crates/routing/src/locality_balancer.rs
+++ b/crates/routing/src/locality_balancer.rs
@@ -14,10 +14,11 @@
 };
 use lynxstair_config::configuration::{Configuration, RouteKind};
 use lynxstair_control_state::instance_registry::RegisteredInstance;
+use lynxstair_control_state::proxy_membership::ProxyMembership;
 use lynxstair_dispatch::{Assignment, Decision, Dispatcher};
 use lynxstair_protocol::messages::InstanceState;
 
-use crate::slow_start::{SlowStart, WarmUpKnowledge, WarmUpUsage};
+use crate::slow_start::{SlowStart, WarmUpKnowledge, WarmUpQuery, WarmUpState, WarmUpUsage};
 
 /// Events closer together than this count as simultaneous for the decision module.
 const STEP: Span = Span::from_millis(1);
@@ -174,6 +175,16 @@
         }
     }
 
+    /// The proxies that hold permits for workers, as replicated.
+    pub fn set_membership(&mut self, membership: &ProxyMembership) {
+        self.slow_start.set_membership(membership);
+    }
+
+    /// The membership that was set is confirmed to be the newest.
+    pub fn on_membership_confirmed(&mut self, now: Time) {
+        self.slow_start.on_membership_confirmed(now);
+    }
+
     /// How many proxies there are in each zone.
     pub fn set_proxy_counts(&mut self, now: Time, zones: &[(String, u32)]) {
         let proxies: HashMap<String, u32> = zones.iter().cloned().collect();
@@ -304,15 +315,12 @@
                 continue;
             }
             let knowledge = warm_up(&self.zones[n]);
-            // What a worker that may be cold bears is split over the proxies of its own zone.
-            if knowledge == WarmUpKnowledge::Unknown && self.zones[n] != self.own_zone {
-                continue;
-            }
             if let Some(picked) = self.pick_in_zone(now, n, query, request, rate, knowledge) {
                 return Pick::Endpoint(Box::new(picked));
             }
         }
-        Pick::Full(query.target.times(RETRY_AFTER_PART).max(MIN_RETRY_AFTER))
+        let wait = query.target.times(RETRY_AFTER_PART).max(MIN_RETRY_AFTER);
+        Pick::Full(wait.max(self.slow_start.unusable_for(now)))
     }
 
     fn pick_in_zone(
@@ -327,20 +335,11 @@
         let zone = &self.zones[zone];
         let key = (query.service.to_string(), zone.clone());
         let locality = self.localities.get_mut(&key)?;
-        let is_own_zone = *zone == self.own_zone;
-        // Workers that warm up get requests from their own zone only.
-        let proxies = if is_own_zone { self.proxies.get(zone).copied().unwrap_or(0) } else { 0 };
-        let may_be_cold = knowledge == WarmUpKnowledge::NotYetReported;
-        let is_unknown = is_own_zone && knowledge == WarmUpKnowledge::Unknown;
         let mut held_back = Vec::new();
         for endpoint in locality.endpoints.values().filter(|e| e.phase == WorkerPhase::Ready) {
-            let is_warming = may_be_cold || now < endpoint.warming_until;
             let was_tried = query.tried.iter().any(|t| t.number == endpoint.worker.number);
-            let id = &endpoint.worker.id;
-            if was_tried
-                || is_warming && !self.slow_start.admits(now, id, rate, proxies)
-                || is_unknown && !self.slow_start.admits_unknown(now, id, rate, proxies)
-            {
+            let warm_up = endpoint.warm_up_query(now, rate, knowledge);
+            if was_tried || !self.slow_start.admits(now, &warm_up) {
                 held_back.push(endpoint.worker_info(WorkerPhase::Draining));
             }
         }
@@ -353,16 +352,23 @@
             locality.dispatcher.end_request(now, request_id);
             return None;
         };
-        if may_be_cold || now < endpoint.warming_until {
-            self.slow_start.spend(&endpoint.worker.id);
-        }
-        if is_unknown {
-            self.slow_start.spend_unknown(&endpoint.worker.id);
-        }
+        self.slow_start.spend(now, &endpoint.warm_up_query(now, rate, knowledge));
         let worker = endpoint.worker.clone();
         Some(PickedEndpoint { locality: key, assignment, worker, picked_at: now })
     }
 
+    /// Whether a request may be handed over to the worker that was picked for it, which may have become cold since.
+    pub fn may_hand_over(&mut self, now: Time, picked: &PickedEndpoint, knowledge: WarmUpKnowledge) -> bool {
+        let rate = self.warm_up_rates.get(&picked.worker.service).copied().unwrap_or(0.0);
+        let endpoint = self.localities.get(&picked.locality);
+        let endpoint = endpoint.and_then(|locality| locality.endpoints.get(&picked.worker.number));
+        // One that has ended meanwhile answers so itself.
+        endpoint.is_none_or(|endpoint| {
+            let warm_up = endpoint.warm_up_query(now, rate, knowledge);
+            self.slow_start.may_hand_over(now, &warm_up, picked.picked_at)
+        })
+    }
+
     /// An attempt at a picked worker has ended.
     pub fn report(&mut self, now: Time, picked: &PickedEndpoint, outcome: Outcome) {
         if let Some(locality) = self.localities.get(&picked.locality) {
@@ -410,6 +416,12 @@
 }
 
 impl Endpoint {
+    /// How the worker is to be treated, by what is known of its zone.
+    fn warm_up_query(&self, now: Time, rate: f64, knowledge: WarmUpKnowledge) -> WarmUpQuery<'_> {
+        let state = WarmUpState::of(knowledge, now < self.warming_until);
+        WarmUpQuery { worker: &self.worker.id, zone: &self.worker.zone, rate, state }
+    }
+
     /// The worker as the module is told of it.
     fn worker_info(&self, phase: WorkerPhase) -> WorkerInfo {
         WorkerInfo {
--- a/crates/routing/tests/slow_start.rs
+++ b/crates/routing/tests/slow_start.rs
@@ -1,23 +1,51 @@
-//! What gatekeepers that can't hear the core send to workers that may have turned cold meanwhile.
+//! What proxies that can't hear the controllers send to workers that may have turned cold meanwhile.
 
 use lynxstair::types::{Span, Time};
-use lynxstair_routing::slow_start::SlowStart;
+use lynxstair_control_state::membership_planner::MEMBERSHIP_VALIDITY;
+use lynxstair_control_state::proxy_membership::ProxyMembership;
+use lynxstair_routing::slow_start::{PERMIT_WINDOW, SlowStart, WarmUpQuery, WarmUpState};
 
-/// A zone is cut off from the core, emptied, and its workers turn cold: nobody in it is told. Whatever its gatekeepers would
-/// like to send, together they keep to what a cold worker may get in any second; and a worker that is warm goes on to
+const START: Time = Time::from_nanos(10_000_000_000);
+
+fn at(ms: u64) -> Time {
+    START + Span::from_millis(ms)
+}
+
+fn unknown(rate: f64) -> WarmUpQuery<'static> {
+    WarmUpQuery { worker: "i-1", zone: "a", rate, state: WarmUpState::Unknown }
+}
+
+fn members(of_zone_a: &[String]) -> ProxyMembership {
+    ProxyMembership::new(1, [("a".to_string(), of_zone_a.to_vec())].into())
+}
+
+/// The proxies of a zone, begun long ago.
+fn zone(overshoot: f64, slack: f64, proxies: u32) -> Vec<SlowStart> {
+    let names: Vec<String> = (0..proxies).map(|n| format!("edge-{n}")).collect();
+    let membership = members(&names);
+    let begun = |name: &String| {
+        let mut slow_start = SlowStart::new(Time::default(), "a", name, overshoot, slack);
+        slow_start.set_membership(&membership);
+        slow_start.on_membership_confirmed(START);
+        slow_start
+    };
+    names.iter().map(begun).collect()
+}
+
+/// A zone is cut off from the controllers, emptied, and its workers turn cold: nobody in it is told. Whatever its proxies
+/// would like to send, together they keep to what a cold worker may get in any second; and a worker that is warm goes on to
 /// get over half of that, so that the zone's clients are served. Before, nothing bounded it.
 #[test]
 fn workers_are_limited_while_controllers_are_out_of_reach() {
     for (per_s, overshoot, slack, sharing) in [(2.9, 1.5, 5.0, 3), (22.0, 1.5, 5.0, 2), (22.0, 1.5, 8.0, 15)]
     {
         let most = per_s * overshoot + slack;
-        let mut passes: Vec<SlowStart> = (0..sharing).map(|_| SlowStart::new(overshoot, slack)).collect();
+        let mut proxies = zone(overshoot, slack, sharing);
         let mut sent: Vec<u64> = Vec::new();
         for ms in 0..20_000 {
-            let now = Time::from_nanos(1_000_000_000) + Span::from_millis(ms);
-            for cold in &mut passes {
-                if cold.admits_unknown(now, "i-1", per_s, sharing) {
-                    cold.spend_unknown("i-1");
+            for proxy in &mut proxies {
+                if proxy.admits(at(ms), &unknown(per_s)) {
+                    proxy.spend(at(ms), &unknown(per_s));
                     sent.push(ms);
                 }
             }
@@ -30,15 +58,55 @@
     }
 }
 
-/// A proxy that has just begun knows neither how many share a worker with it nor, while controllers are out of reach, whether
+/// A proxy that has just begun knows neither who shares a worker with it nor, while controllers are out of reach, whether
 /// the worker warms up. Several of them would each take all that it bears.
 #[test]
-fn a_proxy_that_does_not_know_how_many_there_are_sends_to_no_worker_that_may_be_warming_up() {
-    let now = Time::from_nanos(1_000_000_000);
-    let mut slow_start = SlowStart::new(1.5, 8.0);
+fn a_proxy_that_does_not_know_its_part_sends_to_no_worker_that_may_be_warming_up() {
+    let mut proxy = SlowStart::new(at(0), "a", "edge-1", 1.5, 8.0);
+    let may_send = |proxy: &mut SlowStart, ms| proxy.admits(at(ms), &unknown(2.9));
     for ms in [0, 100, 5_000] {
-        assert!(!slow_start.admits_unknown(now + Span::from_millis(ms), "i-1", 2.9, 0), "after {ms} ms");
+        assert!(!may_send(&mut proxy, ms), "after {ms} ms");
     }
+    // Told of the members, but not that these are the newest.
+    proxy.set_membership(&members(&["edge-1".to_string(), "edge-2".to_string()]));
+    assert!(!may_send(&mut proxy, 5_000));
     // As soon as it knows, it takes its part.
-    assert!(slow_start.admits_unknown(now + Span::from_millis(5_100), "i-1", 2.9, 22));
+    proxy.on_membership_confirmed(at(5_100));
+    assert!(may_send(&mut proxy, 5_100));
+    // Long unconfirmed, they may have been replaced.
+    let valid_ms = MEMBERSHIP_VALIDITY.nanos() / 1_000_000;
+    assert!(may_send(&mut proxy, 5_099 + valid_ms));
+    assert!(!may_send(&mut proxy, 5_100 + valid_ms));
+}
+
+/// One that restarts may have used its permits right before its end.
+#[test]
+fn a_proxy_that_restarts_waits_until_the_permits_of_its_last_life_are_free() {
+    let mut proxy = SlowStart::new(at(0), "a", "edge-1", 1.5, 8.0);
+    proxy.set_membership(&members(&["edge-1".to_string()]));
+    proxy.on_membership_confirmed(at(10));
+    let window_ms = PERMIT_WINDOW.nanos() / 1_000_000;
+    assert!(!proxy.admits(at(window_ms - 1), &unknown(6.0)));
+    assert!(proxy.admits(at(window_ms), &unknown(6.0)));
+}
+
+/// Proxies of other zones send to no worker that is known to warm up: its own zone's use what it bears.
+#[test]
+fn a_proxy_of_another_zone_sends_to_no_worker_that_is_warming_up() {
+    let of = |zone: &str| (0..4).map(|n| format!("edge-{zone}-{n}")).collect::<Vec<_>>();
+    let membership = ProxyMembership::new(1, ["a", "b"].map(|zone| (zone.to_string(), of(zone))).into());
+    let mut proxy = SlowStart::new(Time::default(), "b", "edge-b-0", 1.5, 24.0);
+    proxy.set_membership(&membership);
+    proxy.on_membership_confirmed(START);
+    let warming = WarmUpQuery { state: WarmUpState::Warming, ..unknown(6.0) };
+    assert!(!proxy.admits(at(0), &warming));
+    assert!(!proxy.may_hand_over(at(0), &warming, at(0)));
+    // Of one that may be, a part is theirs: 8 of 33, over the four proxies of zone b.
+    let mut sent = 0;
+    while proxy.admits(at(0), &unknown(6.0)) {
+        proxy.spend(at(0), &unknown(6.0));
+        sent += 1;
+    }
+    assert_eq!(sent, 1, "at once");
+    assert!(proxy.admits(at(2_000), &unknown(6.0)));
 }
--- a/crates/routing/tests/unknown_warm_up.rs
+++ b/crates/routing/tests/unknown_warm_up.rs
@@ -6,6 +6,7 @@
 use lynxstair_config::json;
 use lynxstair_config::table::ConfigTable;
 use lynxstair_control_state::instance_registry::{InstanceRegistry, RegisteredInstance};
+use lynxstair_control_state::proxy_membership::ProxyMembership;
 use lynxstair_protocol::messages::{Instance, InstanceState};
 use lynxstair_routing::locality_balancer::{EndpointQuery, LocalityBalancer, Pick};
 use lynxstair_routing::slow_start::{SlowStart, WarmUpKnowledge};
@@ -50,8 +51,16 @@
 fn proxies(now: Time) -> Vec<LocalityBalancer> {
     let zones: Vec<(String, String)> = ZONES.iter().map(|z| (z.to_string(), "r".to_string())).collect();
     let counts: Vec<(String, u32)> = ZONES.iter().map(|z| (z.to_string(), PROXIES_A_ZONE)).collect();
+    let name = |n: u64| format!("edge-{n}");
+    let per_zone = u64::from(PROXIES_A_ZONE);
+    let of_zone = |z: u64| (z * per_zone..(z + 1) * per_zone).map(name).collect();
+    let members = (0..).zip(ZONES).map(|(z, zone)| (zone.to_string(), of_zone(z)));
+    let membership = ProxyMembership::new(1, members.collect());
     let new = |(n, zone): (u64, &str)| {
-        let mut balancer = LocalityBalancer::new(n, zone, "r", &zones, SlowStart::new(OVERSHOOT, SLACK));
+        let slow_start = SlowStart::new(Time::default(), zone, &name(n), OVERSHOOT, SLACK);
+        let mut balancer = LocalityBalancer::new(n, zone, "r", &zones, slow_start);
+        balancer.set_membership(&membership);
+        balancer.on_membership_confirmed(now);
         balancer.configure(now, &configuration());
         balancer.set_proxy_counts(now, &counts);
         balancer.update_instance(now, "i-1", &worker(now));
