Each worker is confirmed by its own heartbeat after what kept it from reporting

Change: an instance is unconfirmed after its controller's start, after 1 s of isolation or a standstill, and after its zone's evacuation ends, until its next heartbeat, which is then told to proxies; they hold themselves to their permits meanwhile. The leader's acknowledgement says when none is left.

--- a/crates/control-state/src/failure_detector.rs
+++ b/crates/control-state/src/failure_detector.rs
@@ -5,12 +5,15 @@
 use lynxstair::types::{Span, Time};
 use lynxstair_protocol::messages::Instance;
 
-use crate::instance_registry::{InstanceRegistry, report_time};
+use crate::instance_registry::InstanceRegistry;
 
 /// A detector that has not been called for this long was stopped with its process: heartbeats that arrived meanwhile may
 /// still be unread.
 const STANDSTILL: Span = Span::from_millis(1_500);
 
+/// Out of contact for this long, calls of workers were lost or not acknowledged.
+const ISOLATION: Span = Span::from_millis(1_000);
+
 /// How a controller stands to the quorum.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuorumRole {
@@ -52,6 +55,7 @@
     quorum_role: QuorumRole,
     /// It has led, in contact with the quorum, without a break since then.
     leader_since: Option<Time>,
+    isolated_since: Option<Time>,
     checked_at: Time,
 }
 
@@ -63,6 +67,7 @@
             heartbeat_period,
             quorum_role: QuorumRole::Isolated,
             leader_since: None,
+            isolated_since: None,
             checked_at: now,
         }
     }
@@ -78,6 +83,7 @@
         let stood_still = now - self.checked_at > STANDSTILL;
         self.checked_at = now;
         self.quorum_role = quorum_role;
+        self.track_isolation(now, stood_still);
         self.leader_since = match (quorum_role, self.leader_since) {
             (QuorumRole::Leader, Some(since)) if !stood_still => Some(since),
             (QuorumRole::Leader, _) => Some(now),
@@ -85,15 +91,37 @@
         };
     }
 
-    /// Whether every worker has had the time to report since this controller began to lead, without a break: what it says of
-    /// workers is then what they say themselves, and not what an earlier leader or its disk held.
-    pub fn has_complete_view(&self, now: Time) -> bool {
-        self.leader_since.is_some_and(|since| now - since >= self.report_time())
+    /// Workers whose calls are not acknowledged pause longer and longer between them. After a time of isolation, or of
+    /// standing still, what they said last may be long past.
+    fn track_isolation(&mut self, now: Time, stood_still: bool) {
+        if self.quorum_role == QuorumRole::Isolated {
+            self.isolated_since.get_or_insert(now);
+            return;
+        }
+        let was_isolated = self.isolated_since.take().is_some_and(|since| now - since >= ISOLATION);
+        if was_isolated || stood_still {
+            self.registry.mark_unconfirmed(|_| true);
+        }
+    }
+
+    /// Whether this controller leads, and every instance that counts as ready is confirmed.
+    pub fn has_complete_view(&self) -> bool {
+        self.leader_since.is_some() && !self.registry.has_unconfirmed()
+    }
+
+    /// The evacuation of a zone has ended: its workers may have turned cold.
+    pub fn on_zone_restored(&mut self, zone: &str) {
+        self.registry.mark_unconfirmed(|instance| instance.zone == zone);
     }
 
-    /// How long workers may need to say that they have turned cold.
-    pub fn report_time(&self) -> Span {
-        report_time(self.heartbeat_period)
+    /// All instances, as others are told of them now. Out of contact, this controller can't say that any of them is as it
+    /// was.
+    pub fn snapshot(&self, now: Time) -> Vec<Instance> {
+        let mut instances = self.registry.snapshot(now);
+        if self.quorum_role == QuorumRole::Isolated {
+            instances.iter_mut().for_each(|instance| instance.is_unconfirmed = true);
+        }
+        instances
     }
 
     /// A worker has sent a heartbeat.
--- a/crates/control-state/src/instance_registry.rs
+++ b/crates/control-state/src/instance_registry.rs
@@ -45,6 +45,8 @@
     pub call_seq: u64,
     /// When that was received.
     pub heard_at: Time,
+    /// It has sent no heartbeat since something after which it may be cold and not have been able to say so.
+    pub is_unconfirmed: bool,
 }
 
 /// All instances that are known, by their ids.
@@ -66,7 +68,7 @@
         let is_alive = |i: &&Instance| matches!(i.state, InstanceState::Ready | InstanceState::Draining);
         let heartbeat_age_ms = heartbeat_period.times(RESTORED_AGE).nanos() / 1_000_000;
         for instance in instances.iter().filter(is_alive) {
-            self.update(now, &Instance { heartbeat_age_ms, ..instance.clone() });
+            self.update(now, &Instance { heartbeat_age_ms, is_unconfirmed: true, ..instance.clone() });
         }
     }
 
@@ -94,11 +96,30 @@
             instance.state == InstanceState::Unresponsive && known.state != InstanceState::Unresponsive;
         if is_repeated && !becomes_unresponsive {
             known.heard_at = known.heard_at.max(heard_at);
-            return false;
+            let is_changed = known.is_unconfirmed != instance.is_unconfirmed;
+            known.is_unconfirmed = instance.is_unconfirmed;
+            return is_changed;
         }
         known.advance(now, instance, heard_at)
     }
 
+    /// Instances may be cold and not have been able to say so: each is confirmed by its next heartbeat.
+    pub fn mark_unconfirmed(&mut self, may_be_cold: impl Fn(&RegisteredInstance) -> bool) {
+        let concerned = self.instances.values_mut().filter(|instance| may_be_cold(instance));
+        concerned.for_each(|instance| instance.is_unconfirmed = true);
+    }
+
+    /// All that are ready have sent heartbeats since.
+    pub fn confirm_all(&mut self) {
+        self.instances.values_mut().for_each(|instance| instance.is_unconfirmed = false);
+    }
+
+    /// Whether any instance that counts as ready is unconfirmed.
+    pub fn has_unconfirmed(&self) -> bool {
+        let mut instances = self.instances.values();
+        instances.any(|instance| instance.state == InstanceState::Ready && instance.is_unconfirmed)
+    }
+
     /// An instance says that it ends, and nothing else.
     pub fn deregister(&mut self, now: Time, id: &str) -> Option<Instance> {
         let known = self.instances.get_mut(id)?;
@@ -158,6 +179,7 @@
             warming_up_ms: (known.warming_until - now).nanos() / 1_000_000,
             call_seq: known.call_seq,
             heartbeat_age_ms: (now - known.heard_at).nanos() / 1_000_000,
+            is_unconfirmed: known.is_unconfirmed,
         })
     }
 
@@ -178,6 +200,7 @@
             warming_until: warming_until(now, instance),
             call_seq: instance.call_seq,
             heard_at: now.saturating_sub(Span::from_millis(instance.heartbeat_age_ms)),
+            is_unconfirmed: instance.is_unconfirmed,
         }
     }
 
@@ -192,12 +215,14 @@
         let is_changed = state != self.state
             || instance.address != self.address
             || instance.capacity != self.capacity
+            || instance.is_unconfirmed != self.is_unconfirmed
             || self.differs_in_warm_up(now, warming_until);
         self.call_seq = instance.call_seq;
         self.heard_at = self.heard_at.max(heard_at);
         self.state = state;
         self.warming_until = warming_until;
         self.address = instance.address;
+        self.is_unconfirmed = instance.is_unconfirmed;
         self.capacity = instance.capacity;
         is_changed
     }
--- a/crates/control-state/tests/failure_detector.rs
+++ b/crates/control-state/tests/failure_detector.rs
@@ -26,6 +26,7 @@
         warming_up_ms: 0,
         call_seq: seq,
         heartbeat_age_ms: 0,
+        is_unconfirmed: false,
     }
 }
 
@@ -209,3 +210,40 @@
     assert_eq!(heartbeat_at(&mut detector, 45_500, QuorumRole::Leader), 1);
     assert_eq!(heartbeat_at(&mut detector, 46_000, QuorumRole::Leader), 0, "said once");
 }
+
+/// Workers may have turned cold and found nobody to tell: after a controller was isolated for long, or stood still, and in a
+/// zone whose evacuation has just ended, each instance is unconfirmed until it sends a heartbeat.
+#[test]
+fn instances_are_unconfirmed_after_what_may_have_kept_workers_from_reporting() {
+    let mut detector = FailureDetector::new(at(0), InstanceRegistry::default(), HEARTBEAT);
+    let is_complete = |detector: &FailureDetector| detector.has_complete_view();
+    detector.set_quorum_role(at(100), QuorumRole::Leader);
+    detector.record_heartbeat(at(200), &instance(1, 1, InstanceState::Ready));
+    assert!(is_complete(&detector));
+    // Isolated: nothing is certain meanwhile; for a moment, and it is again.
+    detector.set_quorum_role(at(300), QuorumRole::Isolated);
+    assert!(detector.snapshot(at(300)).iter().all(|instance| instance.is_unconfirmed));
+    assert!(!is_complete(&detector));
+    detector.set_quorum_role(at(700), QuorumRole::Leader);
+    assert!(is_complete(&detector));
+    // For longer.
+    detector.set_quorum_role(at(1_000), QuorumRole::Isolated);
+    detector.set_quorum_role(at(2_000), QuorumRole::Leader);
+    assert!(!is_complete(&detector));
+    assert!(detector.record_heartbeat(at(2_100), &instance(1, 2, InstanceState::Ready)).is_changed);
+    assert!(is_complete(&detector));
+    // Stood still.
+    detector.set_quorum_role(at(6_000), QuorumRole::Leader);
+    assert!(!is_complete(&detector));
+    detector.record_heartbeat(at(6_100), &instance(1, 3, InstanceState::Ready));
+    assert!(is_complete(&detector));
+    // The zone of the worker is taken back.
+    detector.on_zone_restored("another");
+    assert!(is_complete(&detector));
+    detector.on_zone_restored("z");
+    assert!(!is_complete(&detector));
+    // A follower has no complete view, whatever it knows.
+    detector.record_heartbeat(at(6_200), &instance(1, 4, InstanceState::Ready));
+    detector.set_quorum_role(at(6_300), QuorumRole::Follower);
+    assert!(!is_complete(&detector));
+}
--- a/crates/control-state/tests/instance_registry.rs
+++ b/crates/control-state/tests/instance_registry.rs
@@ -19,6 +19,7 @@
         warming_up_ms,
         call_seq: seq,
         heartbeat_age_ms: 0,
+        is_unconfirmed: false,
     }
 }
 
@@ -84,3 +85,39 @@
     registry.sweep(at(100_000), heartbeat);
     assert!(registry.instances().is_empty());
 }
+
+/// What a controller's disk held of a worker says nothing of how it is now: its next heartbeat does, also where that says
+/// the same, and so is told to proxies.
+#[test]
+fn a_restored_instance_is_unconfirmed_until_it_sends_a_heartbeat() {
+    let now = Time::from_nanos(10_000_000_000);
+    let mut registry = InstanceRegistry::default();
+    let stored = instance(4, InstanceState::Ready, 0);
+    registry.restore(now, std::slice::from_ref(&stored), Span::from_millis(1_500));
+    assert!(registry.has_unconfirmed());
+    assert!(registry.get(now, "i-1").expect("known").is_unconfirmed);
+    assert!(
+        registry.update(now, &Instance { call_seq: 5, ..stored.clone() }),
+        "this changes what proxies act on"
+    );
+    assert!(!registry.has_unconfirmed());
+    assert!(!registry.update(now, &Instance { call_seq: 6, ..stored }), "and this does not");
+}
+
+#[test]
+fn unconfirmed_instances_are_confirmed_one_by_one_or_all_together() {
+    let now = Time::from_nanos(10_000_000_000);
+    let mut registry = InstanceRegistry::default();
+    let named = |id: &str| Instance { id: id.to_string(), ..instance(1, InstanceState::Ready, 0) };
+    for id in ["i-1", "i-2"] {
+        assert!(registry.update(now, &named(id)));
+    }
+    registry.mark_unconfirmed(|_| true);
+    // Another controller that knows nothing newer knows that it is confirmed, or that it is not.
+    assert!(registry.update(now, &named("i-1")));
+    assert!(registry.has_unconfirmed(), "i-2 is");
+    registry.confirm_all();
+    assert!(!registry.has_unconfirmed());
+    assert!(registry.update(now, &Instance { is_unconfirmed: true, ..named("i-2") }));
+    assert!(registry.has_unconfirmed());
+}
--- a/crates/controller/src/consensus_driver.rs
+++ b/crates/controller/src/consensus_driver.rs
@@ -63,9 +63,12 @@
         return;
     };
     let (revision, generation) = (store.revision, store.generation);
-    if !state.committed.advance(now, store) {
+    let restored: Vec<String> =
+        state.committed.store.evacuated.difference(&store.evacuated).cloned().collect();
+    if !state.committed.advance(store) {
         return;
     }
+    restored.iter().for_each(|zone| state.instances.detector.on_zone_restored(zone));
     info!(revision = revision, generation = generation, term = position.term; "configuration committed");
     if state.consensus.is_established_leader() {
         state.subscribers.publish_config(now, &state.committed);
--- a/crates/controller/src/instance_api.rs
+++ b/crates/controller/src/instance_api.rs
@@ -69,5 +69,6 @@
         warming_up_ms: (number("cold-left-s")?.clamp(0.0, MAX_WARM_UP_S) * 1000.0) as u64,
         call_seq: number("call-seq")?.max(0.0) as u64,
         heartbeat_age_ms: 0,
+        is_unconfirmed: false,
     })
 }
--- a/crates/controller/src/instances.rs
+++ b/crates/controller/src/instances.rs
@@ -28,7 +28,7 @@
 
     /// All instances.
     pub fn snapshot(&self, now: Time) -> Vec<Instance> {
-        self.detector.registry().snapshot(now)
+        self.detector.snapshot(now)
     }
 
     /// How many are ready.
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -155,7 +155,7 @@
             is_established_leader: self.consensus.is_established_leader(),
             confirmed_at: self.consensus.confirmed_at(),
             knows_all_proxies: now - self.started_at >= PROXY_SETTLE_TIME,
-            knows_instances: self.knows_instances(now),
+            knows_instances: self.instances.detector.has_complete_view(),
         };
         self.subscribers.on_heartbeat(now, id, heartbeat, &context);
         true
@@ -176,14 +176,6 @@
         self.instances.detector.set_quorum_role(now, quorum_role);
     }
 
-    /// Whether what is said here of workers is what they say themselves: all have had the time to report to this leader, also
-    /// since the last evacuation ended.
-    fn knows_instances(&self, now: Time) -> bool {
-        let detector = &self.instances.detector;
-        let has_reported = |at: Time| now - at >= detector.report_time();
-        detector.has_complete_view(now) && self.committed.zone_restored_at.is_none_or(has_reported)
-    }
-
     /// What another controller says of instances. That one tells its subscribers; the leader does so too, for those that
     /// can't be reached from there.
     pub fn on_instance_updates(&mut self, now: Time, instances: &[Instance]) {
--- a/crates/controller/src/subscribers.rs
+++ b/crates/controller/src/subscribers.rs
@@ -42,7 +42,7 @@
     pub confirmed_at: Option<Time>,
     /// It has been up for long enough that every proxy has found it, so that it may say how many there are.
     pub knows_all_proxies: bool,
-    /// What it says of workers is what they say themselves.
+    /// It leads, and every instance that counts as ready is confirmed.
     pub knows_instances: bool,
 }
 
--- a/crates/controller/tests/golden.rs
+++ b/crates/controller/tests/golden.rs
@@ -47,6 +47,7 @@
         warming_up_ms: 1500,
         call_seq: 12,
         heartbeat_age_ms: 250,
+        is_unconfirmed: false,
     };
     (1u8..).zip(all).map(life).collect()
 }
--- a/crates/emulator/src/core/workers.rs
+++ b/crates/emulator/src/core/workers.rs
@@ -76,6 +76,7 @@
             warming_up_ms: 0,
             call_seq: self.seq,
             heartbeat_age_ms: 0,
+            is_unconfirmed: false,
         }))
     }
 
--- a/crates/fault-injection/src/soak.rs
+++ b/crates/fault-injection/src/soak.rs
@@ -6,6 +6,7 @@
 
 mod clients;
 mod driver;
+mod flooding;
 mod judge;
 mod operator;
 mod plan;
--- a/crates/fault-injection/src/soak/driver.rs
+++ b/crates/fault-injection/src/soak/driver.rs
@@ -12,9 +12,9 @@
 use super::SoakError;
 use super::clients::{Clients, SentRequest};
 use super::operator::{Change, Operators};
-use super::plan::{Action, ProcessName, SoakPlan};
+use super::plan::{Action, ProcessName, SoakPlan, SoakShape};
 use super::system::System;
-use super::workers::{Run, RunLog, Worker};
+use super::workers::{ColdSpell, Run, RunLog, Warmth, Worker};
 
 /// The system is to serve within this time of its start.
 const SERVES_WITHIN_S: u64 = 40;
@@ -48,6 +48,7 @@
     pub events: BTreeMap<ProcessName, Vec<(f64, ProcessEvent)>>,
     pub requests: Vec<SentRequest>,
     pub runs: Vec<Run>,
+    pub cold_spells: Vec<ColdSpell>,
     pub changes: Vec<Change>,
     /// The generation that the operator read back at the end.
     pub read_back: Option<u64>,
@@ -107,7 +108,7 @@
             }
         }
         for _ in 0..plan.shape.workers {
-            driver.start_worker().map_err(SoakError::io("a worker"))?;
+            driver.start_worker(Warmth::Warm).map_err(SoakError::io("a worker"))?;
         }
         driver.wait_until_ready(deadline)?;
         Ok(driver)
@@ -129,8 +130,8 @@
         Ok(())
     }
 
-    fn start_worker(&mut self) -> std::io::Result<()> {
-        let worker = Worker::start(self.system.net, self.next_worker, &self.log, &self.is_over)?;
+    fn start_worker(&mut self, warmth: Warmth) -> std::io::Result<()> {
+        let worker = Worker::start(self.system.net, self.next_worker, warmth, &self.log, &self.is_over)?;
         self.next_worker += 1;
         self.workers.push(worker);
         Ok(())
@@ -167,6 +168,7 @@
             events: std::mem::take(&mut self.events),
             requests,
             runs: self.log.runs(),
+            cold_spells: self.log.cold_spells(),
             changes,
             read_back,
         }
@@ -201,13 +203,23 @@
             }
             Action::ChangeConfig => self.operators.change(),
             Action::ReplaceWorker => {
-                if self.start_worker().is_ok() {
+                if self.start_worker(Warmth::Cold).is_ok() {
                     self.workers.remove(0).leave();
                 }
             }
+            Action::LosePower => self.lose_power(),
         }
     }
 
+    /// Every process is killed, and every worker turns cold meanwhile, unknown to anybody.
+    fn lose_power(&mut self) {
+        let controllers = (0..SoakShape::CONTROLLERS).map(ProcessName::Controller);
+        let all: Vec<ProcessName> =
+            controllers.chain((0..self.plan.shape.proxies).map(ProcessName::Proxy)).collect();
+        all.into_iter().for_each(|name| self.perform(Action::Kill(name)));
+        self.workers.iter().for_each(Worker::turn_cold);
+    }
+
     /// Lets paused processes go on, kills those that are overdue, starts those that have ended.
     fn attend(&mut self) {
         let now = self.now();
--- a/crates/fault-injection/src/soak/judge.rs
+++ b/crates/fault-injection/src/soak/judge.rs
@@ -5,6 +5,7 @@
 
 use super::clients::{End, SentRequest};
 use super::driver::{History, ProcessEvent};
+use super::flooding::judge_cold_workers;
 use super::operator::ChangeEnd;
 use super::plan::{ProcessName, SoakPlan};
 use super::workers::Run;
@@ -36,6 +37,8 @@
     Exit,
     /// Of two changes with one base both were accepted, a valid one was refused, or an accepted one is gone.
     Config,
+    /// A cold worker got more requests in some second than it may.
+    Flooded,
     /// Too little was served for the other rules to mean anything.
     Served,
 }
@@ -49,6 +52,7 @@
             SoakRule::Mixed => "mixed",
             SoakRule::Exit => "exit",
             SoakRule::Config => "config",
+            SoakRule::Flooded => "flooded",
             SoakRule::Served => "served",
         })
     }
@@ -97,6 +101,7 @@
     }
     findings.extend(judge_processes(history));
     findings.extend(judge_config(history));
+    findings.extend(judge_cold_workers(&history.cold_spells, &history.runs, &history.requests));
     let summary = summarize(history);
     if summary.succeeded * 2 < summary.sent || summary.sent == 0 {
         let what = format!("{} of {} requests succeeded", summary.succeeded, summary.sent);
--- a/crates/fault-injection/src/soak/operator.rs
+++ b/crates/fault-injection/src/soak/operator.rs
@@ -9,7 +9,7 @@
 
 use super::plan::SoakShape;
 use super::system::Net;
-use super::workers::call;
+use super::workers::{COLD_RATE, call};
 
 /// Two operators take turns as the queue has it, so that now and then two changes have one base.
 const OPERATORS: usize = 2;
@@ -180,7 +180,7 @@
         "routes":{{"columns":["name","host","path-prefix","route-kind","timeout-s","target-s","service","max-attempts"],
         "rows":[["safe","soak","/safe/","safe",{timeout},1,"s",3],["unsafe","soak","/unsafe/","unsafe",{timeout},1,"s",3],
         ["only","soak","/only-{generation}/","safe",5,1,"s",2]]}},
-        "services":{{"columns":["name","max-conns"],"rows":[["s",2000]]}},
+        "services":{{"columns":["name","max-conns","cold-s","cold-per-s"],"rows":[["s",2000,3,{COLD_RATE}]]}},
         "tenants":{{"columns":["name","api-keys","rate-per-s","burst"],"rows":[]}}}}"#
     )
 }
--- a/crates/fault-injection/src/soak/plan.rs
+++ b/crates/fault-injection/src/soak/plan.rs
@@ -62,8 +62,10 @@
     Pause(ProcessName, f64),
     /// The operator changes the configuration.
     ChangeConfig,
-    /// A worker leaves in order, and another one takes its place.
+    /// A worker leaves in order, and another one takes its place, cold.
     ReplaceWorker,
+    /// Every process is killed at once, and the workers turn cold.
+    LosePower,
 }
 
 /// One action and its time.
@@ -94,23 +96,27 @@
     ConfigStorm,
     HangUps,
     Release,
+    ColdReturn,
     KillProxies,
     KillControllers,
     HerdKill,
+    PowerLoss,
     Pauses,
     SignalBurst,
 }
 
 /// Planned work comes more often than trouble: that is what the system has to bear without a trace.
-const SERIES: [(Series, u32); 10] = [
+const SERIES: [(Series, u32); 12] = [
     (Series::RollProxies, 6),
     (Series::RollControllers, 2),
     (Series::ConfigStorm, 4),
     (Series::HangUps, 2),
     (Series::Release, 3),
+    (Series::ColdReturn, 1),
     (Series::KillProxies, 1),
     (Series::KillControllers, 1),
     (Series::HerdKill, 1),
+    (Series::PowerLoss, 1),
     (Series::Pauses, 1),
     (Series::SignalBurst, 3),
 ];
@@ -154,6 +160,9 @@
             add(1, Action::HangUp(any_controller));
         }
         Series::Release => (0..chance.random_range(1..5)).for_each(|n| add(n, Action::ReplaceWorker)),
+        // All of them at once.
+        Series::ColdReturn => (0..shape.workers).for_each(|_| add(0, Action::ReplaceWorker)),
+        Series::PowerLoss => add(0, Action::LosePower),
         Series::KillProxies => (0..3).for_each(|n| add(n, Action::Kill(any_proxy))),
         Series::KillControllers => add(0, Action::Kill(any_controller)),
         Series::HerdKill => {
--- a/crates/fault-injection/src/soak/system.rs
+++ b/crates/fault-injection/src/soak/system.rs
@@ -11,6 +11,7 @@
 
 use super::SoakError;
 use super::plan::{ProcessName, SoakShape};
+use super::workers::{COLD_OVERSHOOT, COLD_SLACK};
 
 /// The ports, alike on all addresses.
 const FRONT_PORT: u16 = 8389;
@@ -148,7 +149,8 @@
             "node-name: \"{name}\"\nip: \"{ip}\"\nzone: \"z1\"\nregion: \"r1\"\nzones:\n  z1: \"r1\"\nbind:\n{bind}\
              port-range:\n  - {}\n  - {}\nseeds:\n{seeds}bootstrap: {bootstrap}\ncounted: true\nlimits:\n  \
              memory-mb: 64\n  max-fds: 900\ndata-dir: {data}\nbeat-period-s: 0.5\nfault-budget:\n  machines: 1\n  \
-             zones: 0\n  regions: 0\nbounds: \"revoke-final=true,grace-s={}\"\n",
+             zones: 0\n  regions: 0\nbounds: \"revoke-final=true,grace-s={},\
+             cold-overshoot={COLD_OVERSHOOT},cold-slack={COLD_SLACK}\"\n",
             INTERNAL_PORTS.0,
             INTERNAL_PORTS.1,
             self.grace_s,
--- a/crates/fault-injection/src/soak/tests.rs
+++ b/crates/fault-injection/src/soak/tests.rs
@@ -7,7 +7,7 @@
 use super::judge::{SoakRule, judge};
 use super::operator::{Change, ChangeEnd};
 use super::plan::{ProcessName, SoakPlan, SoakShape};
-use super::workers::Run;
+use super::workers::{ColdSpell, Run};
 
 const SHAPE: SoakShape = SoakShape { seconds: 20.0, proxies: 4, clients: 3, workers: 2, grace_s: 6.0 };
 
@@ -20,13 +20,19 @@
     let fine = SentRequest { end: End::Response { status: 200, is_own: true }, ..request.clone() };
     let mut requests: Vec<SentRequest> =
         (0..9).map(|n| SentRequest { id: format!("fine-{n}"), ..fine.clone() }).collect();
-    let runs = runs.iter().map(|(began, ends)| Run { id: request.id.clone(), began: *began, ends: *ends });
+    let runs = runs.iter().map(|(began, ends)| Run {
+        worker: 0,
+        id: request.id.clone(),
+        began: *began,
+        ends: *ends,
+    });
     let runs = runs.collect();
     requests.push(request);
     History {
         events: BTreeMap::from([(ProcessName::Proxy(0), events.to_vec())]),
         requests,
         runs,
+        cold_spells: Vec::new(),
         changes: vec![Change { generation: 1, base: 0, end: ChangeEnd::Accepted }],
         read_back: Some(1),
     }
@@ -125,6 +131,29 @@
     assert_eq!(rules(&history), [SoakRule::Config], "nothing can be read");
 }
 
+/// Requests that reach a worker in the second from 10.0, each sent so long before.
+#[test]
+fn a_cold_worker_gets_no_more_than_it_may_in_any_second() {
+    let fine = End::Response { status: 200, is_own: true };
+    let found = |count: usize, sent_before: f64, cold: &[ColdSpell]| {
+        let mut history = history(request(1.0, 1.1, fine.clone()), &[], &[]);
+        for n in 0..count {
+            let (id, began) = (format!("cold-{n}"), 10.0 + 0.99 * n as f64 / count as f64);
+            let sent = began - sent_before;
+            history.requests.push(SentRequest { id: id.clone(), ..request(sent, began, fine.clone()) });
+            history.runs.push(Run { worker: 3, id, began, ends: began });
+        }
+        history.cold_spells = cold.to_vec();
+        rules(&history)
+    };
+    let cold = [ColdSpell { worker: 3, from: 9.0, until: 12.0 }];
+    assert_eq!(found(50, 0.001, &cold), []);
+    assert_eq!(found(51, 0.001, &cold), [SoakRule::Flooded]);
+    assert_eq!(found(51, 0.001, &[ColdSpell { worker: 2, ..cold[0] }]), [], "another worker");
+    assert_eq!(found(51, 0.001, &[ColdSpell { until: 10.5, ..cold[0] }]), [], "warm by then");
+    assert_eq!(found(51, 1.2, &cold), [], "sent before it was cold, or in another second");
+}
+
 #[test]
 fn a_seed_draws_the_same_steps_and_series_overlap() {
     let drawn = SoakPlan::draw(7, SHAPE);
--- a/crates/fault-injection/src/soak/workers.rs
+++ b/crates/fault-injection/src/soak/workers.rs
@@ -20,9 +20,35 @@
 /// How many requests one works on at a time.
 const CAPACITY: u32 = 16;
 
+/// For how long a worker is cold,
+const COLD: Duration = Duration::from_secs(3);
+/// and what it bears then, in requests a second. The load makes more of it.
+pub(super) const COLD_RATE: f64 = 30.0;
+/// Of that it may get this many times so much, and a slack, in any second.
+pub(super) const COLD_OVERSHOOT: f64 = 1.5;
+pub(super) const COLD_SLACK: f64 = 5.0;
+
+/// Whether a worker starts cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Warmth {
+    Warm,
+    Cold,
+}
+
+/// A time in which a worker is cold, in seconds of the soak.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct ColdSpell {
+    /// Which worker, by its number.
+    pub worker: usize,
+    pub from: f64,
+    pub until: f64,
+}
+
 /// One run of a request.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
+    /// Which worker ran it, by its number.
+    pub worker: usize,
     /// The id of the attempt.
     pub id: String,
     /// When it began, in seconds of the soak.
@@ -36,11 +62,12 @@
 pub(super) struct RunLog {
     origin: Instant,
     runs: Arc<Mutex<Vec<Run>>>,
+    cold_spells: Arc<Mutex<Vec<ColdSpell>>>,
 }
 
 impl RunLog {
     pub fn new(origin: Instant) -> RunLog {
-        RunLog { origin, runs: Arc::default() }
+        RunLog { origin, runs: Arc::default(), cold_spells: Arc::default() }
     }
 
     /// All runs so far.
@@ -48,9 +75,21 @@
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    fn record(&self, id: &str, work: Duration) {
+    /// All times in which a worker was cold.
+    pub fn cold_spells(&self) -> Vec<ColdSpell> {
+        self.cold_spells.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// A worker is cold from now on.
+    fn record_cold(&self, worker: usize) {
+        let from = self.origin.elapsed().as_secs_f64();
+        let spell = ColdSpell { worker, from, until: from + COLD.as_secs_f64() };
+        self.cold_spells.lock().unwrap_or_else(PoisonError::into_inner).push(spell);
+    }
+
+    fn record(&self, worker: usize, id: &str, work: Duration) {
         let began = self.origin.elapsed().as_secs_f64();
-        let run = Run { id: id.to_string(), began, ends: began + work.as_secs_f64() };
+        let run = Run { worker, id: id.to_string(), began, ends: began + work.as_secs_f64() };
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run);
     }
 }
@@ -70,7 +109,10 @@
 
 /// A worker; it leaves in order when it is told to.
 pub(super) struct Worker {
+    number: usize,
     leaves: Arc<AtomicBool>,
+    cold_until: Arc<Mutex<Option<Instant>>>,
+    log: RunLog,
 }
 
 impl Worker {
@@ -78,12 +120,17 @@
     pub fn start(
         net: Net,
         number: usize,
+        warmth: Warmth,
         log: &RunLog,
         is_over: &Arc<AtomicBool>,
     ) -> std::io::Result<Worker> {
         let address = net.worker(number);
         let listener = TcpListener::bind(address)?;
         let leaves = Arc::new(AtomicBool::new(false));
+        let worker = Worker { number, leaves: leaves.clone(), cold_until: Arc::default(), log: log.clone() };
+        if warmth == Warmth::Cold {
+            worker.turn_cold();
+        }
         let (log, is_done) = (log.clone(), is_over.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -91,12 +138,12 @@
                     return;
                 }
                 let log = log.clone();
-                thread::spawn(move || serve(&stream, &log));
+                thread::spawn(move || serve(&stream, number, &log));
             }
         });
-        let (told, over) = (leaves.clone(), is_over.clone());
-        thread::spawn(move || send_heartbeats(net, number, address, &told, &over));
-        Ok(Worker { leaves })
+        let (over, cold_until) = (is_over.clone(), worker.cold_until.clone());
+        thread::spawn(move || send_heartbeats(net, number, address, &leaves, &cold_until, &over));
+        Ok(worker)
     }
 
     /// Has the listener of a worker look whether all is over.
@@ -104,18 +151,24 @@
         let _ = TcpStream::connect_timeout(&net.worker(number), CALL_TIMEOUT);
     }
 
+    /// It turns cold; its next heartbeat says so.
+    pub fn turn_cold(&self) {
+        *self.cold_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now() + COLD);
+        self.log.record_cold(self.number);
+    }
+
     /// Tells it to leave.
     pub fn leave(&self) {
         self.leaves.store(true, Ordering::Relaxed);
     }
 }
 
-fn serve(stream: &TcpStream, log: &RunLog) {
+fn serve(stream: &TcpStream, number: usize, log: &RunLog) {
     let mut reader = BufReader::new(stream);
     while let Some(message) = HttpMessage::read(&mut reader) {
         let id = message.header("attempt-id").to_string();
         let work = work_of(&id);
-        log.record(&id, work);
+        log.record(number, &id, work);
         thread::sleep(work);
         let mut out = stream;
         let written = write!(
@@ -139,7 +192,14 @@
     })
 }
 
-fn send_heartbeats(net: Net, number: usize, address: SocketAddr, leaves: &AtomicBool, is_over: &AtomicBool) {
+fn send_heartbeats(
+    net: Net,
+    number: usize,
+    address: SocketAddr,
+    leaves: &AtomicBool,
+    cold_until: &Mutex<Option<Instant>>,
+    is_over: &AtomicBool,
+) {
     let mut drains_until = None;
     for sequence in 1.. {
         if is_over.load(Ordering::Relaxed) {
@@ -147,8 +207,11 @@
         }
         let is_draining = leaves.load(Ordering::Relaxed);
         let state = if is_draining { "draining" } else { "ready" };
+        let cold_until = *cold_until.lock().unwrap_or_else(PoisonError::into_inner);
+        let cold_left = cold_until.map_or(Duration::ZERO, |at| at.saturating_duration_since(Instant::now()));
+        let cold_left_s = cold_left.as_secs_f64();
         let body = format!(
-            r#"{{"service":"s","address":"{address}","zone":"z1","capacity":{CAPACITY},"state":"{state}","cold-left-s":0,"call-seq":{sequence}}}"#
+            r#"{{"service":"s","address":"{address}","zone":"z1","capacity":{CAPACITY},"state":"{state}","cold-left-s":{cold_left_s},"call-seq":{sequence}}}"#
         );
         let is_acknowledged = tell_any(net, sequence, &format!("PUT /instances/i-{number}"), &body);
         if is_draining && is_acknowledged && drains_until.is_none() {
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -77,6 +77,9 @@
     /// The age of its last heartbeat, in milliseconds.
     #[serde(rename = "heard_ms")]
     pub heartbeat_age_ms: u64,
+    /// It has sent no heartbeat since something after which it may be cold and not have been able to say so.
+    #[serde(rename = "unconfirmed", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_unconfirmed: bool,
 }
 
 /// What one proxy admitted and rejected for a tenant since it last reported.
@@ -272,8 +275,7 @@
         /// The sender leads, in contact with a quorum.
         #[serde(rename = "leads")]
         is_leader: bool,
-        /// What the sender has said of workers is what they say themselves: all have had the time to report to it, also
-        /// since the last evacuation ended.
+        /// No instance that the sender knows as ready is unconfirmed.
         #[serde(rename = "knows_lives", default, skip_serializing_if = "std::ops::Not::not")]
         knows_instances: bool,
     },
--- a/crates/protocol/tests/golden.rs
+++ b/crates/protocol/tests/golden.rs
@@ -54,6 +54,7 @@
         warming_up_ms: 1500,
         call_seq: 12,
         heartbeat_age_ms: 250,
+        is_unconfirmed: false,
     }
 }
 
--- a/crates/proxy/src/control_client.rs
+++ b/crates/proxy/src/control_client.rs
@@ -98,8 +98,7 @@
         // A proxy that begins needs all instances once; one that was cut off from a controller, what that one heard.
         let wants_instances = !is_first || !proxy.routing().has_instances();
         is_first = false;
-        let subscribe = ToController::Subscribe { proxy: proxy.info.clone(), wants_instances };
-        transport::write(connection, &transport::encode(&subscribe), MAX_UNSENT_BYTES);
+        subscribe(proxy, connection, wants_instances);
         proxy.control().on_opened(controller, connection);
         send_heartbeat_on(proxy, connection);
         serve(proxy, connection);
@@ -109,6 +108,11 @@
     info!(controller = controller.to_string(); "controller dropped");
 }
 
+fn subscribe(proxy: &Proxy, connection: &Arc<Connection>, wants_instances: bool) {
+    let message = ToController::Subscribe { proxy: proxy.info.clone(), wants_instances };
+    transport::write(connection, &transport::encode(&message), MAX_UNSENT_BYTES);
+}
+
 /// Handles what comes on a connection until it ends, or is silent for too long.
 fn serve(proxy: &Arc<Proxy>, connection: &Arc<Connection>) {
     let mut heard_at = proxy.alarms.now();
@@ -136,7 +140,11 @@
             let sent_at = Time::from_nanos(clock);
             let confirmed_ago = confirmed_ms_ago.map(Span::from_millis);
             let ack = HeartbeatAck { sent_at, revision, confirmed_ago, is_leader, knows_instances };
-            proxy.routing().on_heartbeat_ack(now, &ack);
+            let wants_instances = proxy.routing().on_heartbeat_ack(now, &ack);
+            if wants_instances {
+                subscribe(proxy, connection, true);
+                send_heartbeat_on(proxy, connection);
+            }
             proxy.control().on_heartbeat_ack(connection, is_leader);
             proxy.alarms.wake_connection(now + ACKNOWLEDGEMENT_TIMEOUT, connection);
         }
--- a/crates/proxy/src/routing_state.rs
+++ b/crates/proxy/src/routing_state.rs
@@ -60,7 +60,7 @@
     pub confirmed_ago: Option<Span>,
     /// It leads.
     pub is_leader: bool,
-    /// What it has said of workers is what they say themselves.
+    /// It leads, and every instance that counts as ready is confirmed.
     pub knows_instances: bool,
 }
 
@@ -182,6 +182,12 @@
         if !self.replica.apply_update(now, revision, update) {
             return false;
         }
+        for (zone, _) in &self.settings.zones {
+            if self.replica.restored_at(zone) == Some(now) {
+                self.registry.mark_unconfirmed(|instance| instance.zone == *zone);
+                self.balancer.on_zone_restored(zone);
+            }
+        }
         if let Some(version) = self.replica.version() {
             let configuration = &version.configuration;
             self.balancer.configure(now, configuration);
@@ -223,14 +229,20 @@
         }
     }
 
-    /// A controller has acknowledged a heartbeat.
-    pub fn on_heartbeat_ack(&mut self, now: Time, ack: &HeartbeatAck) {
+    /// A controller has acknowledged a heartbeat. Returns whether a snapshot of all instances is wanted of it: what workers
+    /// said during a silence may have been missed.
+    pub fn on_heartbeat_ack(&mut self, now: Time, ack: &HeartbeatAck) -> bool {
         let sent_at = ack.sent_at;
         if let Some(confirmed_ago) = ack.confirmed_ago {
             self.lease.renew(sent_at, ack.revision, confirmed_ago, self.replica.revision());
         }
+        let mut wants_instances = false;
         if self.lease.is_fresh(now, CONTACT_TIMEOUT) {
-            self.contact.on_heard(now, ack.knows_instances);
+            wants_instances = self.contact.on_heard(now, ack.knows_instances);
+        }
+        if ack.knows_instances {
+            self.registry.confirm_all();
+            self.balancer.confirm_all();
         }
         if self.lease.is_fresh(now, CONFIRMATION_AGE) {
             self.balancer.on_membership_confirmed(now);
@@ -238,6 +250,7 @@
         if ack.is_leader {
             self.buckets.renew_shares(sent_at);
         }
+        wants_instances
     }
 
     /// Takes over shares of quotas.
--- a/crates/routing/src/controller_contact.rs
+++ b/crates/routing/src/controller_contact.rs
@@ -20,14 +20,18 @@
 impl ControllerContact {
     /// A controller with quorum contact was heard. `knows_instances`: every worker has had the time to report to it, and
     /// what it knows of them came before this (`HeartbeatAck`).
-    pub fn on_heard(&mut self, now: Time, knows_instances: bool) {
-        if self.heard_at.is_none_or(|at| now - at >= CONTACT_TIMEOUT) {
+    /// Returns whether that ends a silence in which this process may have missed what workers said.
+    pub fn on_heard(&mut self, now: Time, knows_instances: bool) -> bool {
+        let is_first = self.heard_at.is_none();
+        let is_regained = self.heard_at.is_none_or(|at| now - at >= CONTACT_TIMEOUT);
+        if is_regained {
             self.regained_at = Some(now);
         }
         self.heard_at = self.heard_at.max(Some(now));
         if knows_instances {
             self.regained_at = None;
         }
+        is_regained && !is_first
     }
 
     /// Whether workers have had time to report since the last silence. `unreported`: how long they may need.
--- a/crates/routing/src/locality_balancer.rs
+++ b/crates/routing/src/locality_balancer.rs
@@ -57,6 +57,8 @@
 struct Endpoint {
     worker: Arc<Worker>,
     warming_until: Time,
+    /// It may be cold and not have been able to say so.
+    is_unconfirmed: bool,
     phase: WorkerPhase,
     weight: f32,
 }
@@ -270,6 +272,7 @@
                 number,
             }),
             warming_until: instance.warming_until,
+            is_unconfirmed: instance.is_unconfirmed,
             phase: if is_ready { WorkerPhase::Ready } else { WorkerPhase::Draining },
             weight: instance.capacity.max(1) as f32,
         };
@@ -277,6 +280,20 @@
         locality.endpoints.insert(number, endpoint);
     }
 
+    /// The evacuation of a zone has ended: its workers may be cold and not have said so yet.
+    pub fn on_zone_restored(&mut self, zone: &str) {
+        let concerned = self.localities.iter_mut().filter(|((_, z), _)| z == zone);
+        let endpoints = concerned.flat_map(|(_, locality)| locality.endpoints.values_mut());
+        endpoints.for_each(|endpoint| endpoint.is_unconfirmed = true);
+    }
+
+    /// All workers have sent heartbeats since anything that may have made them cold.
+    pub fn confirm_all(&mut self) {
+        let localities = self.localities.values_mut();
+        let endpoints = localities.flat_map(|locality| locality.endpoints.values_mut());
+        endpoints.for_each(|endpoint| endpoint.is_unconfirmed = false);
+    }
+
     fn remove_instance(&mut self, now: Time, id: &str, key: &LocalityKey) {
         let Some(number) = self.numbers.remove(id) else { return };
         if let Some(locality) = self.localities.get_mut(key)
@@ -418,7 +435,7 @@
 impl Endpoint {
     /// How the worker is to be treated, by what is known of its zone.
     fn warm_up_query(&self, now: Time, rate: f64, knowledge: WarmUpKnowledge) -> WarmUpQuery<'_> {
-        let state = WarmUpState::of(knowledge, now < self.warming_until);
+        let state = WarmUpState::of(knowledge, now < self.warming_until, self.is_unconfirmed);
         WarmUpQuery { worker: &self.worker.id, zone: &self.worker.zone, rate, state }
     }
 
--- a/crates/routing/src/slow_start.rs
+++ b/crates/routing/src/slow_start.rs
@@ -58,11 +58,13 @@
 }
 
 impl WarmUpState {
-    /// By what is known of its zone, and by whether it has said that it warms up.
-    pub fn of(knowledge: WarmUpKnowledge, is_warming: bool) -> WarmUpState {
+    /// By what is known of its zone, by whether it has said that it warms up, and by whether it may be cold and not have
+    /// been able to say so.
+    pub fn of(knowledge: WarmUpKnowledge, is_warming: bool, is_unconfirmed: bool) -> WarmUpState {
         match knowledge {
             _ if is_warming => WarmUpState::Warming,
             WarmUpKnowledge::NotYetReported => WarmUpState::Warming,
+            _ if is_unconfirmed => WarmUpState::Unknown,
             WarmUpKnowledge::Unknown => WarmUpState::Unknown,
             WarmUpKnowledge::Reported => WarmUpState::Warm,
         }
--- a/crates/routing/tests/unknown_warm_up.rs
+++ b/crates/routing/tests/unknown_warm_up.rs
@@ -43,6 +43,7 @@
         warming_up_ms: 0,
         call_seq: 1,
         heartbeat_age_ms: 0,
+        is_unconfirmed: false,
     };
     assert!(registry.update(now, &instance));
     registry.instances().get("i-1").expect("known").clone()
