--- a/crates/routing/tests/retry_budget.rs
+++ b/crates/routing/tests/retry_budget.rs
@@ -18,3 +18,22 @@
     }
     assert!(retries > 150, "{retries}");
 }
+
+/// All proxies begin together, as after a loss of power, and know neither how many they are nor what they spent before; then
+/// each restarts time and again, while every request asks for a retry.
+#[test]
+fn proxies_that_begin_grant_themselves_nothing_of_the_slack_again() {
+    let (ratio, slack, proxies) = (0.2, 210.0, 90);
+    let (mut requests, mut retries) = (0, 0);
+    for _life in 0..20 {
+        for _proxy in 0..proxies {
+            let mut budget = RetryBudget::new(ratio, slack);
+            for _ in 0..3 {
+                budget.earn("s");
+                requests += 1;
+                retries += u32::from(budget.try_spend("s"));
+            }
+            assert!(f64::from(retries) <= ratio * f64::from(requests) + slack, "{retries} of {requests}");
+        }
+    }
+}
