A proxy that begins has saved up no retries

Cause: RetryBudget gave a process that begins its whole part of the slack at once, of eight proxies as long as it was told of no other number, so each restart granted it again (264 retries of 264 requests by 88 proxies that begin together, 262 granted). Change: what is saved begins at nothing and is earned by requests. Open: a part of less than one retry is still saved up to one (295 proxies). Soak: a refused client comes back when it was told to, 1.5 s later at the most.

--- a/crates/fault-injection/src/soak/clients.rs
+++ b/crates/fault-injection/src/soak/clients.rs
@@ -24,6 +24,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Between two requests on a connection, at the most.
 const MAX_PAUSE_MS: u64 = 150;
+/// The longest wait before a refused client comes back.
+const MAX_WAIT: Duration = Duration::from_millis(1_500);
 /// How long a directory's answer is kept, at the most.
 const MAX_ANSWER_AGE: Duration = Duration::from_secs(9);
 
@@ -70,6 +72,8 @@
     requests: Arc<Mutex<Vec<SentRequest>>>,
     addresses: Vec<SocketAddr>,
     asked: Instant,
+    /// A proxy has told it to come back then.
+    waits_until: Instant,
     sent: u64,
 }
 
@@ -93,6 +97,7 @@
                 requests: requests.clone(),
                 addresses: Vec::new(),
                 asked: origin,
+                waits_until: origin,
                 sent: 0,
             };
             let is_over = is_over.clone();
@@ -115,6 +120,12 @@
     }
 }
 
+/// How long a refused client is told to wait, within bounds.
+fn retry_after(response: &HttpMessage) -> Option<Duration> {
+    let seconds: f64 = response.header("retry-after").parse().ok()?;
+    Some(Duration::from_secs_f64(seconds.clamp(0.0, MAX_WAIT.as_secs_f64())))
+}
+
 impl Client {
     fn now(&self) -> f64 {
         self.origin.elapsed().as_secs_f64()
@@ -160,7 +171,8 @@
                 break;
             }
             batches += 1;
-            thread::sleep(Duration::from_millis(self.chance.random_range(0..MAX_PAUSE_MS)));
+            let pause = Duration::from_millis(self.chance.random_range(0..MAX_PAUSE_MS));
+            thread::sleep(pause.max(self.waits_until.saturating_duration_since(Instant::now())));
         }
         batches > 0
     }
@@ -196,6 +208,9 @@
                 None if is_open && ended - sent >= READ_TIMEOUT.as_secs_f64() => End::Silent,
                 None => End::Closed,
             };
+            if let Some(wait) = response.as_ref().and_then(retry_after) {
+                self.waits_until = self.waits_until.max(Instant::now() + wait);
+            }
             is_open &= response.is_some_and(|response| response.header("connection") != "close");
             let request = SentRequest { id, proxy, is_safe, sent, ended, end };
             self.requests.lock().unwrap_or_else(PoisonError::into_inner).push(request);
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -1,5 +1,6 @@
 //! The retry budget: for each service, how many retries this proxy may make of what the operators grant to all proxies.
-//! Requests earn it, and what is saved up is this proxy's part of the slack.
+//! Requests earn it, and what may be saved up is this proxy's part of the slack. A process that begins has saved nothing:
+//! the one before it on the same machine may have spent that part a moment ago.
 
 use std::collections::HashMap;
 
@@ -38,20 +39,20 @@
         match self.saved.get_mut(service) {
             Some(saved) => *saved = (*saved + earned).min(max),
             None => {
-                self.saved.insert(service.to_string(), max);
+                self.saved.insert(service.to_string(), earned.min(max));
             }
         }
     }
 
     /// Spends a retry; false where there is none left.
     pub fn try_spend(&mut self, service: &str) -> bool {
-        let max = self.max_saved();
-        let saved = self.saved.entry(service.to_string()).or_insert(max);
-        if *saved < 1.0 {
-            return false;
+        match self.saved.get_mut(service) {
+            Some(saved) if *saved >= 1.0 => {
+                *saved -= 1.0;
+                true
+            }
+            _ => false,
         }
-        *saved -= 1.0;
-        true
     }
 
     /// Forgets services that the configuration does not hold any more.
