--- a/crates/proxy/src/control_client.rs
+++ b/crates/proxy/src/control_client.rs
@@ -135,7 +135,9 @@
             // So that the controller knows what is here, whether it fitted or not, and its next acknowledgement counts.
             send_heartbeat_on(proxy, connection);
         }
-        ToProxy::Instances { instances, .. } => proxy.routing().apply_instances(now, &instances),
+        ToProxy::Instances { instances, is_snapshot } => {
+            proxy.routing().apply_instances(now, &instances, is_snapshot);
+        }
         ToProxy::HeartbeatAck { clock, revision, confirmed_ms_ago, is_leader, knows_instances } => {
             let sent_at = Time::from_nanos(clock);
             let confirmed_ago = confirmed_ms_ago.map(Span::from_millis);
--- a/crates/proxy/src/routing_state.rs
+++ b/crates/proxy/src/routing_state.rs
@@ -217,8 +217,11 @@
         self.has_instances
     }
 
-    /// Takes over what is said of instances.
-    pub fn apply_instances(&mut self, now: Time, instances: &[Instance]) {
+    /// Takes over what is said of instances; `is_snapshot`: of all that a controller knows.
+    pub fn apply_instances(&mut self, now: Time, instances: &[Instance], is_snapshot: bool) {
+        if is_snapshot {
+            self.contact.on_snapshot();
+        }
         self.has_instances |= !instances.is_empty();
         for instance in instances {
             if self.registry.update(now, instance)
@@ -238,7 +241,7 @@
         }
         let mut wants_instances = false;
         if self.lease.is_fresh(now, CONTACT_TIMEOUT) {
-            wants_instances = self.contact.on_heard(now, ack.knows_instances);
+            wants_instances = self.contact.on_heard(now);
         }
         if ack.knows_instances {
             self.registry.confirm_all();
@@ -474,12 +477,9 @@
     contact: &ControllerContact,
     zone: &str,
 ) -> WarmUpKnowledge {
-    let unreported = report_time(settings.heartbeat_period);
     match replica.restored_at(zone) {
-        Some(at) if now - at < unreported => WarmUpKnowledge::NotYetReported,
-        _ if lease.is_fresh(now, CONTACT_TIMEOUT) && contact.is_settled(now, unreported) => {
-            WarmUpKnowledge::Reported
-        }
+        Some(at) if now - at < report_time(settings.heartbeat_period) => WarmUpKnowledge::NotYetReported,
+        _ if lease.is_fresh(now, CONTACT_TIMEOUT) && contact.is_settled(now) => WarmUpKnowledge::Reported,
         _ => WarmUpKnowledge::Unknown,
     }
 }
--- a/crates/routing/src/controller_contact.rs
+++ b/crates/routing/src/controller_contact.rs
@@ -1,6 +1,7 @@
 //! Whether a proxy may rely on what the controllers told it of workers. While none of them is certain to know the newest state,
-//! workers may say to other controllers, or to nobody, that they warm up; and after a silence they need a heartbeat's time
-//! to say it again.
+//! workers may say to other controllers, or to nobody, that they warm up; and after a silence what was said meanwhile is
+//! missing until a snapshot has brought it. Which workers had no way to say anything stands in the snapshot
+//! (`Instance::is_unconfirmed`).
 
 use lynxstair::types::{Span, Time};
 
@@ -12,31 +13,29 @@
 #[derive(Debug, Default)]
 pub struct ControllerContact {
     heard_at: Option<Time>,
-    /// When the last silence that was longer than the time-out ended, where what workers said since is not known to be
-    /// here. To a process, the time before it began is such a silence.
-    regained_at: Option<Time>,
+    /// A snapshot of all instances has come since the last silence that was longer than the time-out. To a process, the
+    /// time before it began is such a silence.
+    has_snapshot: bool,
 }
 
 impl ControllerContact {
-    /// A controller with quorum contact was heard. `knows_instances`: every worker has had the time to report to it, and
-    /// what it knows of them came before this (`HeartbeatAck`).
-    /// Returns whether that ends a silence in which this process may have missed what workers said.
-    pub fn on_heard(&mut self, now: Time, knows_instances: bool) -> bool {
-        let is_first = self.heard_at.is_none();
-        let is_regained = self.heard_at.is_none_or(|at| now - at >= CONTACT_TIMEOUT);
+    /// A controller with quorum contact was heard. Returns whether that ends a silence, so that a snapshot is wanted.
+    pub fn on_heard(&mut self, now: Time) -> bool {
+        let is_regained = self.heard_at.is_some_and(|at| now - at >= CONTACT_TIMEOUT);
         if is_regained {
-            self.regained_at = Some(now);
+            self.has_snapshot = false;
         }
         self.heard_at = self.heard_at.max(Some(now));
-        if knows_instances {
-            self.regained_at = None;
-        }
-        is_regained && !is_first
+        is_regained
+    }
+
+    /// A controller has sent all instances that it knows.
+    pub fn on_snapshot(&mut self) {
+        self.has_snapshot = true;
     }
 
-    /// Whether workers have had time to report since the last silence. `unreported`: how long they may need.
-    pub fn is_settled(&self, now: Time, unreported: Span) -> bool {
-        self.heard_at.is_some_and(|at| now - at < CONTACT_TIMEOUT)
-            && self.regained_at.is_none_or(|at| now - at >= unreported)
+    /// Whether what is known of workers here is what the controllers know.
+    pub fn is_settled(&self, now: Time) -> bool {
+        self.has_snapshot && self.heard_at.is_some_and(|at| now - at < CONTACT_TIMEOUT)
     }
 }
--- a/crates/routing/src/slow_start.rs
+++ b/crates/routing/src/slow_start.rs
@@ -7,7 +7,7 @@
 //! much proxies differ in what they know:
 //!
 //! - members' parts never add up to more than the whole, also while the membership changes;
-//! - a process does not use its permits in its first window: the process before it on the same machine may just have;
+//! - a process does not use its permits in its first second: the process before it on the same machine may just have;
 //! - a permit is taken, or taken again, in the same step that hands the request over ([`SlowStart::may_hand_over`]), and is
 //!   free again a window after that, by a steady clock.
 //!
@@ -21,6 +21,9 @@
 use lynxstair_control_state::membership_planner::MEMBERSHIP_VALIDITY;
 use lynxstair_control_state::proxy_membership::{Part, PermitSplit, ProxyMembership};
 
+/// A process does not use its permits for this long: the second that the operators' bound counts in. What the process
+/// before it handed over, its clients had sent before this one began.
+const FIRST_WINDOW: Span = Span::from_millis(1_000);
 /// For how long a permit is taken: the second that the operators' bound counts in, and what may pass between the decision
 /// to hand a request over and its last byte (a process may be stalled for a tenth of a second).
 pub const PERMIT_WINDOW: Span = Span::from_millis(1_100);
@@ -172,13 +175,13 @@
 
     /// For how long this process does not use its permits yet.
     pub fn unusable_for(&self, now: Time) -> Span {
-        self.started_at + PERMIT_WINDOW - now
+        self.started_at + FIRST_WINDOW - now
     }
 
     /// Whether this proxy may send to a worker in that state at all.
     fn may_use_permits(&self, now: Time, query: &WarmUpQuery) -> bool {
         (query.state == WarmUpState::Unknown || query.zone == self.zone)
-            && now - self.started_at >= PERMIT_WINDOW
+            && now - self.started_at >= FIRST_WINDOW
             && self.valid_until.is_some_and(|until| now < until)
     }
 
