--- a/crates/control-state/src/failure_detector.rs
+++ b/crates/control-state/src/failure_detector.rs
@@ -11,10 +11,6 @@
 /// still be unread.
 const STANDSTILL: Span = Span::from_millis(1_500);
 
-/// A worker's call takes no longer than this: what comes later after something that may have made it cold, it has said
-/// since.
-const CALL_TIME: Span = Span::from_millis(1_000);
-
 /// Out of contact for this long, calls of workers were lost or not acknowledged.
 const ISOLATION: Span = Span::from_millis(1_000);
 
@@ -60,8 +56,6 @@
     /// It has led, in contact with the quorum, without a break since then.
     leader_since: Option<Time>,
     isolated_since: Option<Time>,
-    /// A heartbeat confirms an instance from then on only.
-    confirms_from: Time,
     checked_at: Time,
 }
 
@@ -74,7 +68,6 @@
             quorum_role: QuorumRole::Isolated,
             leader_since: None,
             isolated_since: None,
-            confirms_from: now + CALL_TIME,
             checked_at: now,
         }
     }
@@ -108,7 +101,6 @@
         let was_isolated = self.isolated_since.take().is_some_and(|since| now - since >= ISOLATION);
         if was_isolated || stood_still {
             self.registry.mark_unconfirmed(|_| true);
-            self.confirms_from = now + CALL_TIME;
         }
     }
 
@@ -118,9 +110,8 @@
     }
 
     /// The evacuation of a zone has ended: its workers may have turned cold.
-    pub fn on_zone_restored(&mut self, now: Time, zone: &str) {
+    pub fn on_zone_restored(&mut self, zone: &str) {
         self.registry.mark_unconfirmed(|instance| instance.zone == zone);
-        self.confirms_from = now + CALL_TIME;
     }
 
     /// All instances, as others are told of them now. Out of contact, this controller can't say that any of them is as it
@@ -135,8 +126,7 @@
 
     /// A worker has sent a heartbeat.
     pub fn record_heartbeat(&mut self, now: Time, instance: &Instance) -> HeartbeatOutcome {
-        let is_unconfirmed = now < self.confirms_from && self.registry.is_unconfirmed(&instance.id);
-        let is_changed = self.registry.update(now, &Instance { is_unconfirmed, ..instance.clone() });
+        let is_changed = self.registry.update(now, instance);
         self.outcome(now, &instance.id, is_changed)
     }
 
--- a/crates/control-state/src/instance_registry.rs
+++ b/crates/control-state/src/instance_registry.rs
@@ -114,11 +114,6 @@
         self.instances.values_mut().for_each(|instance| instance.is_unconfirmed = false);
     }
 
-    /// Whether an instance is known, and unconfirmed.
-    pub fn is_unconfirmed(&self, id: &str) -> bool {
-        self.instances.get(id).is_some_and(|instance| instance.is_unconfirmed)
-    }
-
     /// Whether any instance that counts as ready is unconfirmed.
     pub fn has_unconfirmed(&self) -> bool {
         let mut instances = self.instances.values();
--- a/crates/controller/src/consensus_driver.rs
+++ b/crates/controller/src/consensus_driver.rs
@@ -68,7 +68,7 @@
     if !state.committed.advance(store) {
         return;
     }
-    restored.iter().for_each(|zone| state.instances.detector.on_zone_restored(now, zone));
+    restored.iter().for_each(|zone| state.instances.detector.on_zone_restored(zone));
     info!(revision = revision, generation = generation, term = position.term; "configuration committed");
     if state.consensus.is_established_leader() {
         state.subscribers.publish_config(now, &state.committed);
--- a/crates/fault-injection/src/soak/workers.rs
+++ b/crates/fault-injection/src/soak/workers.rs
@@ -201,34 +201,38 @@
     is_over: &AtomicBool,
 ) {
     let mut drains_until = None;
-    for sequence in 1.. {
-        if is_over.load(Ordering::Relaxed) {
-            return;
-        }
+    let mut calls = 0;
+    while !is_over.load(Ordering::Relaxed) {
         let is_draining = leaves.load(Ordering::Relaxed);
         let state = if is_draining { "draining" } else { "ready" };
-        let cold_until = *cold_until.lock().unwrap_or_else(PoisonError::into_inner);
-        let cold_left = cold_until.map_or(Duration::ZERO, |at| at.saturating_duration_since(Instant::now()));
-        let cold_left_s = cold_left.as_secs_f64();
-        let body = format!(
-            r#"{{"service":"s","address":"{address}","zone":"z1","capacity":{CAPACITY},"state":"{state}","cold-left-s":{cold_left_s},"call-seq":{sequence}}}"#
-        );
-        let is_acknowledged = tell_any(net, sequence, &format!("PUT /instances/i-{number}"), &body);
+        // Each call says how the worker is as it is made.
+        let body = |sequence: usize| {
+            let cold_until = *cold_until.lock().unwrap_or_else(PoisonError::into_inner);
+            let cold_left =
+                cold_until.map_or(Duration::ZERO, |at| at.saturating_duration_since(Instant::now()));
+            let cold_left_s = cold_left.as_secs_f64();
+            format!(
+                r#"{{"service":"s","address":"{address}","zone":"z1","capacity":{CAPACITY},"state":"{state}","cold-left-s":{cold_left_s},"call-seq":{sequence}}}"#
+            )
+        };
+        let is_acknowledged = tell_any(net, &mut calls, &format!("PUT /instances/i-{number}"), &body);
         if is_draining && is_acknowledged && drains_until.is_none() {
             drains_until = Some(Instant::now() + DRAIN);
         }
         if drains_until.is_some_and(|until| Instant::now() >= until) {
-            tell_any(net, sequence + 1, &format!("DELETE /instances/i-{number}"), "");
+            tell_any(net, &mut calls, &format!("DELETE /instances/i-{number}"), &|_| String::new());
             return;
         }
         thread::sleep(HEARTBEAT_PERIOD);
     }
 }
 
-/// Calls one controller after the other until one takes it.
-fn tell_any(net: Net, first: usize, head: &str, body: &str) -> bool {
-    let controllers = (0..super::SoakShape::CONTROLLERS).cycle().skip(first % super::SoakShape::CONTROLLERS);
-    controllers
-        .take(super::SoakShape::CONTROLLERS)
-        .any(|n| call(net.controller(n), head, body).is_some_and(|m| m.status() == 200))
+/// Calls one controller after the other until one takes it. `calls`: how many calls were made; `body`: of a call, by its
+/// number.
+fn tell_any(net: Net, calls: &mut usize, head: &str, body: &dyn Fn(usize) -> String) -> bool {
+    (0..super::SoakShape::CONTROLLERS).any(|_| {
+        *calls += 1;
+        let controller = net.controller(*calls % super::SoakShape::CONTROLLERS);
+        call(controller, head, &body(*calls)).is_some_and(|m| m.status() == 200)
+    })
 }
