--- a/crates/control-state/src/instance_registry.rs
+++ b/crates/control-state/src/instance_registry.rs
@@ -109,11 +109,6 @@
         concerned.for_each(|instance| instance.is_unconfirmed = true);
     }
 
-    /// All that are ready have sent heartbeats since.
-    pub fn confirm_all(&mut self) {
-        self.instances.values_mut().for_each(|instance| instance.is_unconfirmed = false);
-    }
-
     /// Whether any instance that counts as ready is unconfirmed.
     pub fn has_unconfirmed(&self) -> bool {
         let mut instances = self.instances.values();
--- a/crates/control-state/tests/instance_registry.rs
+++ b/crates/control-state/tests/instance_registry.rs
@@ -105,7 +105,7 @@
 }
 
 #[test]
-fn unconfirmed_instances_are_confirmed_one_by_one_or_all_together() {
+fn unconfirmed_instances_are_confirmed_one_by_one() {
     let now = Time::from_nanos(10_000_000_000);
     let mut registry = InstanceRegistry::default();
     let named = |id: &str| Instance { id: id.to_string(), ..instance(1, InstanceState::Ready, 0) };
@@ -116,7 +116,7 @@
     // Another controller that knows nothing newer knows that it is confirmed, or that it is not.
     assert!(registry.update(now, &named("i-1")));
     assert!(registry.has_unconfirmed(), "i-2 is");
-    registry.confirm_all();
+    assert!(registry.update(now, &named("i-2")));
     assert!(!registry.has_unconfirmed());
     assert!(registry.update(now, &Instance { is_unconfirmed: true, ..named("i-2") }));
     assert!(registry.has_unconfirmed());
--- a/crates/proxy/src/routing_state.rs
+++ b/crates/proxy/src/routing_state.rs
@@ -99,6 +99,8 @@
     /// The revision of the proxy membership that is held, and since when.
     membership: (u64, Time),
     has_instances: bool,
+    /// A leader that knows all its instances as confirmed was heard last.
+    has_leader_view: bool,
     phase: Phase,
 }
 
@@ -125,6 +127,7 @@
             proxy_counts: ProxyCounts::default(),
             membership: (0, now),
             has_instances: false,
+            has_leader_view: false,
             phase: Phase::Serving,
             settings: settings.clone(),
         }
@@ -243,9 +246,8 @@
         if self.lease.is_fresh(now, CONTACT_TIMEOUT) {
             wants_instances = self.contact.on_heard(now);
         }
-        if ack.knows_instances {
-            self.registry.confirm_all();
-            self.balancer.confirm_all();
+        if ack.is_leader {
+            wants_instances |= self.wants_leader_view(ack.knows_instances);
         }
         if self.lease.is_fresh(now, CONFIRMATION_AGE) {
             self.balancer.on_membership_confirmed(now);
@@ -256,6 +258,14 @@
         wants_instances
     }
 
+    /// Whether a leader has just come to know all its instances as confirmed, while some are not here. It may not know all
+    /// that are known here, so its snapshot says which are.
+    fn wants_leader_view(&mut self, knows_instances: bool) -> bool {
+        let is_news = knows_instances && !self.has_leader_view;
+        self.has_leader_view = knows_instances;
+        is_news && self.registry.has_unconfirmed()
+    }
+
     /// Takes over shares of quotas.
     pub fn apply_quota_shares(&mut self, now: Time, shares: &[QuotaShare]) {
         self.buckets.apply_shares(now, now, shares);
--- a/crates/proxy/tests/warm_up_knowledge.rs
+++ b/crates/proxy/tests/warm_up_knowledge.rs
@@ -145,3 +145,28 @@
     proxies[0].apply_instances(at(8_000), &[worker(4, false)], true);
     assert!(press(&mut proxies, 8_000, 1)[0] > ALLOWED);
 }
+
+/// A leader that has just begun may not know the worker at all, as its disk held none of it: that it knows no unconfirmed one
+/// says nothing of this worker. Its snapshot is asked for, once, and decides.
+#[test]
+fn a_leader_that_does_not_know_a_worker_confirms_nothing_of_it() {
+    let mut proxies: Vec<_> = (0..PROXIES).map(|n| begun(n, at(0), &worker(4, true))).collect();
+    let ack = HeartbeatAck {
+        sent_at: at(1_000),
+        revision: store().revision,
+        confirmed_ago: Some(Span::from_millis(0)),
+        is_leader: true,
+        knows_instances: true,
+    };
+    for proxy in &mut proxies {
+        assert!(proxy.on_heartbeat_ack(at(1_000), &ack), "a snapshot is wanted");
+        assert!(!proxy.on_heartbeat_ack(at(1_100), &ack), "once");
+        proxy.apply_instances(at(1_200), &[], true);
+    }
+    let sent = press(&mut proxies, 2_000, 3);
+    assert!(sent.iter().all(|sent| *sent <= ALLOWED), "{sent:?}");
+    for proxy in &mut proxies {
+        proxy.apply_instances(at(5_000), &[worker(4, false)], true);
+    }
+    assert!(press(&mut proxies, 5_000, 1)[0] > ALLOWED);
+}
--- a/crates/routing/src/locality_balancer.rs
+++ b/crates/routing/src/locality_balancer.rs
@@ -287,13 +287,6 @@
         endpoints.for_each(|endpoint| endpoint.is_unconfirmed = true);
     }
 
-    /// All workers have sent heartbeats since anything that may have made them cold.
-    pub fn confirm_all(&mut self) {
-        let localities = self.localities.values_mut();
-        let endpoints = localities.flat_map(|locality| locality.endpoints.values_mut());
-        endpoints.for_each(|endpoint| endpoint.is_unconfirmed = false);
-    }
-
     fn remove_instance(&mut self, now: Time, id: &str, key: &LocalityKey) {
         let Some(number) = self.numbers.remove(id) else { return };
         if let Some(locality) = self.localities.get_mut(key)
