--- a/crates/proxy/src/routing_state.rs
+++ b/crates/proxy/src/routing_state.rs
@@ -37,6 +37,10 @@
 /// unresponsive here: that is for the controllers to decide.
 const REGISTRY_HEARTBEAT_PERIOD: Span = Span::from_millis(3_600_000);
 
+/// Between two snapshots that are asked of leaders, as long as instances stay unconfirmed: at first, and at the most.
+const MIN_LEADER_VIEW_WAIT: Span = Span::from_millis(1_000);
+const MAX_LEADER_VIEW_WAIT: Span = Span::from_millis(30_000);
+
 /// What a request asks for, as its head says.
 pub struct RequestInfo<'a> {
     /// The `Host` header.
@@ -99,8 +103,9 @@
     /// The revision of the proxy membership that is held, and since when.
     membership: (u64, Time),
     has_instances: bool,
-    /// A leader that knows all its instances as confirmed was heard last.
-    has_leader_view: bool,
+    /// From when on a leader's snapshot may be asked for, and how long after that the next one.
+    leader_view_at: Time,
+    leader_view_wait: Span,
     phase: Phase,
 }
 
@@ -127,7 +132,8 @@
             proxy_counts: ProxyCounts::default(),
             membership: (0, now),
             has_instances: false,
-            has_leader_view: false,
+            leader_view_at: now,
+            leader_view_wait: MIN_LEADER_VIEW_WAIT,
             phase: Phase::Serving,
             settings: settings.clone(),
         }
@@ -247,7 +253,7 @@
             wants_instances = self.contact.on_heard(now);
         }
         if ack.is_leader {
-            wants_instances |= self.wants_leader_view(ack.knows_instances);
+            wants_instances |= self.wants_leader_view(now, ack.knows_instances);
         }
         if self.lease.is_fresh(now, CONFIRMATION_AGE) {
             self.balancer.on_membership_confirmed(now);
@@ -258,12 +264,19 @@
         wants_instances
     }
 
-    /// Whether a leader has just come to know all its instances as confirmed, while some are not here. It may not know all
-    /// that are known here, so its snapshot says which are.
-    fn wants_leader_view(&mut self, knows_instances: bool) -> bool {
-        let is_news = knows_instances && !self.has_leader_view;
-        self.has_leader_view = knows_instances;
-        is_news && self.registry.has_unconfirmed()
+    /// Whether the snapshot of a leader that knows all its instances as confirmed is wanted, as some are not here. It may not
+    /// know all that are known here, so its snapshot says which are; where that leaves some, the next one is asked for later.
+    fn wants_leader_view(&mut self, now: Time, knows_instances: bool) -> bool {
+        if !self.registry.has_unconfirmed() {
+            self.leader_view_wait = MIN_LEADER_VIEW_WAIT;
+            return false;
+        }
+        if !knows_instances || now < self.leader_view_at {
+            return false;
+        }
+        self.leader_view_at = now + self.leader_view_wait;
+        self.leader_view_wait = self.leader_view_wait.times(2.0).min(MAX_LEADER_VIEW_WAIT);
+        true
     }
 
     /// Takes over shares of quotas.
--- a/crates/proxy/tests/warm_up_knowledge.rs
+++ b/crates/proxy/tests/warm_up_knowledge.rs
@@ -147,7 +147,7 @@
 }
 
 /// A leader that has just begun may not know the worker at all, as its disk held none of it: that it knows no unconfirmed one
-/// says nothing of this worker. Its snapshot is asked for, once, and decides.
+/// says nothing of this worker. Its snapshot is asked for, now and then, and decides.
 #[test]
 fn a_leader_that_does_not_know_a_worker_confirms_nothing_of_it() {
     let mut proxies: Vec<_> = (0..PROXIES).map(|n| begun(n, at(0), &worker(4, true))).collect();
@@ -160,13 +160,15 @@
     };
     for proxy in &mut proxies {
         assert!(proxy.on_heartbeat_ack(at(1_000), &ack), "a snapshot is wanted");
-        assert!(!proxy.on_heartbeat_ack(at(1_100), &ack), "once");
+        assert!(!proxy.on_heartbeat_ack(at(1_100), &ack), "not again at once");
         proxy.apply_instances(at(1_200), &[], true);
     }
     let sent = press(&mut proxies, 2_000, 3);
     assert!(sent.iter().all(|sent| *sent <= ALLOWED), "{sent:?}");
     for proxy in &mut proxies {
+        assert!(proxy.on_heartbeat_ack(at(5_000), &ack), "it may know it by now");
         proxy.apply_instances(at(5_000), &[worker(4, false)], true);
+        assert!(!proxy.on_heartbeat_ack(at(60_000), &ack), "nothing is unconfirmed");
     }
     assert!(press(&mut proxies, 5_000, 1)[0] > ALLOWED);
 }
