--- a/crates/proxy/src/routing_state.rs
+++ b/crates/proxy/src/routing_state.rs
@@ -19,6 +19,7 @@
 use lynxstair_routing::proxy_counts::ProxyCounts;
 use lynxstair_routing::retry_budget::RetryBudget;
 use lynxstair_routing::slow_start::{SlowStart, WarmUpKnowledge, WarmUpUsage};
+use lynxstair_routing::snapshot_requests::SnapshotRequests;
 use lynxstair_routing::token_buckets::TokenBuckets;
 use lynxstair_routing::weighted_split::WeightedSplit;
 
@@ -37,10 +38,6 @@
 /// unresponsive here: that is for the controllers to decide.
 const REGISTRY_HEARTBEAT_PERIOD: Span = Span::from_millis(3_600_000);
 
-/// Between two snapshots that are asked of leaders, as long as instances stay unconfirmed: at first, and at the most.
-const MIN_LEADER_VIEW_WAIT: Span = Span::from_millis(1_000);
-const MAX_LEADER_VIEW_WAIT: Span = Span::from_millis(30_000);
-
 /// What a request asks for, as its head says.
 pub struct RequestInfo<'a> {
     /// The `Host` header.
@@ -103,9 +100,7 @@
     /// The revision of the proxy membership that is held, and since when.
     membership: (u64, Time),
     has_instances: bool,
-    /// From when on a leader's snapshot may be asked for, and how long after that the next one.
-    leader_view_at: Time,
-    leader_view_wait: Span,
+    snapshot_requests: SnapshotRequests,
     phase: Phase,
 }
 
@@ -132,8 +127,7 @@
             proxy_counts: ProxyCounts::default(),
             membership: (0, now),
             has_instances: false,
-            leader_view_at: now,
-            leader_view_wait: MIN_LEADER_VIEW_WAIT,
+            snapshot_requests: SnapshotRequests::new(now),
             phase: Phase::Serving,
             settings: settings.clone(),
         }
@@ -253,7 +247,8 @@
             wants_instances = self.contact.on_heard(now);
         }
         if ack.is_leader {
-            wants_instances |= self.wants_leader_view(now, ack.knows_instances);
+            let has_unconfirmed = self.registry.has_unconfirmed();
+            wants_instances |= self.snapshot_requests.poll(now, ack.knows_instances, has_unconfirmed);
         }
         if self.lease.is_fresh(now, CONFIRMATION_AGE) {
             self.balancer.on_membership_confirmed(now);
@@ -264,21 +259,6 @@
         wants_instances
     }
 
-    /// Whether the snapshot of a leader that knows all its instances as confirmed is wanted, as some are not here. It may not
-    /// know all that are known here, so its snapshot says which are; where that leaves some, the next one is asked for later.
-    fn wants_leader_view(&mut self, now: Time, knows_instances: bool) -> bool {
-        if !self.registry.has_unconfirmed() {
-            self.leader_view_wait = MIN_LEADER_VIEW_WAIT;
-            return false;
-        }
-        if !knows_instances || now < self.leader_view_at {
-            return false;
-        }
-        self.leader_view_at = now + self.leader_view_wait;
-        self.leader_view_wait = self.leader_view_wait.times(2.0).min(MAX_LEADER_VIEW_WAIT);
-        true
-    }
-
     /// Takes over shares of quotas.
     pub fn apply_quota_shares(&mut self, now: Time, shares: &[QuotaShare]) {
         self.buckets.apply_shares(now, now, shares);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod proxy_counts;
 pub mod retry_budget;
 pub mod slow_start;
+pub mod snapshot_requests;
 pub mod token_buckets;
 pub mod weighted_split;
