--- a/review/harness/harness.rs
+++ b/review/harness/harness.rs
@@ -454,7 +454,7 @@
     }
 
     /// Sends one beat, to the next controllers until one acknowledges it.
-    fn beat(&self, controllers: &[SocketAddr], at: &mut usize) {
+    pub fn beat(&self, controllers: &[SocketAddr], at: &mut usize) {
         for _ in 0..controllers.len() {
             let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
             let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
