Serve routes with any number of different latency targets

What callers saw: a configuration that gives one service more than 200 different `target-s` was acknowledged, and each request to the routes with a new one got 503 "no worker takes it now", for the life of the proxy. The same after 199 changes that each replaced one route.

Cause: LocalityBalancer kept one operation for each pair of route kind and exact target, numbered with 8 bits, never let go of one, and passed over all new ones of a service beyond 200. Validation has no such limit, and PROTOCOL names none.

A service that is neither configured nor has workers is let go. Ruled out: wider ids, since a worker's statistics for 2,300 operations at 2,100 workers would not fit a proxy's memory.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod controller_contact;
 pub mod execution;
 pub mod locality_balancer;
+pub mod operation_table;
 pub mod proxy_counts;
 pub mod retry_budget;
 pub mod slow_start;
--- a/crates/routing/src/locality_balancer.rs
+++ b/crates/routing/src/locality_balancer.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 
 use lynxstair::types::{
-    CellId, Idempotency, KindId, ListUpdate, Operation, OperationId, Outcome, Plan, PlanId, Request,
-    RequestId, Settings, Span, TenantId, Time, WorkerId, WorkerInfo, WorkerPhase, ZoneId,
+    CellId, KindId, ListUpdate, Outcome, Plan, PlanId, Request, RequestId, Settings, Span, TenantId, Time,
+    WorkerId, WorkerInfo, WorkerPhase, ZoneId,
 };
 use lynxstair_config::configuration::{Configuration, RouteKind};
 use lynxstair_control_state::instance_registry::RegisteredInstance;
@@ -19,6 +19,7 @@
 use lynxstair_dispatch::{Assignment, Decision, Dispatcher};
 use lynxstair_protocol::messages::InstanceState;
 
+use crate::operation_table::OperationTable;
 use crate::slow_start::{SlowStart, WarmUpKnowledge, WarmUpQuery, WarmUpState, WarmUpUsage};
 
 /// Events closer together than this are simultaneous to the dispatcher.
@@ -31,12 +32,6 @@
 const RETRY_AFTER_FRACTION: f64 = 0.25;
 /// Shortest `Retry-After` if all localities are full.
 const MIN_RETRY_AFTER: Span = Span::from_millis(100);
-/// Maximum number of operations of a service; the dispatcher numbers them with 8 bits.
-const MAX_OPERATIONS: usize = 200;
-/// Initial estimate of the time that clients wait for a response, as a multiple of the latency target.
-const CLIENT_TIMEOUT_FACTOR: f64 = 4.0;
-/// Value of a response after the latency target, as a fraction of the value of one in time.
-const LATE_RESPONSE_VALUE: f32 = 0.3;
 /// Time after which the dispatcher regards an idle connection as closed.
 const IDLE_CONNECTION_TIMEOUT: Span = Span::from_millis(6_000);
 
@@ -118,9 +113,7 @@
     /// Number of proxies in each zone.
     proxies: HashMap<String, u32>,
     localities: HashMap<LocalityKey, Locality>,
-    /// Operations of each service, by route kind and latency target. The index is the dispatcher's
-    /// operation id.
-    operations: HashMap<String, Vec<(RouteKind, Span)>>,
+    operations: OperationTable,
     /// Rate that a worker of each service can take while warming up, in requests a second.
     warm_up_rates: HashMap<String, f64>,
     /// Number of each instance in the dispatchers, by instance id.
@@ -153,7 +146,7 @@
             near_zones: near,
             proxies: HashMap::new(),
             localities: HashMap::new(),
-            operations: HashMap::new(),
+            operations: OperationTable::default(),
             warm_up_rates: HashMap::new(),
             numbers: HashMap::new(),
             last_number: 0,
@@ -161,29 +154,14 @@
         }
     }
 
-    /// Applies a configuration. The localities of a service with new operations are rebuilt. If a service
-    /// would have more than `MAX_OPERATIONS`, its new operations are ignored and their requests rejected.
+    /// Applies a configuration. The localities of a service with new operations are rebuilt.
     pub fn configure(&mut self, now: Time, configuration: &Configuration) {
-        let mut operations: HashMap<String, Vec<(RouteKind, Span)>> = HashMap::new();
-        for route in configuration.all_routes() {
-            for (service, _) in &route.services {
-                let configured = operations.entry(service.clone()).or_default();
-                if !configured.contains(&(route.kind, route.target)) {
-                    configured.push((route.kind, route.target));
-                }
-            }
-        }
         let rates = configuration.services.iter().map(|(name, s)| (name.clone(), s.warm_up_rate));
         self.warm_up_rates = rates.collect();
-        for (service, mut added) in operations {
-            let known = self.operations.entry(service.clone()).or_default();
-            added.retain(|operation| !known.contains(operation));
-            if added.is_empty() || known.len() + added.len() > MAX_OPERATIONS {
-                continue;
-            }
-            known.extend(added);
-            self.rebuild(now, |(s, _)| *s == service);
-        }
+        let localities = &self.localities;
+        let has_workers = |service: &str| localities.keys().any(|(s, _)| s == service);
+        let changed = self.operations.configure(configuration, has_workers);
+        self.rebuild(now, |(service, _)| changed.contains(service));
     }
 
     /// Sets the replicated membership, which assigns slow-start permits to proxies.
@@ -210,8 +188,7 @@
         let keys: Vec<_> = self.localities.keys().filter(|key| is_affected(key)).cloned().collect();
         for key in keys {
             let Some(old) = self.localities.remove(&key) else { continue };
-            let dispatcher = self.new_dispatcher(now, &key);
-            let locality = Locality { dispatcher, endpoints: old.endpoints };
+            let locality = self.new_locality(now, &key, old.endpoints);
             let all: Vec<WorkerInfo> =
                 locality.endpoints.values().map(|endpoint| endpoint.worker_info(endpoint.phase)).collect();
             locality.dispatcher.update_workers(now, ListUpdate::Full, &all);
@@ -230,25 +207,20 @@
         self.near_zones.iter().map(|z| of(z)).sum::<u32>().max(1)
     }
 
+    fn new_locality(
+        &self,
+        now: Time,
+        key: &LocalityKey,
+        endpoints: BTreeMap<WorkerId, Endpoint>,
+    ) -> Locality {
+        Locality { dispatcher: self.new_dispatcher(now, key), endpoints }
+    }
+
     fn new_dispatcher(&self, now: Time, (service, zone): &LocalityKey) -> Dispatcher<()> {
-        let operation = |(kind, target): &(RouteKind, Span)| Operation {
-            latency_objective: *target,
-            integration_timeout: target.times(CLIENT_TIMEOUT_FACTOR),
-            late_value: LATE_RESPONSE_VALUE,
-            billed_value: 1.0,
-            idempotency: if kind.is_idempotent() {
-                Idempotency::Idempotent
-            } else {
-                Idempotency::NonIdempotent
-            },
-        };
         let settings = Settings {
             gatekeepers: self.proxies_sending_to(zone).div_ceil(PROXY_COUNT_DIVISOR),
             time_resolution: TIME_RESOLUTION,
-            operations: self
-                .operations
-                .get(service)
-                .map_or(Vec::new(), |known| known.iter().map(operation).collect()),
+            operations: self.operations.settings(service),
             plans: vec![Plan::default()],
             idle_timeout: IDLE_CONNECTION_TIMEOUT,
             max_attempts: 1,
@@ -266,8 +238,8 @@
             return self.remove_instance(now, id, &key);
         }
         if !self.localities.contains_key(&key) {
-            let dispatcher = self.new_dispatcher(now, &key);
-            self.localities.insert(key.clone(), Locality { dispatcher, endpoints: BTreeMap::new() });
+            let locality = self.new_locality(now, &key, BTreeMap::new());
+            self.localities.insert(key.clone(), locality);
         }
         let last = &mut self.last_number;
         let number = *self.numbers.entry(id.to_string()).or_insert_with(|| {
@@ -321,15 +293,13 @@
         query: &EndpointQuery,
         warm_up: &dyn Fn(&str) -> WarmUpKnowledge,
     ) -> Pick {
-        let operations = self.operations.get(query.service);
-        let index = operations
-            .and_then(|known| known.iter().position(|operation| *operation == (query.kind, query.target)));
-        let Some(index) = index else { return Pick::Full(MIN_RETRY_AFTER) };
+        let operation = self.operations.operation_id(query.service, query.kind, query.target);
+        let Some(operation) = operation else { return Pick::Full(MIN_RETRY_AFTER) };
         let request = Request {
             id: RequestId::default(),
             deadline: query.deadline,
             tenant: TenantId(0),
-            operation: OperationId(index as u8),
+            operation,
             plan: PlanId(0),
             spread: 1.0,
             units: 1.0,
@@ -378,8 +348,7 @@
             return None;
         };
         self.slow_start.spend(now, &endpoint.warm_up_query(now, rate, knowledge));
-        let worker = endpoint.worker.clone();
-        Some(PickedEndpoint { locality: key, assignment, worker, picked_at: now })
+        Some(PickedEndpoint { worker: endpoint.worker.clone(), locality: key, assignment, picked_at: now })
     }
 
     /// Returns `true` if a request may be handed over to its picked worker, which may have started to warm
--- a/src/types.rs
+++ b/src/types.rs
@@ -7,7 +7,7 @@
 pub struct Time(u64);
 
 /// A non-negative length of time, in nanoseconds. Arithmetic saturates.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Span(u64);
 
 impl Time {
