Ignore the end of an attempt whose dispatcher was replaced

What callers saw: nothing directly; a worker could be avoided for a failure at another one, and the load in flight was counted wrong, after each change that rebuilds a service's localities (new latency targets, a changed number of proxies).

A rebuilt locality has a new dispatcher, which numbers requests from 1 again. LocalityBalancer::report passed the end of an earlier attempt to it by that number alone.

Change: each dispatcher has a number of its own, and an attempt is reported only to the one that decided on it.

Before: the_end_of_an_attempt_from_before_a_change_does_not_count_for_a_later_one failed: a failed connection to i-1 kept all of 20 requests from i-2. After: passes.

--- a/crates/routing/src/locality_balancer.rs
+++ b/crates/routing/src/locality_balancer.rs
@@ -66,6 +66,8 @@
 
 struct Locality {
     dispatcher: Dispatcher<()>,
+    /// Differs between all dispatchers of the balancer.
+    dispatcher_number: u64,
     endpoints: BTreeMap<WorkerId, Endpoint>,
 }
 
@@ -88,6 +90,8 @@
 /// The worker of an attempt, for [`LocalityBalancer::report`] at the end of the attempt.
 pub struct PickedEndpoint {
     locality: LocalityKey,
+    /// Number of the dispatcher that picked the worker.
+    dispatcher_number: u64,
     assignment: Assignment<()>,
     /// Worker that the request is sent to.
     pub worker: Arc<Worker>,
@@ -113,6 +117,7 @@
     /// Number of proxies in each zone.
     proxies: HashMap<String, u32>,
     localities: HashMap<LocalityKey, Locality>,
+    last_dispatcher_number: u64,
     operations: OperationTable,
     /// Rate that a worker of each service can take while warming up, in requests a second.
     warm_up_rates: HashMap<String, f64>,
@@ -146,6 +151,7 @@
             near_zones: near,
             proxies: HashMap::new(),
             localities: HashMap::new(),
+            last_dispatcher_number: 0,
             operations: OperationTable::default(),
             warm_up_rates: HashMap::new(),
             numbers: HashMap::new(),
@@ -208,12 +214,14 @@
     }
 
     fn new_locality(
-        &self,
+        &mut self,
         now: Time,
         key: &LocalityKey,
         endpoints: BTreeMap<WorkerId, Endpoint>,
     ) -> Locality {
-        Locality { dispatcher: self.new_dispatcher(now, key), endpoints }
+        self.last_dispatcher_number += 1;
+        let dispatcher = self.new_dispatcher(now, key);
+        Locality { dispatcher, dispatcher_number: self.last_dispatcher_number, endpoints }
     }
 
     fn new_dispatcher(&self, now: Time, (service, zone): &LocalityKey) -> Dispatcher<()> {
@@ -348,7 +356,13 @@
             return None;
         };
         self.slow_start.spend(now, &endpoint.warm_up_query(now, rate, knowledge));
-        Some(PickedEndpoint { worker: endpoint.worker.clone(), locality: key, assignment, picked_at: now })
+        Some(PickedEndpoint {
+            dispatcher_number: locality.dispatcher_number,
+            worker: endpoint.worker.clone(),
+            locality: key,
+            assignment,
+            picked_at: now,
+        })
     }
 
     /// Returns `true` if a request may be handed over to its picked worker, which may have started to warm
@@ -364,9 +378,11 @@
         })
     }
 
-    /// Reports the end of an attempt.
+    /// Reports the end of an attempt. Has no effect if its dispatcher was replaced: the new one assigns the
+    /// same numbers to other attempts.
     pub fn report(&mut self, now: Time, picked: &PickedEndpoint, outcome: Outcome) {
-        if let Some(locality) = self.localities.get(&picked.locality) {
+        let locality = self.localities.get(&picked.locality);
+        if let Some(locality) = locality.filter(|l| l.dispatcher_number == picked.dispatcher_number) {
             locality.dispatcher.report(now, &picked.assignment, outcome, now - picked.picked_at, None);
             locality.dispatcher.end_request(now, picked.assignment.request_id);
         }
--- a/crates/routing/tests/latency_targets.rs
+++ b/crates/routing/tests/latency_targets.rs
@@ -1,12 +1,15 @@
 //! Routes of one service with many different latency targets.
 
+use std::slice::from_ref;
+use std::sync::Arc;
+
 use lynxstair::types::{Outcome, Span, Time};
 use lynxstair_config::configuration::{Configuration, RouteKind};
 use lynxstair_config::json;
 use lynxstair_config::table::ConfigTable;
 use lynxstair_control_state::instance_registry::{InstanceRegistry, RegisteredInstance};
 use lynxstair_protocol::messages::{Instance, InstanceState};
-use lynxstair_routing::locality_balancer::{EndpointQuery, LocalityBalancer, Pick, PickedEndpoint};
+use lynxstair_routing::locality_balancer::{EndpointQuery, LocalityBalancer, Pick, PickedEndpoint, Worker};
 use lynxstair_routing::slow_start::{SlowStart, WarmUpKnowledge};
 
 const START: Time = Time::from_nanos(10_000_000_000);
@@ -61,13 +64,22 @@
 }
 
 fn pick(balancer: &mut LocalityBalancer, now: Time, target: Span) -> Option<Box<PickedEndpoint>> {
+    pick_except(balancer, now, target, &[])
+}
+
+fn pick_except(
+    balancer: &mut LocalityBalancer,
+    now: Time,
+    target: Span,
+    tried: &[Arc<Worker>],
+) -> Option<Box<PickedEndpoint>> {
     let query = EndpointQuery {
         service: "s",
         kind: RouteKind::Safe,
         target,
         deadline: now + Span::from_millis(600_000),
         is_zone_allowed: &|_| true,
-        tried: &[],
+        tried,
     };
     match balancer.pick(now, &query, &|_| WarmUpKnowledge::Reported) {
         Pick::Endpoint(picked) => Some(picked),
@@ -119,3 +131,28 @@
     balancer.update_instance(START, "i-1", &worker("i-1"));
     assert_eq!(served(&mut balancer, &mut now, &configuration(&extremes)), extremes.len());
 }
+
+/// Guards against an attempt that ends after its dispatcher was replaced: its outcome must not count for a
+/// later attempt, which has the same number at the new dispatcher.
+#[test]
+fn the_end_of_an_attempt_from_before_a_change_does_not_count_for_a_later_one() {
+    let mut balancer = balancer();
+    balancer.configure(START, &configuration(&[Span::from_millis(500)]));
+    balancer.update_instance(START, "i-1", &worker("i-1"));
+    let earlier = pick(&mut balancer, START, Span::from_millis(500)).expect("picked");
+    balancer.update_instance(START, "i-2", &worker("i-2"));
+    let targets = [Span::from_millis(500), Span::from_millis(3_000)];
+    balancer.configure(START, &configuration(&targets));
+    let mut now = START + Span::from_millis(10);
+    let later = pick_except(&mut balancer, now, targets[0], from_ref(&earlier.worker)).expect("picked");
+    assert_eq!((&*earlier.worker.id, &*later.worker.id), ("i-1", "i-2"));
+    balancer.report(now, &earlier, Outcome::ConnectFailed);
+    balancer.report(now, &later, Outcome::Succeeded);
+    let mut picked_workers = (0..20).map(|_| {
+        now = now + Span::from_millis(10);
+        let picked = pick(&mut balancer, now, targets[0]).expect("picked");
+        balancer.report(now + Span::from_millis(5), &picked, Outcome::Succeeded);
+        picked.worker.id.clone()
+    });
+    assert!(picked_workers.any(|id| id == "i-2"), "the outcome at i-1 counts for i-2");
+}
