Acknowledge a worker's departure only when enough disks store it

Cause: acknowledged departures were in memory only. Instances writes all instances at most once a second (STORE_INTERVAL), InstanceRegistry::restore leaves out deregistered ones, and no controller waited for another one's disk. After the restart the worker counted as ready until it was found unresponsive.

Change: each controller writes a departure to its disk as soon as it learns of it (table `departures`, one small row; all that are reported during a write share the next one) and confirms that to the others (`DeparturesStored`). The answer waits until a majority of the voters, and more than fault-budget.machines, have synced it, 850 ms at most; else 503, and the worker calls another controller. Nothing else waits: proxies are told as before, at once. Departures are restored before the stored instances, whose older reports don't undo them, and deleted with the registry's entry.

Old and new side by side: `PeerHeartbeat` says that its sender confirms; a connected controller of an earlier build counts as storing, as before. Earlier builds skip the field and the table; golden files are unchanged. Ruled out: writing all instances for each departure (300 kB at 2,100 workers); a proposal to the consensus for each (one at a time, with the whole configuration).

--- a/crates/control-state/src/instance_registry.rs
+++ b/crates/control-state/src/instance_registry.rs
@@ -76,6 +76,13 @@
         }
     }
 
+    /// Restores instances whose departure this process stored before a restart, in addition to `restore`.
+    pub fn restore_departed(&mut self, now: Time, instances: &[Instance]) {
+        for instance in instances.iter().filter(|instance| instance.state.has_departed()) {
+            self.update(now, &Instance { heartbeat_age_ms: 0, is_unconfirmed: true, ..instance.clone() });
+        }
+    }
+
     /// Applies a report of an instance. Returns `true` if it changes anything that proxies act on. Ignores
     /// reports older than the newest heartbeat and all reports after the deregistration.
     pub fn update(&mut self, now: Time, instance: &Instance) -> bool {
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`config_replica`] | the received configuration | proxies |
 //! | [`instance_registry`] | worker instances | both |
 //! | [`failure_detector`] | detection of unresponsive instances | controllers |
+//! | [`departure_log`] | which controllers store that an instance has departed | controllers |
 //! | [`quota_limits`] | limits of tenant quotas | both |
 //! | [`quota_allocator`], [`token_ledger`] | quota tokens that proxies get and hold | the leader |
 //! | [`directory`] | proxies that clients may connect to | controllers |
@@ -24,6 +25,7 @@
 pub mod config_store;
 mod config_update;
 pub mod delta_log;
+pub mod departure_log;
 pub mod directory;
 pub mod failure_detector;
 pub mod instance_registry;
--- a/crates/control-state/tests/instance_registry.rs
+++ b/crates/control-state/tests/instance_registry.rs
@@ -123,3 +123,18 @@
     assert!(registry.update(now, &Instance { is_unconfirmed: true, ..named("i-2") }));
     assert!(registry.has_unconfirmed());
 }
+
+/// Guards against a departed instance that counts as ready again after a restart, because the instances were
+/// stored before its departure.
+#[test]
+fn a_restored_departure_is_not_undone_by_older_reports() {
+    for state in [InstanceState::Draining, InstanceState::Deregistered] {
+        let mut registry = InstanceRegistry::default();
+        registry.restore_departed(at(0), &[instance(7, state, 0)]);
+        registry.restore(at(0), &[instance(6, InstanceState::Ready, 0)], Span::from_millis(1500));
+        assert_eq!(registry.instances()["i-1"].state, state);
+        registry.update(at(10), &instance(7, InstanceState::Ready, 0));
+        registry.update(at(20), &instance(8, InstanceState::Ready, 0));
+        assert_eq!(registry.instances()["i-1"].state, state);
+    }
+}
--- a/crates/controller/src/disk_writer.rs
+++ b/crates/controller/src/disk_writer.rs
@@ -10,7 +10,7 @@
 use lynxstair_consensus::PersistentState;
 use lynxstair_net::clock::Clock;
 
-use crate::storage::{StorageError, Store};
+use crate::storage::{DepartureChanges, StorageError, Store};
 
 /// Delay before a failed write is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -22,11 +22,28 @@
 struct PendingWrites {
     /// Newest state, with the number of its write.
     state: Option<(u64, PersistentState)>,
+    /// Departures of instances.
+    departures: DepartureChanges,
     /// Encoded instances.
     instances: Option<Vec<u8>>,
 }
 
-/// Queue of the disk writer, with at most one write of each kind.
+impl PendingWrites {
+    fn is_empty(&self) -> bool {
+        self.state.is_none() && self.departures.is_empty() && self.instances.is_none()
+    }
+}
+
+/// A completed write, synced to disk.
+pub enum Written {
+    /// The state with this number.
+    State(u64),
+    /// The departures of the instances with these ids.
+    Departures(Vec<String>),
+}
+
+/// Queue of the disk writer, with at most one write of each kind. All departures that are reported during a
+/// write are written together by the next one.
 #[derive(Default)]
 pub struct DiskQueue {
     pending: Mutex<PendingWrites>,
@@ -45,16 +62,31 @@
         self.not_empty.notify_one();
     }
 
+    /// Enqueues changes of the stored departures.
+    pub fn write_departures(&self, changes: DepartureChanges) {
+        if !changes.is_empty() {
+            self.pending().departures.append(changes);
+            self.not_empty.notify_one();
+        }
+    }
+
     /// Enqueues the encoded instances. Replaces those whose write has not started.
     pub fn write_instances(&self, instances: Vec<u8>) {
         self.pending().instances = Some(instances);
         self.not_empty.notify_one();
     }
 
+    /// Enqueues changes whose write has failed, before those enqueued since.
+    fn retry_departures(&self, mut failed: DepartureChanges) {
+        let mut pending = self.pending();
+        failed.append(std::mem::take(&mut pending.departures));
+        pending.departures = failed;
+    }
+
     /// Waits for pending writes and removes them from the queue.
     fn take(&self) -> PendingWrites {
         let mut pending = self.pending();
-        while pending.state.is_none() && pending.instances.is_none() {
+        while pending.is_empty() {
             pending = self.not_empty.wait(pending).unwrap_or_else(|e| e.into_inner());
         }
         std::mem::take(&mut *pending)
@@ -83,27 +115,63 @@
     }
 }
 
-/// Runs the disk writer; never returns. Calls `on_persisted` with the number of each state that is synced.
-pub fn run(queue: &Arc<DiskQueue>, mut store: Box<dyn Store>, clock: Clock, on_persisted: impl Fn(u64)) {
-    let mut failures = FailureLog::default();
+/// Runs the disk writer; never returns. Calls `on_written` for each state and all departures that are synced.
+pub fn run(queue: &Arc<DiskQueue>, store: Box<dyn Store>, clock: Clock, on_written: impl Fn(Written)) {
+    let mut writer = DiskWriter { queue, store, clock, failures: FailureLog::default() };
     loop {
-        let PendingWrites { mut state, instances } = queue.take();
+        let PendingWrites { state, departures, instances } = queue.take();
         // The state is written first, because the consensus waits for it.
-        while let Some((number, unwritten)) = state.take() {
-            match store.save(&unwritten) {
-                Ok(()) => {
-                    failures.on_success(clock.now());
-                    on_persisted(number);
-                }
-                Err(error) => {
-                    failures.on_failure(clock.now(), &error);
-                    thread::sleep(RETRY_DELAY);
-                    let newer = queue.pending().state.take();
-                    state = newer.or(Some((number, unwritten)));
-                }
+        if let Some((number, state)) = state {
+            on_written(Written::State(writer.write_state(number, state)));
+        }
+        if !departures.is_empty()
+            && let Some(ids) = writer.write_departures(departures)
+        {
+            on_written(Written::Departures(ids));
+        }
+        if let Some(encoded) = instances {
+            writer.write_instances(&encoded);
+        }
+    }
+}
+
+/// The store and the log of its failures.
+struct DiskWriter<'a> {
+    queue: &'a DiskQueue,
+    store: Box<dyn Store>,
+    clock: Clock,
+    failures: FailureLog,
+}
+
+impl DiskWriter<'_> {
+    /// Writes a state, or one that replaces it if the write fails. Retries until a write succeeds, and returns
+    /// its number.
+    fn write_state(&mut self, mut number: u64, mut state: PersistentState) -> u64 {
+        while let Err(error) = self.store.save(&state) {
+            self.failures.on_failure(self.clock.now(), &error);
+            thread::sleep(RETRY_DELAY);
+            if let Some(newer) = self.queue.pending().state.take() {
+                (number, state) = newer;
             }
         }
-        if let Some(Err(error)) = instances.map(|encoded| store.save_instances(&encoded)) {
+        self.failures.on_success(self.clock.now());
+        number
+    }
+
+    /// Writes departures and returns the ids of the added ones. After a failure they are enqueued again.
+    fn write_departures(&mut self, departures: DepartureChanges) -> Option<Vec<String>> {
+        if let Err(error) = self.store.save_departures(&departures) {
+            self.failures.on_failure(self.clock.now(), &error);
+            self.queue.retry_departures(departures);
+            thread::sleep(RETRY_DELAY);
+            return None;
+        }
+        self.failures.on_success(self.clock.now());
+        Some(departures.added.into_iter().map(|instance| instance.id).collect())
+    }
+
+    fn write_instances(&mut self, encoded: &[u8]) {
+        if let Err(error) = self.store.save_instances(encoded) {
             warn!(error = error.to_string(); "instance write failed");
         }
     }
--- a/crates/controller/src/inbound.rs
+++ b/crates/controller/src/inbound.rs
@@ -12,6 +12,7 @@
 
 use crate::consensus_driver::perform_actions;
 use crate::controller::Controller;
+use crate::departures;
 use crate::peer_connections::send;
 use crate::peer_links::add_peers;
 use crate::state::ControllerState;
@@ -56,8 +57,14 @@
     let received_at = controller.alarms.received_at(now);
     let mut state = controller.state();
     match (message, remote.controller, remote.subscriber) {
-        (ToController::PeerHeartbeat { from, hears_recipient, known_peers }, ..) => {
-            remote.controller = Some(from);
+        (ToController::PeerHeartbeat { from, hears_recipient, known_peers, confirms_departures }, ..) => {
+            if remote.controller.replace(from).is_none() {
+                // The sender may have restarted, and without its disk.
+                state.departures.forget_confirmations(from);
+            }
+            if state.peers.on_heartbeat(from, confirms_departures) {
+                departures::confirm_all(controller, &state, from);
+            }
             add_peers(controller, now, &mut state, &[from]);
             add_peers(controller, now, &mut state, &known_peers);
             state.on_peer_heartbeat(now, from);
@@ -69,8 +76,12 @@
             state.consensus.handle_message(now, from, message);
             perform_actions(controller, now, &mut state);
         }
-        (ToController::InstanceUpdates(instances), Some(_), _) => {
+        (ToController::InstanceUpdates(instances), Some(from), _) => {
             state.on_instance_updates(received_at, &instances);
+            departures::on_reported(controller, now, &mut state, Some(from), &instances);
+        }
+        (ToController::DeparturesStored(ids), Some(from), _) => {
+            departures::on_stored_by(&mut state, from, &ids);
         }
         (ToController::ProxyStatuses { statuses, is_snapshot, is_complete }, Some(from), _) => {
             state.directory.apply_remote(received_at, from, statuses, is_snapshot, is_complete);
--- a/crates/controller/src/instance_api.rs
+++ b/crates/controller/src/instance_api.rs
@@ -1,11 +1,15 @@
 //! HTTP requests of workers: heartbeats and deregistration.
 
+use std::sync::MutexGuard;
+
+use lynxstair::types::Time;
 use lynxstair_config::json::{self, ValueError};
 use lynxstair_control_state::failure_detector::HeartbeatOutcome;
 use lynxstair_net::server::Response;
 use lynxstair_protocol::messages::{Instance, InstanceState};
 
 use crate::controller::Controller;
+use crate::departures;
 use crate::replies::error;
 use crate::state::ControllerState;
 
@@ -27,7 +31,7 @@
     let mut state = controller.state();
     state.update_quorum_role(now);
     let outcome = state.instances.detector.record_heartbeat(now, &instance);
-    publish(&mut state, outcome)
+    publish(controller, now, state, outcome)
 }
 
 /// Handles `DELETE /instances/ID`, the deregistration of a worker instance.
@@ -36,12 +40,23 @@
     let mut state = controller.state();
     state.update_quorum_role(now);
     let outcome = state.instances.detector.deregister(now, id);
-    publish(&mut state, outcome)
+    publish(controller, now, state, outcome)
 }
 
-fn publish(state: &mut ControllerState, outcome: HeartbeatOutcome) -> Response {
-    let is_acknowledged = outcome.is_acknowledged;
+/// Publishes the outcome and answers the worker. A departure is acknowledged once it is durable.
+fn publish(
+    controller: &Controller,
+    now: Time,
+    mut state: MutexGuard<'_, ControllerState>,
+    outcome: HeartbeatOutcome,
+) -> Response {
+    let mut is_acknowledged = outcome.is_acknowledged;
+    let departed = outcome.instance.clone().filter(|instance| instance.state.has_departed());
     state.publish_heartbeat(outcome);
+    if let Some(instance) = departed {
+        departures::on_reported(controller, now, &mut state, None, std::slice::from_ref(&instance));
+        is_acknowledged = is_acknowledged && departures::wait_until_durable(controller, state, &instance.id);
+    }
     if is_acknowledged {
         Response::json(200, "{}")
     } else {
--- a/crates/controller/src/instances.rs
+++ b/crates/controller/src/instances.rs
@@ -18,9 +18,11 @@
 }
 
 impl Instances {
-    /// Creates the registry from the instances that an earlier process stored.
-    pub fn new(now: Time, stored: &[Instance], heartbeat_period: Span) -> Instances {
+    /// Creates the registry from the departures and the instances that an earlier process stored. The
+    /// departures may be newer.
+    pub fn new(now: Time, departed: &[Instance], stored: &[Instance], heartbeat_period: Span) -> Instances {
         let mut registry = InstanceRegistry::default();
+        registry.restore_departed(now, departed);
         registry.restore(now, stored, heartbeat_period);
         let detector = FailureDetector::new(now, registry, heartbeat_period);
         Instances { detector, is_changed: false, store_at: now + STORE_INTERVAL }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -10,7 +10,7 @@
 //! | HTTP API | `directory_api` | `Controller` |
 //! | HTTP API | `replies` | no controller state |
 //! | message and timer handlers | `inbound`, `timers`, `settings_watch` | `Controller` |
-//! | actions | `consensus_driver`, `peer_links` | `Controller` |
+//! | actions | `consensus_driver`, `departures`, `peer_links` | `Controller` |
 //! | shared state | `controller`, `state` | all parts, under one lock |
 //! | parts | `committed_config`, `pending_requests`, `instances`, `subscribers` | own state |
 //! | parts | `peer_connections`, `consensus_status`, `timer` | own state |
@@ -23,6 +23,7 @@
 mod consensus_driver;
 mod consensus_status;
 mod controller;
+mod departures;
 mod directory_api;
 mod disk_writer;
 mod http_api;
--- a/crates/controller/src/peer_connections.rs
+++ b/crates/controller/src/peer_connections.rs
@@ -1,6 +1,6 @@
 //! Outgoing connections to the other controllers.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use log::info;
@@ -26,12 +26,19 @@
     pub peer_set: PeerSet,
     /// Open connections, each with the time at which it was opened.
     open: HashMap<NodeAddress, (Arc<Connection>, Time)>,
+    /// Whether each controller confirms departures, from its last heartbeat. Removed when the connection to
+    /// it ends, as another build may run there afterwards.
+    confirms_departures: HashMap<NodeAddress, bool>,
 }
 
 impl PeerConnections {
     /// Creates an empty set of peers.
     pub fn new(now: Time) -> PeerConnections {
-        PeerConnections { peer_set: PeerSet::new(now), open: HashMap::new() }
+        PeerConnections {
+            peer_set: PeerSet::new(now),
+            open: HashMap::new(),
+            confirms_departures: HashMap::new(),
+        }
     }
 
     /// Returns `true` if any connection is open.
@@ -47,7 +54,33 @@
     /// Removes a connection that has ended. If the peer was removed and added again in the meantime, its
     /// new connection is kept.
     pub fn on_closed(&mut self, connection: &Arc<Connection>) {
-        self.open.retain(|_, (open, _)| !Arc::ptr_eq(open, connection));
+        let ended = self.open.extract_if(|_, (open, _)| Arc::ptr_eq(open, connection));
+        ended.for_each(|(peer, _)| {
+            self.confirms_departures.remove(&peer);
+        });
+    }
+
+    /// Records whether a controller confirms departures. Returns `true` if that was unknown since the
+    /// connection to it was opened.
+    pub fn on_heartbeat(&mut self, peer: NodeAddress, confirms_departures: bool) -> bool {
+        self.open.contains_key(&peer) && self.confirms_departures.insert(peer, confirms_departures).is_none()
+    }
+
+    /// Returns the connected controllers that run a build without confirmations of departures.
+    pub fn without_confirmations(&self) -> HashSet<NodeAddress> {
+        self.confirms_departures.iter().filter(|(_, confirms)| !**confirms).map(|(peer, _)| *peer).collect()
+    }
+
+    /// Sends a confirmation of departures to a controller, if its build understands it.
+    pub fn send_confirmation(&self, to: NodeAddress, message: &ToController) {
+        if self.confirms_departures.get(&to) == Some(&true) {
+            self.send(to, message);
+        }
+    }
+
+    /// Sends a confirmation of departures to all connected controllers that understand it.
+    pub fn broadcast_confirmation(&self, message: &ToController) {
+        self.confirms_departures.keys().for_each(|peer| self.send_confirmation(*peer, message));
     }
 
     /// Sends a message to all connected controllers.
@@ -79,6 +112,7 @@
             from: me,
             hears_recipient: self.peer_set.has_recent_contact(now, to),
             known_peers: self.peer_set.reachable_peers(now),
+            confirms_departures: true,
         }
     }
 
--- a/crates/controller/src/pending_requests.rs
+++ b/crates/controller/src/pending_requests.rs
@@ -20,7 +20,8 @@
         Arc::new(QuorumWaiter { blocker: Blocker::current(), outcome: Mutex::new(None) })
     }
 
-    fn complete(&self, outcome: RequestOutcome) {
+    /// Ends the wait with this outcome.
+    pub fn complete(&self, outcome: RequestOutcome) {
         *self.outcome.lock().unwrap_or_else(|e| e.into_inner()) = Some(outcome);
         self.blocker.unpark();
     }
--- a/crates/controller/src/startup.rs
+++ b/crates/controller/src/startup.rs
@@ -10,6 +10,7 @@
 use lynxstair_config::settings::Settings;
 use lynxstair_config::settings_reload::ReloadTrigger;
 use lynxstair_consensus::{Consensus, ConsensusConfig, NodeAddress};
+use lynxstair_control_state::departure_log::DepartureLog;
 use lynxstair_control_state::directory::Directory;
 use lynxstair_control_state::membership_planner::MembershipPlanner;
 use lynxstair_control_state::quota_limits::MAX_TOKEN_AGE;
@@ -25,6 +26,8 @@
 use crate::consensus_driver::{on_persisted, perform_actions};
 use crate::consensus_status::LoggedStatus;
 use crate::controller::Controller;
+use crate::departures::{self, DepartureWaiters};
+use crate::disk_writer::Written;
 use crate::instances::Instances;
 use crate::peer_connections::PeerConnections;
 use crate::pending_requests::PendingRequests;
@@ -94,6 +97,12 @@
     // Stored instances are optional: heartbeats would report the same instances later.
     let encoded = store.load_instances().unwrap_or_default();
     let instances: Vec<Instance> = ciborium::from_reader(&encoded[..]).unwrap_or_default();
+    let departed = store.load_departures()?;
+    let mut departures = DepartureLog::default();
+    for instance in &departed {
+        departures.record(&instance.id);
+        departures.on_stored(me, &instance.id);
+    }
     // A quarantined database shows that this is not the first start.
     let bootstrap = settings.bootstrap && !store.is_emptied();
     info!(node = settings.node, has_state = stored.is_some(), bootstrap = bootstrap; "controller started");
@@ -112,7 +121,10 @@
         consensus: Consensus::new(now, config),
         committed: CommittedConfig::default(),
         pending: PendingRequests::default(),
-        instances: Instances::new(now, &instances, settings.heartbeat_period),
+        instances: Instances::new(now, &departed, &instances, settings.heartbeat_period),
+        departures,
+        departure_waiters: DepartureWaiters::default(),
+        tolerated_disk_losses: settings.fault_budget_machines,
         subscribers: Subscribers::new(&settings.bounds),
         peers: PeerConnections::new(now),
         membership: MembershipPlanner::new(settings.bounds.quota_window + MAX_TOKEN_AGE),
@@ -128,7 +140,12 @@
     store: Box<dyn Store>,
 ) -> Result<(), StartError> {
     let (controller, queue) = (controller.clone(), controller.disk.clone());
-    let run = move || disk_writer::run(&queue, store, clock, |number| on_persisted(&controller, number));
+    let run = move || {
+        disk_writer::run(&queue, store, clock, |written| match written {
+            Written::State(number) => on_persisted(&controller, number),
+            Written::Departures(ids) => departures::on_stored_here(&controller, ids),
+        });
+    };
     let thread = thread::Builder::new().name("disk".to_string()).stack_size(DISK_STACK_BYTES);
     thread.spawn(run).map(|_| ()).map_err(|e| StartError::System("disk thread", e))
 }
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -3,6 +3,7 @@
 
 use lynxstair::types::{Span, Time};
 use lynxstair_consensus::{Consensus, NodeAddress};
+use lynxstair_control_state::departure_log::DepartureLog;
 use lynxstair_control_state::directory::Directory;
 use lynxstair_control_state::failure_detector::{HeartbeatOutcome, QuorumRole};
 use lynxstair_control_state::membership_planner::MembershipPlanner;
@@ -10,6 +11,7 @@
 
 use crate::committed_config::CommittedConfig;
 use crate::consensus_status::LoggedStatus;
+use crate::departures::DepartureWaiters;
 use crate::instances::Instances;
 use crate::peer_connections::PeerConnections;
 use crate::pending_requests::PendingRequests;
@@ -37,6 +39,12 @@
     pub pending: PendingRequests,
     /// Worker instances and their failure detector.
     pub instances: Instances,
+    /// Departures of instances, and the controllers that store them.
+    pub departures: DepartureLog,
+    /// HTTP requests that wait until a departure is durable.
+    pub departure_waiters: DepartureWaiters,
+    /// Number of disks that may be lost at once.
+    pub tolerated_disk_losses: usize,
     /// Proxies that are subscribed to this controller.
     pub subscribers: Subscribers,
     /// Connections to the other controllers.
--- a/crates/controller/src/storage.rs
+++ b/crates/controller/src/storage.rs
@@ -10,11 +10,35 @@
 use std::path::PathBuf;
 
 use lynxstair_consensus::PersistentState;
+use lynxstair_protocol::messages::Instance;
 
 pub use memory::MemoryStore;
 pub use sqlite::SqliteStore;
 
-/// Stores the persistent state of the consensus, and the last known worker instances.
+/// Changes of the stored departures of worker instances.
+#[derive(Debug, Default)]
+pub struct DepartureChanges {
+    /// Instances that have departed.
+    pub added: Vec<Instance>,
+    /// Ids of departed instances that are no longer needed.
+    pub removed: Vec<String>,
+}
+
+impl DepartureChanges {
+    /// Returns `true` if there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.added.is_empty() && self.removed.is_empty()
+    }
+
+    /// Adds changes that were made after these.
+    pub fn append(&mut self, later: DepartureChanges) {
+        self.added.retain(|instance| !later.removed.contains(&instance.id));
+        self.added.extend(later.added);
+        self.removed.extend(later.removed);
+    }
+}
+
+/// Stores the persistent state of the consensus, the last known worker instances and their departures.
 pub trait Store: Send {
     /// Returns the state that was saved last, or `None` if none is stored.
     fn load(&mut self) -> Result<Option<PersistentState>, StorageError>;
@@ -27,6 +51,10 @@
     fn load_instances(&mut self) -> Result<Vec<u8>, StorageError>;
     /// Saves the encoded instances, replacing the previous ones.
     fn save_instances(&mut self, instances: &[u8]) -> Result<(), StorageError>;
+    /// Returns the instances whose departure is stored. Those that can't be decoded are left out.
+    fn load_departures(&mut self) -> Result<Vec<Instance>, StorageError>;
+    /// Deletes the removed departures, then saves the added ones durably, all or none of them.
+    fn save_departures(&mut self, changes: &DepartureChanges) -> Result<(), StorageError>;
 }
 
 /// Error on reading or writing stored data.
--- a/crates/controller/src/storage/sqlite.rs
+++ b/crates/controller/src/storage/sqlite.rs
@@ -8,10 +8,10 @@
 use log::warn;
 use lynxstair_consensus::PersistentState;
 use lynxstair_protocol::digest;
-use lynxstair_protocol::messages::Bytes;
+use lynxstair_protocol::messages::{Bytes, Instance};
 use rusqlite::{Connection, ErrorCode, OptionalExtension, params};
 
-use super::{Corruption, StorageError, Store, schema_v1};
+use super::{Corruption, DepartureChanges, StorageError, Store, schema_v1};
 
 const DATABASE_FILE: &str = "book.sqlite";
 const LOG_FILE: &str = "book.sqlite-wal";
@@ -31,7 +31,8 @@
     "CREATE TABLE IF NOT EXISTS head (one INTEGER PRIMARY KEY CHECK (one = 1), held BLOB NOT NULL,
        book BLOB NOT NULL, digest BLOB NOT NULL);
      CREATE TABLE IF NOT EXISTS book (one INTEGER PRIMARY KEY CHECK (one = 1), held BLOB NOT NULL);
-     CREATE TABLE IF NOT EXISTS lives (one INTEGER PRIMARY KEY CHECK (one = 1), held BLOB NOT NULL);";
+     CREATE TABLE IF NOT EXISTS lives (one INTEGER PRIMARY KEY CHECK (one = 1), held BLOB NOT NULL);
+     CREATE TABLE IF NOT EXISTS departures (id TEXT PRIMARY KEY, held BLOB NOT NULL);";
 
 /// A stored configuration with its digest.
 type StoredConfig = (Bytes, [u8; digest::LENGTH]);
@@ -151,6 +152,37 @@
         transaction.execute(insert, params![encoded, config_digest, digest])?;
         transaction.commit()
     }
+
+    fn read_departures(&self) -> Result<Vec<Instance>, rusqlite::Error> {
+        let mut statement = self.connection.prepare("SELECT held FROM departures")?;
+        let rows = statement.query_map([], |row| row.get::<_, Vec<u8>>(0))?;
+        let encoded: Vec<Vec<u8>> = rows.collect::<Result<_, _>>()?;
+        let decode = |bytes: &Vec<u8>| match ciborium::from_reader(&bytes[..]) {
+            Ok(instance) => Some(instance),
+            Err(error) => {
+                warn!(error = error.to_string(); "stored departure unreadable");
+                None
+            }
+        };
+        Ok(encoded.iter().filter_map(decode).collect())
+    }
+
+    /// Writes encoded departures by instance id, and deletes others, in one transaction.
+    fn write_departures(
+        &mut self,
+        added: &[(&str, Vec<u8>)],
+        removed: &[String],
+    ) -> Result<(), rusqlite::Error> {
+        let transaction = self.connection.transaction()?;
+        for id in removed {
+            transaction.execute("DELETE FROM departures WHERE id = ?1", params![id])?;
+        }
+        for (id, encoded) in added {
+            let insert = "INSERT OR REPLACE INTO departures (id, held) VALUES (?1, ?2)";
+            transaction.execute(insert, params![id, encoded])?;
+        }
+        transaction.commit()
+    }
 }
 
 impl Store for SqliteStore {
@@ -194,6 +226,20 @@
         let written = self.connection.execute(insert, params![instances]);
         written.map(|_| ()).map_err(|e| self.error(e))
     }
+
+    fn load_departures(&mut self) -> Result<Vec<Instance>, StorageError> {
+        self.read_departures().map_err(|e| self.error(e))
+    }
+
+    fn save_departures(&mut self, changes: &DepartureChanges) -> Result<(), StorageError> {
+        let mut added: Vec<(&str, Vec<u8>)> = Vec::new();
+        for instance in &changes.added {
+            let mut encoded = Vec::new();
+            ciborium::into_writer(instance, &mut encoded).map_err(|e| StorageError::Encode(e.to_string()))?;
+            added.push((&instance.id, encoded));
+        }
+        self.write_departures(&added, &changes.removed).map_err(|e| self.error(e))
+    }
 }
 
 fn folder_error(folder: &Path, source: io::Error) -> StorageError {
--- a/crates/controller/src/timers.rs
+++ b/crates/controller/src/timers.rs
@@ -9,6 +9,7 @@
 
 use crate::consensus_driver::perform_actions;
 use crate::controller::Controller;
+use crate::departures;
 use crate::peer_links;
 use crate::state::ControllerState;
 
@@ -77,6 +78,7 @@
         state.peers.broadcast(&ToController::InstanceUpdates(unresponsive.clone()));
         state.subscribers.broadcast_instances(unresponsive);
     }
+    departures::remove_expired(controller, state);
     if let Some(encoded) = state.instances.poll_store(now) {
         controller.disk.write_instances(encoded);
     }
--- a/crates/controller/tests/cluster.rs
+++ b/crates/controller/tests/cluster.rs
@@ -10,7 +10,9 @@
 use lynxstair_config::json::{self, Object, Value};
 use lynxstair_fakes::{HttpMessage, WAIT_TIMEOUT, wait_until};
 use lynxstair_protocol::frames;
-use lynxstair_protocol::messages::{ProxyHeartbeat, ProxyInfo, Readiness, ToController, ToProxy};
+use lynxstair_protocol::messages::{
+    InstanceState, ProxyHeartbeat, ProxyInfo, Readiness, ToController, ToProxy,
+};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use tempfile::TempDir;
@@ -154,6 +156,64 @@
     }
 }
 
+impl Cluster {
+    fn data_folder(&self, n: usize) -> std::path::PathBuf {
+        self.folder.path().join(format!("controller{n}"))
+    }
+
+    fn kill(&mut self, n: usize) {
+        let mut child = self.controllers.remove(&n).expect("runs");
+        child.kill().expect("killed");
+        child.wait().expect("ended");
+    }
+
+    /// Returns `true` if the database of a controller or its log contains the id of an instance.
+    fn has_stored(&self, n: usize, id: &str) -> bool {
+        ["book.sqlite", "book.sqlite-wal"].iter().any(|name| {
+            let bytes = std::fs::read(self.data_folder(n).join(name)).unwrap_or_default();
+            bytes.windows(id.len()).any(|part| part == id.as_bytes())
+        })
+    }
+
+    /// Returns the state of an instance at a controller, or `None` if it is unknown there.
+    fn instance_state(&self, n: usize, id: &str) -> Option<InstanceState> {
+        let mut connection = InternalConnection::open(self.control_address(n));
+        connection.send(&ToController::Subscribe { proxy: proxy("e1"), wants_instances: true });
+        loop {
+            if let ToProxy::Instances { instances, .. } = connection.receive() {
+                return instances.iter().find(|instance| instance.id == id).map(|instance| instance.state);
+            }
+        }
+    }
+
+    /// Starts three controllers that have stored this instance as ready.
+    fn start_with_ready_instance(&mut self, id: &str) {
+        (1..=3).for_each(|n| self.start(n, &[1, 2, 3], true));
+        let head = format!("PUT /instances/{id}");
+        assert_eq!(self.operator_request(&head, &heartbeat(1)), 200);
+        wait_until("the stored instance", || (1..=3).all(|n| self.has_stored(n, id)).then_some(()));
+    }
+
+    /// Kills all controllers, then starts them again. `emptied` loses its disk.
+    fn restart_all(&mut self, emptied: Option<usize>) {
+        (1..=3).for_each(|n| self.kill(n));
+        if let Some(n) = emptied {
+            std::fs::remove_dir_all(self.data_folder(n)).expect("emptied");
+        }
+        (1..=3).for_each(|n| self.start(n, &[1, 2, 3], false));
+    }
+}
+
+fn proxy(node: &str) -> ProxyInfo {
+    ProxyInfo {
+        node: node.into(),
+        zone: "z1".into(),
+        region: "r1".into(),
+        client_address: "10.0.0.9:80".parse().expect("one"),
+        incarnation: 1,
+    }
+}
+
 /// Connection to the internal address of a controller, with the unread bytes.
 struct InternalConnection(TcpStream, Vec<u8>);
 
@@ -275,13 +335,7 @@
     let mut cluster = Cluster::new(4);
     cluster.start(1, &[1], true);
     assert_eq!(cluster.operator_request("PUT /config", &configuration(5, 0)), 200);
-    let subscriber = ProxyInfo {
-        node: "e1".into(),
-        zone: "z1".into(),
-        region: "r1".into(),
-        client_address: "10.0.0.9:80".parse().expect("one"),
-        incarnation: 1,
-    };
+    let subscriber = proxy("e1");
     let mut connection = InternalConnection::open(cluster.control_address(1));
     connection.send(&ToController::Subscribe { proxy: subscriber, wants_instances: true });
     let ToProxy::Controllers { controllers, is_complete: complete } = connection.receive() else {
@@ -388,6 +442,7 @@
             from: cluster.control_address(2),
             hears_recipient: false,
             known_peers: Vec::new(),
+            confirms_departures: false,
         });
         let mut chunk = [0; 4096];
         loop {
@@ -405,6 +460,7 @@
             from: cluster.control_address(2),
             hears_recipient: true,
             known_peers: Vec::new(),
+            confirms_departures: false,
         });
         cluster.status(1).map(|_| ())
     });
@@ -431,3 +487,55 @@
         "{known_leader}"
     );
 }
+
+/// Guards against a deregistration that is acknowledged and then forgotten when all controllers are killed:
+/// proxies would send to the worker again (review, case 2).
+#[test]
+fn an_acknowledged_deregistration_outlasts_a_kill_of_all_controllers() {
+    let mut cluster = Cluster::new(7);
+    cluster.start_with_ready_instance("i-leaves");
+    assert_eq!(cluster.operator_request("DELETE /instances/i-leaves", ""), 200);
+    cluster.restart_all(None);
+    for n in 1..=3 {
+        wait_until("the departed instance", || {
+            let state = cluster.status(n).and_then(|_| cluster.instance_state(n, "i-leaves"))?;
+            state.has_departed().then_some(())
+        });
+    }
+}
+
+/// Guards against the same failure where the controller that acknowledged also loses its disk, which the fault
+/// budget allows: a departure must be on more disks than may be lost.
+#[test]
+fn an_acknowledged_drain_outlasts_the_loss_of_the_disk_of_its_controller() {
+    let mut cluster = Cluster::new(8);
+    cluster.start_with_ready_instance("i-drains");
+    let draining = heartbeat(2).replace("ready", "draining");
+    let acknowledging = wait_until("an acknowledgement", || {
+        (1..=3).find(|n| {
+            let address = cluster.control_address(*n);
+            call(address, "PUT /instances/i-drains", &draining).is_some_and(|m| m.status() == 200)
+        })
+    });
+    cluster.restart_all(Some(acknowledging));
+    for n in 1..=3 {
+        wait_until("the departed instance", || {
+            let state = cluster.status(n).and_then(|_| cluster.instance_state(n, "i-drains"))?;
+            state.has_departed().then_some(())
+        });
+    }
+}
+
+/// A departure that no other controller stores is not acknowledged.
+#[test]
+fn a_departure_that_is_not_durable_is_not_acknowledged() {
+    let mut cluster = Cluster::new(10);
+    cluster.start_with_ready_instance("i-stays");
+    let leader = wait_until("a leader", || cluster.leader());
+    let followers: Vec<usize> = (1..=3).filter(|n| *n != leader).collect();
+    followers.iter().for_each(|n| cluster.signal(*n, Signal::SIGSTOP));
+    let message = call(cluster.control_address(leader), "DELETE /instances/i-stays", "").expect("answered");
+    assert_eq!(message.status(), 503);
+    followers.iter().for_each(|n| cluster.signal(*n, Signal::SIGCONT));
+    assert_eq!(cluster.operator_request("DELETE /instances/i-stays", ""), 200);
+}
--- a/crates/controller/tests/storage.rs
+++ b/crates/controller/tests/storage.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 
 use lynxstair_consensus::PersistentState;
-use lynxstair_controller::storage::{MemoryStore, SqliteStore, StorageError, Store};
+use lynxstair_controller::storage::{DepartureChanges, MemoryStore, SqliteStore, StorageError, Store};
 use lynxstair_protocol::consensus::{LogId, Member, ReplicatedState};
-use lynxstair_protocol::messages::Bytes;
+use lynxstair_protocol::messages::{Bytes, Instance, InstanceState};
 
 fn open(folder: &Path) -> SqliteStore {
     SqliteStore::open(folder, |_| false).expect("open")
@@ -40,6 +40,7 @@
         store.save(&state_of_term(term)).expect("saved");
         assert_eq!(store.load().expect("loads"), Some(state_of_term(term)), "the state saved last");
     }
+    check_departures(store);
     // A configuration returns after another one.
     for term in [4, 39, 4, 39] {
         store.save(&state_of_term(term)).expect("saved");
@@ -47,6 +48,34 @@
     }
 }
 
+fn departed(id: &str) -> Instance {
+    Instance {
+        id: id.to_string(),
+        service: "s".into(),
+        address: "10.0.0.1:80".parse().expect("one"),
+        zone: "z".into(),
+        capacity: 6,
+        state: InstanceState::Draining,
+        warming_up_ms: 0,
+        call_seq: 12,
+        heartbeat_age_ms: 0,
+        is_unconfirmed: false,
+    }
+}
+
+fn check_departures(store: &mut dyn Store) {
+    let changes = |added: &[&str], removed: &[&str]| DepartureChanges {
+        added: added.iter().map(|id| departed(id)).collect(),
+        removed: removed.iter().map(|id| id.to_string()).collect(),
+    };
+    assert_eq!(store.load_departures().expect("loads"), Vec::new());
+    store.save_departures(&changes(&["i-1", "i-2"], &[])).expect("saved");
+    store.save_departures(&changes(&["i-3", "i-2"], &["i-1", "i-9"])).expect("saved");
+    let mut stored = store.load_departures().expect("loads");
+    stored.sort_by(|a, b| a.id.cmp(&b.id));
+    assert_eq!(stored, [departed("i-2"), departed("i-3")]);
+}
+
 #[test]
 fn stores_fulfil_the_contract() {
     check_contract(&mut MemoryStore::default());
@@ -60,6 +89,21 @@
         "the state is there after reopening"
     );
     assert!(!reopened.is_emptied());
+    assert_eq!(reopened.load_departures().expect("loads").len(), 2, "departures are there after reopening");
+}
+
+/// A departure that can't be decoded does not keep a controller from starting.
+#[test]
+fn an_unreadable_departure_is_left_out() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut store = open(folder.path());
+    let changes = DepartureChanges { added: vec![departed("i-1"), departed("i-2")], removed: Vec::new() };
+    store.save_departures(&changes).expect("saved");
+    drop(store);
+    let raw = rusqlite::Connection::open(folder.path().join("book.sqlite")).expect("open");
+    raw.execute_batch("UPDATE departures SET held = x'00' WHERE id = 'i-1'").expect("corrupted");
+    drop(raw);
+    assert_eq!(open(folder.path()).load_departures().expect("loads"), [departed("i-2")]);
 }
 
 #[test]
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -52,6 +52,13 @@
     Deregistered,
 }
 
+impl InstanceState {
+    /// Returns `true` if the instance takes no new requests by its own report, which is final.
+    pub fn has_departed(self) -> bool {
+        matches!(self, InstanceState::Draining | InstanceState::Deregistered)
+    }
+}
+
 /// Worker instance as of its last heartbeat. Each start of a worker is a new instance with a new id.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Instance {
@@ -309,6 +316,9 @@
         /// finds the leader.
         #[serde(rename = "others")]
         known_peers: Vec<SocketAddr>,
+        /// `true` if the sender understands and sends `DeparturesStored`, unlike builds up to 2026-12-04.
+        #[serde(rename = "confirms", default, skip_serializing_if = "std::ops::Not::not")]
+        confirms_departures: bool,
     },
     /// Status of the proxies that are connected to the sender.
     #[serde(rename = "Sightings")]
@@ -330,6 +340,10 @@
     /// unresponsive. At the start of a connection, all instances known to the sender.
     #[serde(rename = "Heard")]
     InstanceUpdates(Vec<Instance>),
+    /// Ids of instances whose departure the sender has synced to its disk. Sent only to controllers that
+    /// understand it.
+    #[serde(rename = "Stored")]
+    DeparturesStored(Vec<String>),
 }
 
 /// Message from a controller to a subscribed proxy.
--- a/crates/protocol/tests/golden.rs
+++ b/crates/protocol/tests/golden.rs
@@ -155,14 +155,15 @@
     let with_membership = ProxyHeartbeat { membership_revision: 7, ..heartbeat(Readiness::Ready, None) };
     check("to-controller-ping-membership", &ToController::Heartbeat(with_membership));
     check("to-controller-ping-stale", &ToController::Heartbeat(heartbeat(Readiness::Stale, None)));
-    check(
-        "to-controller-core",
-        &ToController::PeerHeartbeat {
-            from: address(1),
-            hears_recipient: true,
-            known_peers: vec![address(2)],
-        },
-    );
+    let peer_heartbeat = |confirms_departures| ToController::PeerHeartbeat {
+        from: address(1),
+        hears_recipient: true,
+        known_peers: vec![address(2)],
+        confirms_departures,
+    };
+    check("to-controller-core", &peer_heartbeat(false));
+    check("to-controller-core-confirms", &peer_heartbeat(true));
+    check("to-controller-stored", &ToController::DeparturesStored(vec!["i-1".into(), "i-2".into()]));
     let all = [
         Readiness::Ready,
         Readiness::Stale,
