Announce departures to proxies when a controller begins to lead

A change of an instance is reported to proxies once, by the controller that the worker called and by the leader.

Before: a_new_leader_announces_departures and a_subscription_without_a_snapshot_receives_the_departures failed (nothing received in 30 s). After: all 12 tests of cluster pass.

--- a/crates/controller/src/departures.rs
+++ b/crates/controller/src/departures.rs
@@ -84,6 +84,21 @@
     }
 }
 
+/// Sends all departures to the proxies, once in each term that this controller leads. Controllers report changes
+/// of instances only as they learn of them, and only the one that a worker has called and the leader do, so
+/// that proxies may have missed a departure that was reported between two leaders.
+pub fn announce(now: Time, state: &mut ControllerState) {
+    let term = state.consensus.term();
+    if !state.is_active_leader(now) || state.departures_announced_in == term {
+        return;
+    }
+    state.departures_announced_in = term;
+    let departed = state.instances.departed(now);
+    if !departed.is_empty() {
+        state.subscribers.broadcast_instances(departed);
+    }
+}
+
 /// Records that a controller has synced these departures to its disk, and completes the requests that wait for
 /// them.
 pub fn on_stored_by(state: &mut ControllerState, node: NodeAddress, ids: &[String]) {
--- a/crates/controller/src/inbound.rs
+++ b/crates/controller/src/inbound.rs
@@ -106,9 +106,12 @@
     wants_instances: bool,
 ) -> SubscriberId {
     send(connection, &state.controllers_message(now));
-    if wants_instances {
-        let instances = state.instances.snapshot(now);
-        send(connection, &ToProxy::Instances { instances, is_snapshot: true });
+    // Without a snapshot from here, the proxy may hold instances of a controller that did not know of a
+    // departure yet.
+    let instances =
+        if wants_instances { state.instances.snapshot(now) } else { state.instances.departed(now) };
+    if wants_instances || !instances.is_empty() {
+        send(connection, &ToProxy::Instances { instances, is_snapshot: wants_instances });
     }
     state.subscribers.subscribe(connection, proxy)
 }
--- a/crates/controller/src/instances.rs
+++ b/crates/controller/src/instances.rs
@@ -33,6 +33,11 @@
         self.detector.snapshot(now)
     }
 
+    /// Returns the instances that have departed.
+    pub fn departed(&self, now: Time) -> Vec<Instance> {
+        self.snapshot(now).into_iter().filter(|instance| instance.state.has_departed()).collect()
+    }
+
     /// Returns the number of ready instances.
     pub fn ready_count(&self) -> usize {
         let instances = self.detector.registry().instances().values();
--- a/crates/controller/src/startup.rs
+++ b/crates/controller/src/startup.rs
@@ -123,6 +123,7 @@
         pending: PendingRequests::default(),
         instances: Instances::new(now, &departed, &instances, settings.heartbeat_period),
         departures,
+        departures_announced_in: 0,
         departure_waiters: DepartureWaiters::default(),
         tolerated_disk_losses: settings.fault_budget_machines,
         subscribers: Subscribers::new(&settings.bounds),
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -41,6 +41,8 @@
     pub instances: Instances,
     /// Departures of instances, and the controllers that store them.
     pub departures: DepartureLog,
+    /// Consensus term in which this controller announced all departures as the leader; 0 for none.
+    pub departures_announced_in: u64,
     /// HTTP requests that wait until a departure is durable.
     pub departure_waiters: DepartureWaiters,
     /// Number of disks that may be lost at once.
--- a/crates/controller/src/timers.rs
+++ b/crates/controller/src/timers.rs
@@ -79,6 +79,7 @@
         state.subscribers.broadcast_instances(unresponsive);
     }
     departures::remove_expired(controller, state);
+    departures::announce(now, state);
     if let Some(encoded) = state.instances.poll_store(now) {
         controller.disk.write_instances(encoded);
     }
--- a/crates/controller/tests/cluster.rs
+++ b/crates/controller/tests/cluster.rs
@@ -175,10 +175,20 @@
         })
     }
 
+    fn subscribe(&self, n: usize, wants_instances: bool) -> InternalConnection {
+        self.subscribe_as("e1", n, wants_instances)
+    }
+
+    /// Subscribes to a controller as a proxy on this machine.
+    fn subscribe_as(&self, node: &str, n: usize, wants_instances: bool) -> InternalConnection {
+        let mut connection = InternalConnection::open(self.control_address(n));
+        connection.send(&ToController::Subscribe { proxy: proxy(node), wants_instances });
+        connection
+    }
+
     /// Returns the state of an instance at a controller, or `None` if it is unknown there.
     fn instance_state(&self, n: usize, id: &str) -> Option<InstanceState> {
-        let mut connection = InternalConnection::open(self.control_address(n));
-        connection.send(&ToController::Subscribe { proxy: proxy("e1"), wants_instances: true });
+        let mut connection = self.subscribe_as("reader", n, true);
         loop {
             if let ToProxy::Instances { instances, .. } = connection.receive() {
                 return instances.iter().find(|instance| instance.id == id).map(|instance| instance.state);
@@ -539,3 +549,54 @@
     followers.iter().for_each(|n| cluster.signal(*n, Signal::SIGCONT));
     assert_eq!(cluster.operator_request("DELETE /instances/i-stays", ""), 200);
 }
+
+/// Guards against a departure that a proxy never learns of, because its connection to the acknowledging
+/// controller was cut before that controller was lost: the next leader announces all departures.
+#[test]
+fn a_new_leader_announces_departures() {
+    let mut cluster = Cluster::new(11);
+    cluster.start_with_ready_instance("i-leaves");
+    let leader = wait_until("a leader", || cluster.leader());
+    let followers: Vec<usize> = (1..=3).filter(|n| *n != leader).collect();
+    // The proxy is connected to the followers only.
+    let mut connections: Vec<InternalConnection> =
+        followers.iter().map(|n| cluster.subscribe(*n, true)).collect();
+    assert_eq!(cluster.instance_state(followers[0], "i-leaves"), Some(InstanceState::Ready));
+    wait_until("an acknowledgement", || {
+        let message = call(cluster.control_address(leader), "DELETE /instances/i-leaves", "")?;
+        (message.status() == 200).then_some(())
+    });
+    cluster.kill(leader);
+    let new_leader = wait_until("another leader", || cluster.leader());
+    let position = followers.iter().position(|n| *n == new_leader).expect("a follower leads");
+    wait_until("the announced departure", || match connections[position].receive() {
+        ToProxy::Instances { instances, .. } => {
+            instances.iter().any(|i| i.id == "i-leaves" && i.state.has_departed()).then_some(())
+        }
+        _ => None,
+    });
+}
+
+/// Guards against a proxy that took its snapshot from a controller that did not know of a departure yet: each
+/// further subscription tells it the departures.
+#[test]
+fn a_subscription_without_a_snapshot_receives_the_departures() {
+    let mut cluster = Cluster::new(12);
+    cluster.start_with_ready_instance("i-leaves");
+    assert_eq!(cluster.operator_request("DELETE /instances/i-leaves", ""), 200);
+    wait_until("the departure at the first controller", || {
+        cluster.instance_state(1, "i-leaves").filter(|state| state.has_departed())
+    });
+    let mut connection = cluster.subscribe(1, false);
+    connection.send_heartbeat(Readiness::Ready);
+    let first = loop {
+        match connection.receive() {
+            ToProxy::Instances { instances, is_snapshot } => break Some((instances, is_snapshot)),
+            ToProxy::HeartbeatAck { .. } => break None,
+            _ => {}
+        }
+    };
+    let (instances, is_snapshot) = first.expect("departures before the first acknowledgement");
+    assert!(!is_snapshot);
+    assert!(instances.iter().any(|i| i.id == "i-leaves" && i.state.has_departed()), "{instances:?}");
+}
