Soak: workers that deregister first, kills after departures, routes with new targets

Change: every second worker that leaves sends DELETE and serves on; a series kills the controllers and every second proxy right after an acknowledged departure; each change of the configuration replaces twelve routes by ones with latency targets never used before, and a quarter of the safe requests go to one of them. New rules: `drained` (a proxy in touch sends nothing to a worker later than 2.5 s after its acknowledged departure) and `starved` (routes of the newest change are served a quarter as often as the others). beat-period-s is 1.5 in place of 0.5, so that the failure detector does not hide a forgotten departure. No check or bound changed.

--- a/crates/fault-injection/src/soak.rs
+++ b/crates/fault-injection/src/soak.rs
@@ -6,8 +6,10 @@
 //!
 //! Called by `lynxstair soak`. All processes are killed when the soak ends, also on a panic.
 
+mod added_routes;
 mod checker;
 mod clients;
+mod departures;
 mod driver;
 mod flooding;
 mod operator;
--- a/crates/fault-injection/src/soak/checker.rs
+++ b/crates/fault-injection/src/soak/checker.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 
+use super::added_routes::check_added_routes;
 use super::clients::{RequestEnd, SentRequest};
+use super::departures::check_departed_workers;
 use super::driver::{History, ProcessEvent};
 use super::flooding::check_warming_workers;
 use super::operator::ChangeOutcome;
@@ -43,6 +45,10 @@
     WorkerOverloaded,
     /// Workers ran more requests of a tenant in a window than its quota allows.
     QuotaExceeded,
+    /// A worker received a request of a proxy in touch long after its departure was acknowledged.
+    DepartedWorkerUsed,
+    /// Routes that a change of the configuration added are hardly served, although the others are.
+    AddedRouteStarved,
     /// Too few requests succeeded for the other rules to be meaningful.
     TooFewServed,
 }
@@ -58,6 +64,8 @@
             SoakRule::ConfigInconsistent => "config",
             SoakRule::WorkerOverloaded => "flooded",
             SoakRule::QuotaExceeded => "quota",
+            SoakRule::DepartedWorkerUsed => "drained",
+            SoakRule::AddedRouteStarved => "starved",
             SoakRule::TooFewServed => "served",
         })
     }
@@ -108,6 +116,8 @@
     findings.extend(check_config(history));
     findings.extend(check_warming_workers(&history.warmup_periods, &history.runs, &history.requests));
     findings.extend(check_quota(&history.runs, &history.requests));
+    findings.extend(check_departed_workers(history));
+    findings.extend(check_added_routes(&history.requests));
     let summary = summarize(history);
     findings.extend(check_served(history));
     (limit_findings(findings), summary)
--- a/crates/fault-injection/src/soak/clients.rs
+++ b/crates/fault-injection/src/soak/clients.rs
@@ -29,6 +29,8 @@
 const MAX_PAUSE_MS: u64 = 150;
 /// Longest `Retry-After` that a client observes.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+/// Share of the safe requests that are for the route that each change of the configuration replaces.
+const ADDED_ROUTE_SHARE: f64 = 0.25;
 /// Greatest age at which an answer of the directory is used without a new query.
 const MAX_DIRECTORY_AGE: Duration = Duration::from_secs(9);
 
@@ -56,6 +58,8 @@
     pub is_safe: bool,
     /// `true` if the request is of the tenant with a quota.
     pub is_limited: bool,
+    /// `true` if the request is for a route that changes of the configuration replace.
+    pub is_added_route: bool,
     /// Time of sending, in seconds since the start of the soak.
     pub sent_s: f64,
     pub ended_s: f64,
@@ -76,6 +80,8 @@
     rng: Pcg64Mcg,
     /// Chooses the tenants of requests.
     tenant_rng: Pcg64Mcg,
+    /// Chooses the routes of safe requests.
+    route_rng: Pcg64Mcg,
     requests: Arc<Mutex<Vec<SentRequest>>>,
     addresses: Vec<SocketAddr>,
     looked_up_at: Instant,
@@ -102,6 +108,7 @@
                 origin,
                 rng: Pcg64Mcg::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(number as u64)),
                 tenant_rng: Pcg64Mcg::seed_from_u64(!seed ^ number as u64),
+                route_rng: Pcg64Mcg::seed_from_u64(seed.rotate_left(32) ^ number as u64),
                 requests: requests.clone(),
                 addresses: Vec::new(),
                 looked_up_at: origin,
@@ -194,19 +201,24 @@
         for _ in 0..depth {
             self.sent += 1;
             let id = format!("c{}-{}", self.number, self.sent);
-            let (method, path) = if is_safe { ("GET", "safe") } else { ("POST", "unsafe") };
+            let is_added_route = is_safe && self.route_rng.random_bool(ADDED_ROUTE_SHARE);
+            let (method, path) = match (is_safe, is_added_route) {
+                (false, _) => ("POST", "unsafe"),
+                (true, false) => ("GET", "safe"),
+                (true, true) => ("GET", "added"),
+            };
             let is_limited = self.tenant_rng.random_bool(LIMITED_SHARE);
             let key = if is_limited { LIMITED_KEY } else { UNLIMITED_KEY };
             text.push_str(&format!(
                 "{method} /{path}/x HTTP/1.1\r\nHost: soak\r\nAuthorization: Bearer {key}\r\nAttempt-Id: {id}\r\nTime-Left-Ms: {TIME_LEFT_MS}\r\nContent-Length: 0\r\n\r\n"
             ));
-            batch.push((id, is_limited));
+            batch.push((id, is_limited, is_added_route));
         }
         let sent_s = self.now();
         let mut out = stream;
         let is_written = out.write_all(text.as_bytes()).is_ok();
         let mut is_open = is_written;
-        for (id, is_limited) in batch {
+        for (id, is_limited, is_added_route) in batch {
             let response = if is_open { HttpMessage::read(reader) } else { None };
             let ended_s = self.now();
             let end = match &response {
@@ -222,7 +234,8 @@
                 self.retry_at = self.retry_at.max(Instant::now() + wait);
             }
             is_open &= response.is_some_and(|response| response.header("connection") != "close");
-            let request = SentRequest { id, proxy, is_safe, is_limited, sent_s, ended_s, end };
+            let request =
+                SentRequest { id, proxy, is_safe, is_limited, is_added_route, sent_s, ended_s, end };
             self.requests.lock().unwrap_or_else(PoisonError::into_inner).push(request);
         }
         is_open
--- a/crates/fault-injection/src/soak/driver.rs
+++ b/crates/fault-injection/src/soak/driver.rs
@@ -11,6 +11,7 @@
 
 use super::SoakError;
 use super::clients::{Clients, SentRequest};
+use super::departures::Departure;
 use super::operator::{Change, Operators};
 use super::plan::{Action, ProcessName, SoakPlan, SoakShape};
 use super::system::System;
@@ -49,6 +50,7 @@
     pub requests: Vec<SentRequest>,
     pub runs: Vec<Run>,
     pub warmup_periods: Vec<WarmupPeriod>,
+    pub departures: Vec<Departure>,
     pub changes: Vec<Change>,
     /// Generation of the configuration that was read at the end, or `None` if the read failed.
     pub final_generation: Option<u64>,
@@ -69,6 +71,8 @@
     exit_deadlines: BTreeMap<ProcessName, f64>,
     /// Time at which a paused process is resumed.
     resume_times: BTreeMap<ProcessName, f64>,
+    /// Number of acknowledged departures above which controllers and proxies are killed.
+    kill_above_departures: Option<usize>,
 }
 
 impl Drop for Driver<'_> {
@@ -99,6 +103,7 @@
             events: BTreeMap::new(),
             exit_deadlines: BTreeMap::new(),
             resume_times: BTreeMap::new(),
+            kill_above_departures: None,
             system,
         };
         let deadline = Instant::now() + Duration::from_secs(READY_TIMEOUT_S);
@@ -161,6 +166,7 @@
             while let Some(step) = steps.next_if(|step| began + step.at_s <= self.now()) {
                 self.perform(step.action);
             }
+            self.kill_after_departure();
             self.handle_due_events();
             thread::sleep(POLL_INTERVAL);
         }
@@ -173,6 +179,7 @@
             requests,
             runs: self.log.runs(),
             warmup_periods: self.log.warmup_periods(),
+            departures: self.log.departures(),
             changes,
             final_generation,
         }
@@ -211,10 +218,23 @@
                     self.workers.remove(0).leave();
                 }
             }
+            Action::KillAfterDeparture => self.kill_above_departures = Some(self.log.departures().len()),
             Action::LosePower => self.lose_power(),
         }
     }
 
+    /// Kills all controllers and every second proxy if a departure was acknowledged since that was planned.
+    fn kill_after_departure(&mut self) {
+        if self.kill_above_departures.is_none_or(|count| self.log.departures().len() <= count) {
+            return;
+        }
+        self.kill_above_departures = None;
+        let controllers = (0..SoakShape::CONTROLLERS).map(ProcessName::Controller);
+        let proxies = (0..self.plan.shape.proxies).step_by(2).map(ProcessName::Proxy);
+        let killed: Vec<ProcessName> = controllers.chain(proxies).collect();
+        killed.into_iter().for_each(|name| self.perform(Action::Kill(name)));
+    }
+
     /// Kills all processes. All workers restart their warm-up while no controller can record it.
     fn lose_power(&mut self) {
         let controllers = (0..SoakShape::CONTROLLERS).map(ProcessName::Controller);
--- a/crates/fault-injection/src/soak/operator.rs
+++ b/crates/fault-injection/src/soak/operator.rs
@@ -22,6 +22,11 @@
 const IDLE_TIMEOUTS_S: [u64; 4] = [30, 2, 15, 4];
 /// Route time-outs that successive changes set, in seconds.
 const ROUTE_TIMEOUTS_S: [u64; 3] = [20, 6, 10];
+/// Number of routes that each change replaces. Each has a latency target that no other route has had.
+const REPLACED_ROUTES: u64 = 12;
+/// Latency target of the first replaced route, and the difference to the next one, in milliseconds.
+const FIRST_TARGET_MS: u64 = 500;
+const TARGET_STEP_MS: u64 = 3;
 
 /// Outcome of a change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -180,18 +185,30 @@
     }
 }
 
-/// Returns a configuration with two fixed routes, time-outs that vary with the generation, and one route
+/// Returns a configuration with two fixed routes, time-outs that vary with the generation, and routes that are
 /// specific to the generation.
 fn configuration(generation: u64, base: u64) -> String {
     let idle = IDLE_TIMEOUTS_S[generation as usize % IDLE_TIMEOUTS_S.len()];
     let timeout = ROUTE_TIMEOUTS_S[generation as usize % ROUTE_TIMEOUTS_S.len()];
+    let replaced: String = (0..REPLACED_ROUTES).map(|n| replaced_route(generation, n)).collect();
     format!(
         r#"{{"generation":"{generation:08x}","base-version":"{base:08x}","limits":{{"idle-timeout-s":{idle}}},
         "routes":{{"columns":["name","host","path-prefix","route-kind","timeout-s","target-s","service","max-attempts"],
         "rows":[["safe","soak","/safe/","safe",{timeout},1,"s",3],["unsafe","soak","/unsafe/","unsafe",{timeout},1,"s",3],
-        ["only","soak","/only-{generation}/","safe",5,1,"s",2]]}},
+        ["only","soak","/only-{generation}/","safe",5,1,"s",2]{replaced}]}},
         "services":{{"columns":["name","max-conns","cold-s","cold-per-s"],"rows":[["s",2000,3,{WARMUP_RATE}]]}},
         "tenants":{{"columns":["name","api-keys","rate-per-s","burst"],
         "rows":[["limited",["{LIMITED_KEY}"],{QUOTA_RATE},{QUOTA_BURST}],["unlimited",["{UNLIMITED_KEY}"],0,0]]}}}}"#
     )
 }
+
+/// Returns the row of one of the routes that each change replaces. Clients send to the first one.
+fn replaced_route(generation: u64, number: u64) -> String {
+    let target_ms = FIRST_TARGET_MS + TARGET_STEP_MS * (generation * REPLACED_ROUTES + number);
+    let target_s = target_ms as f64 / 1_000.0;
+    let (name, prefix) = match number {
+        0 => ("added".to_string(), "/added/".to_string()),
+        n => (format!("added-{generation}-{n}"), format!("/added-{generation}-{n}/")),
+    };
+    format!(r#",["{name}","soak","{prefix}","safe",5,{target_s},"s",3]"#)
+}
--- a/crates/fault-injection/src/soak/plan.rs
+++ b/crates/fault-injection/src/soak/plan.rs
@@ -64,6 +64,8 @@
     ChangeConfig,
     /// Drains a worker and starts another one that is warming up.
     ReplaceWorker,
+    /// Kills all controllers and every second proxy right after the next departure of a worker is acknowledged.
+    KillAfterDeparture,
     /// Kills all processes at once and restarts the warm-up of all workers.
     LosePower,
 }
@@ -100,13 +102,14 @@
     KillProxyRepeatedly,
     KillController,
     KillAllControllers,
+    KillsAfterDeparture,
     PowerLoss,
     Pauses,
     SignalBurst,
 }
 
 /// Series with their weights. Planned operations are more frequent than failures.
-const SERIES: [(Series, u32); 12] = [
+const SERIES: [(Series, u32); 13] = [
     (Series::ProxyRollout, 6),
     (Series::ControllerRollout, 2),
     (Series::ConfigChanges, 4),
@@ -116,6 +119,7 @@
     (Series::KillProxyRepeatedly, 1),
     (Series::KillController, 1),
     (Series::KillAllControllers, 1),
+    (Series::KillsAfterDeparture, 1),
     (Series::PowerLoss, 1),
     (Series::Pauses, 1),
     (Series::SignalBurst, 3),
@@ -167,6 +171,12 @@
         Series::KillAllControllers => {
             (0..SoakShape::CONTROLLERS).for_each(|n| add(0, Action::Kill(ProcessName::Controller(n))));
         }
+        Series::KillsAfterDeparture => {
+            for n in 0..3 {
+                add(n, Action::KillAfterDeparture);
+                add(n, Action::ReplaceWorker);
+            }
+        }
         Series::Pauses => {
             let seconds = rng.random_range(0.2..2.5);
             add(0, Action::Pause(any_proxy, seconds));
--- a/crates/fault-injection/src/soak/system.rs
+++ b/crates/fault-injection/src/soak/system.rs
@@ -150,7 +150,7 @@
         format!(
             "node-name: \"{name}\"\nip: \"{ip}\"\nzone: \"z1\"\nregion: \"r1\"\nzones:\n  z1: \"r1\"\nbind:\n{bind}\
              port-range:\n  - {}\n  - {}\nseeds:\n{seeds}bootstrap: {bootstrap}\ncounted: true\nlimits:\n  \
-             memory-mb: 64\n  max-fds: 900\ndata-dir: {data}\nbeat-period-s: 0.5\nfault-budget:\n  machines: 1\n  \
+             memory-mb: 64\n  max-fds: 900\ndata-dir: {data}\nbeat-period-s: 1.5\nfault-budget:\n  machines: 1\n  \
              zones: 0\n  regions: 0\nbounds: \"revoke-final=true,grace-s={},\
              cold-overshoot={WARMUP_OVERSHOOT},cold-slack={WARMUP_SLACK},\
              quota-window-s={QUOTA_WINDOW_S},quota-overshoot={QUOTA_OVERSHOOT},quota-slack={QUOTA_SLACK}\"\n",
--- a/crates/fault-injection/src/soak/tests.rs
+++ b/crates/fault-injection/src/soak/tests.rs
@@ -4,6 +4,7 @@
 
 use super::checker::{SoakRule, check_soak};
 use super::clients::{RequestEnd, SentRequest};
+use super::departures::Departure;
 use super::driver::{History, ProcessEvent};
 use super::operator::{Change, ChangeOutcome};
 use super::plan::{ProcessName, SoakPlan, SoakShape};
@@ -33,13 +34,23 @@
         requests,
         runs,
         warmup_periods: Vec::new(),
+        departures: Vec::new(),
         changes: vec![Change { generation: 1, base: 0, outcome: ChangeOutcome::Accepted }],
         final_generation: Some(1),
     }
 }
 
 fn request(sent_s: f64, ended_s: f64, end: RequestEnd) -> SentRequest {
-    SentRequest { id: "r".to_string(), proxy: 0, is_safe: false, is_limited: false, sent_s, ended_s, end }
+    SentRequest {
+        id: "r".to_string(),
+        proxy: 0,
+        is_safe: false,
+        is_limited: false,
+        is_added_route: false,
+        sent_s,
+        ended_s,
+        end,
+    }
 }
 
 fn rules(history: &History) -> Vec<SoakRule> {
@@ -201,3 +212,49 @@
     assert_eq!(history_of(200, 0.05, 0.0, true), [SoakRule::QuotaExceeded]);
     assert_eq!(history_of(58, 0.01, 6.0, true), [], "sent in an earlier window than they ran in");
 }
+
+#[test]
+fn departed_workers_receive_no_late_requests_of_proxies_in_touch() {
+    let success = RequestEnd::Response { status: 200, is_own: true };
+    let departure = |worker, acknowledged_s| Departure { worker, acknowledged_s };
+    let found = |sent_s: f64, events: &[(f64, ProcessEvent)], departed: Departure| {
+        let mut history =
+            history(request(sent_s, sent_s + 0.1, success.clone()), &[(sent_s, sent_s + 0.1)], events);
+        history.departures = vec![departed];
+        rules(&history)
+    };
+    let late = [SoakRule::DepartedWorkerUsed];
+    assert_eq!(found(12.6, &[], departure(0, 10.0)), late);
+    assert_eq!(found(12.4, &[], departure(0, 10.0)), [], "within the drain time");
+    assert_eq!(found(12.6, &[], departure(1, 10.0)), [], "another worker");
+    let killed = [(10.1, ProcessEvent::Killed), (10.1, ProcessEvent::Exited(None))];
+    assert_eq!(found(15.0, &killed, departure(0, 10.0)), [], "not in touch yet");
+    assert_eq!(found(15.2, &killed, departure(0, 10.0)), late);
+    let paused = [(9.0, ProcessEvent::Paused(2.0))];
+    assert_eq!(found(15.9, &paused, departure(0, 10.0)), []);
+    assert_eq!(found(16.1, &paused, departure(0, 10.0)), late);
+    assert_eq!(found(14.0, &[(13.0, ProcessEvent::HungUp)], departure(0, 10.0)), late, "no disturbance");
+}
+
+#[test]
+fn added_routes_are_served_like_the_others() {
+    let found = |added: usize, served: usize, others_served: usize| {
+        let mut history = history(request(1.0, 1.1, RequestEnd::Closed), &[], &[]);
+        history.requests.clear();
+        let mut send = |is_added_route: bool, count: usize, served: usize| {
+            for n in 0..count {
+                let status = if n < served { 200 } else { 503 };
+                let end = RequestEnd::Response { status, is_own: true };
+                let id = format!("{is_added_route}-{n}");
+                history.requests.push(SentRequest { id, is_added_route, ..request(2.0, 2.1, end) });
+            }
+        };
+        send(true, added, served);
+        send(false, 100, others_served);
+        rules(&history)
+    };
+    assert_eq!(found(20, 4, 100), [SoakRule::AddedRouteStarved]);
+    assert_eq!(found(20, 5, 100), [], "a quarter as often");
+    assert_eq!(found(19, 0, 100), [], "too few to tell");
+    assert_eq!(found(40, 0, 49), [SoakRule::TooFewServed], "the others are not served either");
+}
--- a/crates/fault-injection/src/soak/workers.rs
+++ b/crates/fault-injection/src/soak/workers.rs
@@ -10,6 +10,7 @@
 
 use lynxstair_fakes::HttpMessage;
 
+use super::departures::Departure;
 use super::system::Net;
 
 /// Interval between heartbeats.
@@ -58,17 +59,18 @@
     pub end_s: f64,
 }
 
-/// Log of the executions and warm-up periods of all workers.
+/// Log of the executions, warm-up periods and acknowledged departures of all workers.
 #[derive(Clone)]
 pub(super) struct RunLog {
     origin: Instant,
     runs: Arc<Mutex<Vec<Run>>>,
     warmup_periods: Arc<Mutex<Vec<WarmupPeriod>>>,
+    departures: Arc<Mutex<Vec<Departure>>>,
 }
 
 impl RunLog {
     pub fn new(origin: Instant) -> RunLog {
-        RunLog { origin, runs: Arc::default(), warmup_periods: Arc::default() }
+        RunLog { origin, runs: Arc::default(), warmup_periods: Arc::default(), departures: Arc::default() }
     }
 
     /// Returns all executions so far.
@@ -81,6 +83,18 @@
         self.warmup_periods.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns all acknowledged departures so far.
+    pub fn departures(&self) -> Vec<Departure> {
+        self.departures.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Records that the departure of a worker has just been acknowledged.
+    fn record_departure(&self, worker: usize) {
+        let acknowledged_s = self.origin.elapsed().as_secs_f64();
+        let departure = Departure { worker, acknowledged_s };
+        self.departures.lock().unwrap_or_else(PoisonError::into_inner).push(departure);
+    }
+
     /// Records a warm-up period that begins now.
     fn record_warmup(&self, worker: usize) {
         let from_s = self.origin.elapsed().as_secs_f64();
@@ -137,7 +151,7 @@
         if start_state == StartState::WarmingUp {
             worker.start_warmup();
         }
-        let (log, is_done) = (log.clone(), is_over.clone());
+        let (log, heartbeat_log, is_done) = (log.clone(), log.clone(), is_over.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if is_done.load(Ordering::Relaxed) {
@@ -149,7 +163,7 @@
         });
         let (over, warming_up_until) = (is_over.clone(), worker.warming_up_until.clone());
         thread::spawn(move || {
-            send_heartbeats(net, number, address, &leave_requested, &warming_up_until, &over)
+            send_heartbeats(net, number, address, &leave_requested, &warming_up_until, &heartbeat_log, &over)
         });
         Ok(worker)
     }
@@ -208,12 +222,21 @@
     address: SocketAddr,
     leave_requested: &AtomicBool,
     warming_up_until: &Mutex<Option<Instant>>,
+    log: &RunLog,
     is_over: &AtomicBool,
 ) {
     let mut drain_end = None;
     let mut calls = 0;
     while !is_over.load(Ordering::Relaxed) {
         let is_draining = leave_requested.load(Ordering::Relaxed);
+        if is_draining && deregisters_first(number) {
+            if deregister(net, &mut calls, number) {
+                log.record_departure(number);
+                return;
+            }
+            thread::sleep(HEARTBEAT_PERIOD);
+            continue;
+        }
         let state = if is_draining { "draining" } else { "ready" };
         // The remaining warm-up time is computed anew for each call.
         let body = |sequence: usize| {
@@ -228,18 +251,27 @@
         let is_acknowledged =
             call_any_controller(net, &mut calls, &format!("PUT /instances/i-{number}"), &body);
         if is_draining && is_acknowledged && drain_end.is_none() {
+            log.record_departure(number);
             drain_end = Some(Instant::now() + DRAIN_PERIOD);
         }
         if drain_end.is_some_and(|until| Instant::now() >= until) {
-            call_any_controller(net, &mut calls, &format!("DELETE /instances/i-{number}"), &|_| {
-                String::new()
-            });
+            deregister(net, &mut calls, number);
             return;
         }
         thread::sleep(HEARTBEAT_PERIOD);
     }
 }
 
+/// Returns `true` if a worker deregisters when it leaves and serves on, without draining before.
+fn deregisters_first(number: usize) -> bool {
+    number % 2 == 1
+}
+
+/// Deregisters a worker. Returns `true` if a controller acknowledged it.
+fn deregister(net: Net, calls: &mut usize, number: usize) -> bool {
+    call_any_controller(net, calls, &format!("DELETE /instances/i-{number}"), &|_| String::new())
+}
+
 /// Calls the controllers in turn, each once at most, and returns `true` as soon as one answers 200. `calls`
 /// counts the calls of the worker; `body` receives the number of the call.
 fn call_any_controller(net: Net, calls: &mut usize, head: &str, body: &dyn Fn(usize) -> String) -> bool {
