Relay each reply no faster than its client reads

Cause: relay waited for the client only for the rest of a long reply with a length. A reply that was complete when its turn came was written whole, whatever was unsent; beyond the buffer's 2 MiB the write fails and the connection is aborted.

Change: a reply is relayed in pieces of 128 KiB at most, each after a wait for room, until the request's deadline. A small reply is still one write.

--- a/crates/proxy/src/forwarding.rs
+++ b/crates/proxy/src/forwarding.rs
@@ -148,6 +148,7 @@
             connection: connection.clone(),
             worker: worker.clone(),
             status: found.head.status,
+            relayed: 0,
             extent: found.extent,
             remaining: found.remaining,
             reusable_until,
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -4,24 +4,28 @@
 use std::sync::Arc;
 
 use lynxstair::types::{Span, Time};
-use lynxstair_net::http::{self, Extent, HttpError};
+use lynxstair_net::http::{self, Extent, HttpError, MAX_HEAD_BYTES};
 
 use crate::admitted_request::AdmittedRequest;
 use crate::cancellation::CancelToken;
 use crate::client_connection::ClientConnection;
-use crate::client_limits::Limits;
+use crate::client_limits::{Limits, MAX_BUFFER_BYTES};
 use crate::local_response::LocalResponse;
 use crate::outgoing_request::OutgoingRequest;
 use crate::proxy::Proxy;
 use crate::routing_state::RequestInfo;
-use crate::worker_reply::WorkerReply;
+use crate::worker_reply::{MAX_PIECE_BYTES, WorkerReply};
 
 /// Time before the request's deadline at which the proxy stops waiting, to respond itself in time.
 const DEADLINE_MARGIN: Span = Span::from_millis(4);
 /// Maximum length of an attempt id.
 const MAX_ATTEMPT_ID_BYTES: usize = 128;
-/// Limit of unsent bytes on a client connection above which the relay of a long response is paused.
+/// Limit of unsent bytes on a client connection above which the relay of a response is paused: while it is read
+/// from the worker, and once it is received and so costs no further memory. The buffer has room for the next
+/// piece and its head.
 const MAX_UNSENT_BYTES: usize = 256 << 10;
+const MAX_UNSENT_RECEIVED_BYTES: usize = 1 << 20;
+const _: () = assert!(MAX_UNSENT_RECEIVED_BYTES + MAX_PIECE_BYTES + 2 * MAX_HEAD_BYTES <= MAX_BUFFER_BYTES);
 /// Interval of checks whether a slow client has read more.
 const CLIENT_CHECK_INTERVAL: Span = Span::from_millis(5);
 /// Time after the request's deadline by which the worker must have sent the rest of a long response.
@@ -133,7 +137,8 @@
     Ok(RequestInfo { host, path, key: key.map(|(_, key)| key.trim()), time_left })
 }
 
-/// Relays a worker's reply. Returns `false` if it could not be written completely.
+/// Relays a worker's reply, no faster than the client reads. Returns `false` if it could not be written
+/// completely.
 fn relay(
     proxy: &Proxy,
     client: &ClientConnection,
@@ -142,22 +147,28 @@
     cancel: &CancelToken,
     connection: &str,
 ) -> bool {
-    let mut is_complete = client.connection.write(|out| reply.write_head(out, connection)).is_ok();
-    if is_complete && reply.remaining > 0 {
-        let wait_for_client = || {
-            while client.connection.unsent() > MAX_UNSENT_BYTES {
-                if client.connection.is_closed() || cancel.is_cancelled() || proxy.alarms.now() >= deadline {
-                    return false;
-                }
-                proxy.alarms.sleep_until(proxy.alarms.now() + CLIENT_CHECK_INTERVAL);
+    // Returns `false` if the client has not read enough by the deadline.
+    let wait_for_client = |max_unsent: usize| {
+        while client.connection.unsent() > max_unsent {
+            if client.connection.is_closed() || cancel.is_cancelled() || proxy.alarms.now() >= deadline {
+                return false;
             }
-            true
-        };
-        let write = |piece: &[u8]| client.connection.write(|out| out.write_all(piece)).is_ok();
-        // If the relay stops early, the client detects it by `Content-Length`.
-        is_complete =
-            reply.relay_remaining(&proxy.alarms, deadline + RELAY_GRACE, cancel, wait_for_client, write);
-    }
+            proxy.alarms.sleep_until(proxy.alarms.now() + CLIENT_CHECK_INTERVAL);
+        }
+        true
+    };
+    let write = |piece: &[u8]| client.connection.write(|out| out.write_all(piece)).is_ok();
+    // If the relay stops early, the client detects it by `Content-Length`.
+    let is_complete = wait_for_client(MAX_UNSENT_RECEIVED_BYTES)
+        && client.connection.write(|out| reply.write_head(out, connection)).is_ok()
+        && reply.relay_received(|| wait_for_client(MAX_UNSENT_RECEIVED_BYTES), write)
+        && reply.relay_remaining(
+            &proxy.alarms,
+            deadline + RELAY_GRACE,
+            cancel,
+            || wait_for_client(MAX_UNSENT_BYTES),
+            write,
+        );
     proxy.workers.release(reply);
     is_complete
 }
--- a/crates/proxy/src/worker_reply.rs
+++ b/crates/proxy/src/worker_reply.rs
@@ -18,6 +18,8 @@
 const MAX_BUFFERED_BODY_BYTES: usize = 64 << 10;
 /// Longest body without a declared length that is buffered until the reply is complete.
 const MAX_BUFFERED_UNSIZED_BYTES: usize = (1 << 20) + MAX_HEAD_BYTES;
+/// Most bytes of a body that are written to the client's buffer at once.
+pub const MAX_PIECE_BYTES: usize = 128 << 10;
 
 /// A worker's reply that may be relayed to the client.
 pub struct WorkerReply {
@@ -26,6 +28,8 @@
     /// HTTP status.
     pub status: u16,
     pub(crate) extent: Extent,
+    /// Number of bytes of the received body that are relayed.
+    pub(crate) relayed: usize,
     /// Number of body bytes that are not yet in the receive buffer.
     pub remaining: usize,
     /// Time until which the connection may be reused; `None` if it must be closed.
@@ -122,9 +126,9 @@
 }
 
 impl WorkerReply {
-    /// Writes the head and the received part of the body. `connection_headers`: header lines about the client
-    /// connection.
-    pub fn write_head(&self, out: &mut RingBuffer, connection_headers: &str) -> io::Result<()> {
+    /// Writes the head and the first piece of the received body, which for most replies is all of it.
+    /// `connection_headers`: header lines about the client connection.
+    pub fn write_head(&mut self, out: &mut RingBuffer, connection_headers: &str) -> io::Result<()> {
         let mut inbound = self.connection.inbound();
         let bytes = inbound.bytes();
         let Ok(Some((response, _))) = http::parse_response_head(&bytes[..self.extent.head]) else {
@@ -141,7 +145,31 @@
             http::write_header(out, name, value)?;
         }
         out.write_all(b"\r\n")?;
-        out.write_all(body)
+        self.relayed = body.len().min(MAX_PIECE_BYTES);
+        out.write_all(&body[..self.relayed])
+    }
+
+    /// Relays the rest of the received body in pieces. Calls `wait_for_client` before each of them. Returns
+    /// `false` if it could not be relayed completely.
+    pub fn relay_received(
+        &mut self,
+        mut wait_for_client: impl FnMut() -> bool,
+        mut write: impl FnMut(&[u8]) -> bool,
+    ) -> bool {
+        let body = self.extent.body.clone();
+        while self.relayed < body.len() {
+            // No lock is held during the wait.
+            if !wait_for_client() {
+                return false;
+            }
+            let start = body.start + self.relayed;
+            let end = body.end.min(start + MAX_PIECE_BYTES);
+            if !write(&self.connection.inbound().bytes()[start..end]) {
+                return false;
+            }
+            self.relayed += end - start;
+        }
+        true
     }
 
     /// Relays the remaining part of a long body as it arrives. Returns `false` if it could not be relayed
@@ -154,6 +182,9 @@
         mut wait_for_client: impl FnMut() -> bool,
         mut write: impl FnMut(&[u8]) -> bool,
     ) -> bool {
+        if self.remaining == 0 {
+            return true;
+        }
         self.connection.inbound().consume(self.extent.total);
         self.extent = Extent::default();
         alarms.wake_connection(deadline, &self.connection);
@@ -164,7 +195,7 @@
             }
             {
                 let mut inbound = self.connection.inbound();
-                let n = inbound.len().min(self.remaining);
+                let n = inbound.len().min(self.remaining).min(MAX_PIECE_BYTES);
                 if n > 0 {
                     if !write(&inbound.bytes()[..n]) {
                         return false;
--- a/crates/proxy/tests/forwarding.rs
+++ b/crates/proxy/tests/forwarding.rs
@@ -90,7 +90,8 @@
                     text.extend_from_slice(piece);
                     true
                 };
-                let is_complete = reply.relay_remaining(&alarms, deadline, &cancel, || true, &mut more);
+                let is_complete = reply.relay_received(|| true, &mut more)
+                    && reply.relay_remaining(&alarms, deadline, &cancel, || true, &mut more);
                 summary += &format!(" {} {}", reply.status, summarize_body(&text));
                 summary += if is_complete { "" } else { " cut" };
                 workers.release(reply);
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -25,11 +25,15 @@
     )
 }
 
+/// Length of a large body without a length, a little less than a proxy takes.
+pub const LARGE_BODY_BYTES: usize = 1_000_000;
+
 /// Senders that release the requests held by the worker, in order of arrival.
 pub type Held = Arc<Mutex<Vec<Sender<()>>>>;
 
 /// Starts a worker that answers each request with its id, and its heartbeats. Ids that begin with "held" are
-/// reported and answered once released. Ids that begin with "watched" are reported, and again when their
+/// reported and answered once released. Ids that begin with "unsized" are reported and answered with
+/// [`LARGE_BODY_BYTES`] without a length, which end with the connection. Ids that begin with "watched" are reported, and again when their
 /// connection ends. Ids that begin with "echo" are answered with the received headers. The heartbeats stop
 /// when the result is dropped.
 fn worker(at: SocketAddr, controllers: Vec<SocketAddr>, reporter: Sender<String>, held: Held) -> Sender<()> {
@@ -53,6 +57,13 @@
                         reporter.send(format!("gone {id}")).expect("test is running");
                         return;
                     }
+                    if id.starts_with("unsized") {
+                        let body = "b".repeat(LARGE_BODY_BYTES);
+                        let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: s\r\n");
+                        let _ = write!(stream, "{head}Connection: close\r\n\r\n{body}");
+                        reporter.send(id.to_string()).expect("test is running");
+                        return;
+                    }
                     let body = if id.starts_with("echo") { head_of(&message) } else { id.to_string() };
                     let n = body.len();
                     let _ = write!(
