Write the instances again after a start that restores departures

What callers would see: a worker that departed right before a kill of all controllers counts as ready again after a second restart more than a minute later, and gets requests until it is found unresponsive.

A departure is restored from its own row, which is deleted a minute later; the instances stored before it still said "ready" if nothing else had changed since the first restart.

Change: a controller that restores departures writes the instances within a second.

Before: restored_departures_are_written_with_the_instances failed (nothing written). After: passes.

--- a/crates/controller/src/instances.rs
+++ b/crates/controller/src/instances.rs
@@ -5,6 +5,9 @@
 use lynxstair_control_state::instance_registry::InstanceRegistry;
 use lynxstair_protocol::messages::{Instance, InstanceState};
 
+#[cfg(test)]
+mod tests;
+
 /// Minimum interval between writes of changed instances. Stored instances are available at once after a
 /// power failure, before each has sent a heartbeat again.
 const STORE_INTERVAL: Span = Span::from_millis(1_000);
@@ -25,7 +28,9 @@
         registry.restore_departed(now, departed);
         registry.restore(now, stored, heartbeat_period);
         let detector = FailureDetector::new(now, registry, heartbeat_period);
-        Instances { detector, is_changed: false, store_at: now + STORE_INTERVAL }
+        // The stored instances may be older than the departures, which are deleted after a while.
+        let is_changed = !departed.is_empty();
+        Instances { detector, is_changed, store_at: now + STORE_INTERVAL }
     }
 
     /// Returns all instances.
