Controllers: one request deadline, one entry a connection, no copies of ready instances

Where one connection replaces another before the old one's end is seen, that is now unknown until the next heartbeat, as for any new connection.

--- a/crates/control-state/src/failure_detector.rs
+++ b/crates/control-state/src/failure_detector.rs
@@ -3,7 +3,7 @@
 //! workers, so it acknowledges none and marks no instance as unresponsive.
 
 use lynxstair::types::{Span, Time};
-use lynxstair_protocol::messages::Instance;
+use lynxstair_protocol::messages::{Instance, InstanceState};
 
 use crate::instance_registry::InstanceRegistry;
 
@@ -121,7 +121,12 @@
     /// Returns reports of all instances for other processes. Without quorum contact, all of them are
     /// unconfirmed.
     pub fn snapshot(&self, now: Time) -> Vec<Instance> {
-        let mut instances = self.registry.snapshot(now);
+        self.snapshot_of(now, |_| true)
+    }
+
+    /// Returns reports of the instances in some states, as [`FailureDetector::snapshot`] does.
+    pub fn snapshot_of(&self, now: Time, is_included: impl Fn(InstanceState) -> bool) -> Vec<Instance> {
+        let mut instances = self.registry.snapshot_of(now, is_included);
         if self.quorum_role == QuorumRole::Isolated {
             instances.iter_mut().for_each(|instance| instance.is_unconfirmed = true);
         }
--- a/crates/control-state/src/instance_registry.rs
+++ b/crates/control-state/src/instance_registry.rs
@@ -193,7 +193,13 @@
 
     /// Returns reports of all instances for other processes, with the time spans as of now.
     pub fn snapshot(&self, now: Time) -> Vec<Instance> {
-        self.instances.keys().filter_map(|id| self.get(now, id)).collect()
+        self.snapshot_of(now, |_| true)
+    }
+
+    /// Returns reports of the instances in some states for other processes, with the time spans as of now.
+    pub fn snapshot_of(&self, now: Time, is_included: impl Fn(InstanceState) -> bool) -> Vec<Instance> {
+        let included = self.instances.iter().filter(|(_, instance)| is_included(instance.state));
+        included.filter_map(|(id, _)| self.get(now, id)).collect()
     }
 }
 
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard};
 
+use lynxstair::types::{Span, Time};
 use lynxstair_config::settings::Settings;
 use lynxstair_config::settings_reload::SettingsReload;
 use lynxstair_consensus::NodeAddress;
@@ -12,6 +13,9 @@
 use crate::disk_writer::DiskQueue;
 use crate::state::ControllerState;
 
+/// Time-out of an HTTP request that waits for other controllers. After that the caller moves on anyway.
+const REQUEST_TIMEOUT: Span = Span::from_millis(850);
+
 /// Shared state and resources of one controller.
 pub struct Controller {
     /// Settings as read at the start.
@@ -51,6 +55,12 @@
         }
     }
 
+    /// Returns the deadline of the HTTP request that is being handled. It counts from the earliest time at
+    /// which the request can have arrived, because after a pause of this process the request may be old.
+    pub fn request_deadline(&self) -> Time {
+        self.alarms.received_at(self.alarms.now()) + REQUEST_TIMEOUT
+    }
+
     /// Locks the state. The guard must not be held while the coroutine waits.
     pub fn state(&self) -> MutexGuard<'_, ControllerState> {
         self.state.lock().unwrap_or_else(|e| e.into_inner())
--- a/crates/controller/src/departures.rs
+++ b/crates/controller/src/departures.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, MutexGuard};
 
-use lynxstair::types::{Span, Time};
+use lynxstair::types::Time;
 use lynxstair_consensus::{NodeAddress, RequestOutcome};
 use lynxstair_control_state::departure_log::DurabilityRule;
 use lynxstair_protocol::messages::{Instance, ToController};
@@ -14,9 +14,6 @@
 use crate::state::ControllerState;
 use crate::storage::DepartureChanges;
 
-/// Time within which a departure must become durable to be acknowledged. Workers wait one second for an answer.
-const DURABILITY_TIMEOUT: Span = Span::from_millis(850);
-
 /// HTTP requests that wait until a departure is durable, by instance id.
 #[derive(Default)]
 pub struct DepartureWaiters(HashMap<String, Vec<Arc<QuorumWaiter>>>);
@@ -71,7 +68,7 @@
 /// Handles the completion of a write: these departures are synced to the disk of this controller.
 pub fn on_stored_here(controller: &Controller, ids: Vec<String>) {
     let mut state = controller.state();
-    on_stored_by(&mut state, controller.me, &ids);
+    on_stored_by(controller, &mut state, controller.me, &ids);
     state.peers.broadcast_confirmation(&ToController::DeparturesStored(ids));
 }
 
@@ -101,8 +98,8 @@
 
 /// Records that a controller has synced these departures to its disk, and completes the requests that wait for
 /// them.
-pub fn on_stored_by(state: &mut ControllerState, node: NodeAddress, ids: &[String]) {
-    let rule = durability_rule(state);
+pub fn on_stored_by(controller: &Controller, state: &mut ControllerState, node: NodeAddress, ids: &[String]) {
+    let rule = durability_rule(controller, state);
     for id in ids {
         state.departures.on_stored(node, id);
         if state.departures.is_durable(id, &rule) {
@@ -118,10 +115,10 @@
     mut state: MutexGuard<'_, ControllerState>,
     id: &str,
 ) -> bool {
-    if state.departures.is_durable(id, &durability_rule(&state)) {
+    if state.departures.is_durable(id, &durability_rule(controller, &state)) {
         return true;
     }
-    let deadline = controller.alarms.received_at(controller.alarms.now()) + DURABILITY_TIMEOUT;
+    let deadline = controller.request_deadline();
     let waiter = QuorumWaiter::for_current();
     state.departure_waiters.insert(id, &waiter);
     drop(state);
@@ -137,10 +134,10 @@
     controller.disk.write_departures(DepartureChanges { added: Vec::new(), removed });
 }
 
-fn durability_rule(state: &ControllerState) -> DurabilityRule {
+fn durability_rule(controller: &Controller, state: &ControllerState) -> DurabilityRule {
     DurabilityRule {
         voters: state.consensus.voters().iter().map(|voter| voter.node).collect(),
-        tolerated_disk_losses: state.tolerated_disk_losses,
+        tolerated_disk_losses: controller.settings.fault_budget_machines,
         without_confirmations: state.peers.without_confirmations(),
     }
 }
--- a/crates/controller/src/inbound.rs
+++ b/crates/controller/src/inbound.rs
@@ -81,7 +81,7 @@
             departures::on_reported(controller, now, &mut state, Some(from), &instances);
         }
         (ToController::DeparturesStored(ids), Some(from), _) => {
-            departures::on_stored_by(&mut state, from, &ids);
+            departures::on_stored_by(controller, &mut state, from, &ids);
         }
         (ToController::ProxyStatuses { statuses, is_snapshot, is_complete }, Some(from), _) => {
             state.directory.apply_remote(received_at, from, statuses, is_snapshot, is_complete);
--- a/crates/controller/src/instance_api.rs
+++ b/crates/controller/src/instance_api.rs
@@ -51,7 +51,7 @@
     outcome: HeartbeatOutcome,
 ) -> Response {
     let mut is_acknowledged = outcome.is_acknowledged;
-    let departed = outcome.instance.clone().filter(|instance| instance.state.has_departed());
+    let departed = outcome.instance.as_ref().filter(|instance| instance.state.has_departed()).cloned();
     state.publish_heartbeat(outcome);
     if let Some(instance) = departed {
         departures::on_reported(controller, now, &mut state, None, std::slice::from_ref(&instance));
--- a/crates/controller/src/instances.rs
+++ b/crates/controller/src/instances.rs
@@ -40,7 +40,7 @@
 
     /// Returns the instances that have departed.
     pub fn departed(&self, now: Time) -> Vec<Instance> {
-        self.snapshot(now).into_iter().filter(|instance| instance.state.has_departed()).collect()
+        self.detector.snapshot_of(now, InstanceState::has_departed)
     }
 
     /// Returns the number of ready instances.
--- a/crates/controller/src/operator_api.rs
+++ b/crates/controller/src/operator_api.rs
@@ -18,8 +18,6 @@
 use crate::replies::{error, unavailable};
 use crate::state::ControllerState;
 
-/// Time-out of an operator request that waits for the quorum. After that the caller moves on anyway.
-const REQUEST_TIMEOUT: Span = Span::from_millis(850);
 /// Interval between attempts to propose a command while another one is uncommitted or the leader is not yet
 /// established.
 const PROPOSE_RETRY_INTERVAL: Span = Span::from_millis(4);
@@ -39,7 +37,7 @@
 
 /// Handles `GET /config`.
 pub fn read_config(controller: &Arc<Controller>) -> Response {
-    if let Err(reply) = confirm(controller, request_deadline(controller), "/config") {
+    if let Err(reply) = confirm(controller, controller.request_deadline(), "/config") {
         return reply;
     }
     let state = controller.state();
@@ -59,7 +57,7 @@
     path: &str,
     operation: Operation,
 ) -> Response {
-    let deadline = request_deadline(controller);
+    let deadline = controller.request_deadline();
     let waiter = QuorumWaiter::for_current();
     let mut command = Command::new(operation);
     // An applied command is not parsed again. Others are parsed without holding the state lock.
@@ -190,9 +188,3 @@
         None => unavailable(),
     }
 }
-
-/// Returns the deadline of the request that is being handled. It counts from the earliest time at which the
-/// request can have arrived, because after a pause of this process the request may be old.
-fn request_deadline(controller: &Controller) -> Time {
-    controller.alarms.received_at(controller.alarms.now()) + REQUEST_TIMEOUT
-}
--- a/crates/controller/src/peer_connections.rs
+++ b/crates/controller/src/peer_connections.rs
@@ -24,21 +24,22 @@
 pub struct PeerConnections {
     /// Controllers to keep connections to.
     pub peer_set: PeerSet,
-    /// Open connections, each with the time at which it was opened.
-    open: HashMap<NodeAddress, (Arc<Connection>, Time)>,
-    /// Whether each controller confirms departures, from its last heartbeat. Removed when the connection to
-    /// it ends, as another build may run there afterwards.
-    confirms_departures: HashMap<NodeAddress, bool>,
+    open: HashMap<NodeAddress, OpenConnection>,
+}
+
+/// An open connection to a controller.
+struct OpenConnection {
+    connection: Arc<Connection>,
+    opened_at: Time,
+    /// Whether the controller confirms departures, from its last heartbeat; `None` if it has sent none since the
+    /// connection was opened, as another build may run there than before.
+    confirms_departures: Option<bool>,
 }
 
 impl PeerConnections {
     /// Creates an empty set of peers.
     pub fn new(now: Time) -> PeerConnections {
-        PeerConnections {
-            peer_set: PeerSet::new(now),
-            open: HashMap::new(),
-            confirms_departures: HashMap::new(),
-        }
+        PeerConnections { peer_set: PeerSet::new(now), open: HashMap::new() }
     }
 
     /// Returns `true` if any connection is open.
@@ -48,39 +49,39 @@
 
     /// Records that a connection was opened.
     pub fn on_opened(&mut self, now: Time, peer: NodeAddress, connection: &Arc<Connection>) {
-        self.open.insert(peer, (connection.clone(), now));
+        let connection = connection.clone();
+        self.open.insert(peer, OpenConnection { connection, opened_at: now, confirms_departures: None });
     }
 
     /// Removes a connection that has ended. If the peer was removed and added again in the meantime, its
     /// new connection is kept.
     pub fn on_closed(&mut self, connection: &Arc<Connection>) {
-        let ended = self.open.extract_if(|_, (open, _)| Arc::ptr_eq(open, connection));
-        ended.for_each(|(peer, _)| {
-            self.confirms_departures.remove(&peer);
-        });
+        self.open.retain(|_, open| !Arc::ptr_eq(&open.connection, connection));
     }
 
     /// Records whether a controller confirms departures. Returns `true` if that was unknown since the
     /// connection to it was opened.
     pub fn on_heartbeat(&mut self, peer: NodeAddress, confirms_departures: bool) -> bool {
-        self.open.contains_key(&peer) && self.confirms_departures.insert(peer, confirms_departures).is_none()
+        let open = self.open.get_mut(&peer);
+        open.is_some_and(|open| open.confirms_departures.replace(confirms_departures).is_none())
     }
 
     /// Returns the connected controllers that run a build without confirmations of departures.
     pub fn without_confirmations(&self) -> HashSet<NodeAddress> {
-        self.confirms_departures.iter().filter(|(_, confirms)| !**confirms).map(|(peer, _)| *peer).collect()
+        let without = self.open.iter().filter(|(_, open)| open.confirms_departures == Some(false));
+        without.map(|(peer, _)| *peer).collect()
     }
 
     /// Sends a confirmation of departures to a controller, if its build understands it.
     pub fn send_confirmation(&self, to: NodeAddress, message: &ToController) {
-        if self.confirms_departures.get(&to) == Some(&true) {
-            self.send(to, message);
+        if let Some(open) = self.open.get(&to).filter(|open| open.confirms_departures == Some(true)) {
+            send(&open.connection, message);
         }
     }
 
     /// Sends a confirmation of departures to all connected controllers that understand it.
     pub fn broadcast_confirmation(&self, message: &ToController) {
-        self.confirms_departures.keys().for_each(|peer| self.send_confirmation(*peer, message));
+        self.open.keys().for_each(|peer| self.send_confirmation(*peer, message));
     }
 
     /// Sends a message to all connected controllers.
@@ -89,20 +90,20 @@
             return;
         }
         let frame = transport::encode(message);
-        self.open.values().for_each(|(connection, _)| transport::write(connection, &frame, MAX_UNSENT_BYTES));
+        self.open.values().for_each(|open| transport::write(&open.connection, &frame, MAX_UNSENT_BYTES));
     }
 
     /// Sends a message to a controller if it is connected.
     pub fn send(&self, to: NodeAddress, message: &ToController) {
-        if let Some((connection, _)) = self.open.get(&to) {
-            send(connection, message);
+        if let Some(open) = self.open.get(&to) {
+            send(&open.connection, message);
         }
     }
 
     /// Sends a heartbeat to all connected controllers.
     pub fn send_heartbeats(&self, now: Time, me: NodeAddress) {
-        for (peer, (connection, _)) in &self.open {
-            send(connection, &self.heartbeat(now, me, *peer));
+        for (peer, open) in &self.open {
+            send(&open.connection, &self.heartbeat(now, me, *peer));
         }
     }
 
@@ -119,11 +120,11 @@
     /// Handles the report of a peer that it receives no heartbeats of this controller: the connection to it
     /// delivers nothing, unless it is new. Closes the connection, so that its coroutine opens another one.
     pub fn on_heartbeats_lost(&self, now: Time, peer: NodeAddress) {
-        if let Some((connection, since)) = self.open.get(&peer)
-            && now - *since >= PEER_TIMEOUT
+        if let Some(open) = self.open.get(&peer)
+            && now - open.opened_at >= PEER_TIMEOUT
         {
             info!(controller = peer.to_string(); "connection delivers nothing, reopening");
-            connection.close();
+            open.connection.close();
         }
     }
 }
--- a/crates/controller/src/startup.rs
+++ b/crates/controller/src/startup.rs
@@ -125,7 +125,6 @@
         departures,
         departures_announced_in: 0,
         departure_waiters: DepartureWaiters::default(),
-        tolerated_disk_losses: settings.fault_budget_machines,
         subscribers: Subscribers::new(&settings.bounds),
         peers: PeerConnections::new(now),
         membership: MembershipPlanner::new(settings.bounds.quota_window + MAX_TOKEN_AGE),
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -45,8 +45,6 @@
     pub departures_announced_in: u64,
     /// HTTP requests that wait until a departure is durable.
     pub departure_waiters: DepartureWaiters,
-    /// Number of disks that may be lost at once.
-    pub tolerated_disk_losses: usize,
     /// Proxies that are subscribed to this controller.
     pub subscribers: Subscribers,
     /// Connections to the other controllers.
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -20,10 +20,10 @@
 const DEADLINE_MARGIN: Span = Span::from_millis(4);
 /// Maximum length of an attempt id.
 const MAX_ATTEMPT_ID_BYTES: usize = 128;
-/// Limit of unsent bytes on a client connection above which the relay of a response is paused: while it is read
-/// from the worker, and once it is received and so costs no further memory. The buffer has room for the next
-/// piece and its head.
+/// Limit of unsent bytes on a client connection above which no more of a long response is read from the worker.
 const MAX_UNSENT_BYTES: usize = 256 << 10;
+/// Limit of unsent bytes on a client connection above which the relay of a received response is paused. The
+/// buffer then has room for the next piece and its head.
 const MAX_UNSENT_RECEIVED_BYTES: usize = 1 << 20;
 const _: () = assert!(MAX_UNSENT_RECEIVED_BYTES + MAX_PIECE_BYTES + 2 * MAX_HEAD_BYTES <= MAX_BUFFER_BYTES);
 /// Interval of checks whether a slow client has read more.
