--- a/crates/controller/tests/cluster.rs
+++ b/crates/controller/tests/cluster.rs
@@ -158,10 +158,8 @@
 
     let leader = wait_until("a leader", || cluster.leader());
     let lost = (1..=3).find(|n| *n != leader).expect("one");
-    let mut child = cluster.controllers.remove(&lost).expect("runs");
-    child.kill().expect("killed");
-    child.wait().expect("ended");
-    let disk = cluster.folder.path().join(format!("controller{lost}"));
+    cluster.kill(lost);
+    let disk = cluster.data_folder(lost);
     std::fs::write(disk.join("book.sqlite"), "no database at all".repeat(500)).expect("corrupted");
     std::fs::remove_file(disk.join("book.sqlite-wal"))
         .expect("removed the log, which alone contains the whole state");
--- a/crates/controller/tests/departures.rs
+++ b/crates/controller/tests/departures.rs
@@ -17,12 +17,7 @@
     cluster.start_with_ready_instance("i-leaves");
     assert_eq!(cluster.operator_request("DELETE /instances/i-leaves", ""), 200);
     cluster.restart_all(None);
-    for n in 1..=3 {
-        wait_until("the departed instance", || {
-            let state = cluster.status(n).and_then(|_| cluster.instance_state(n, "i-leaves"))?;
-            state.has_departed().then_some(())
-        });
-    }
+    (1..=3).for_each(|n| cluster.wait_until_departed(n, "i-leaves"));
 }
 
 /// Guards against the same failure where the controller that acknowledged also loses its disk, which the fault
@@ -39,12 +34,7 @@
         })
     });
     cluster.restart_all(Some(acknowledging));
-    for n in 1..=3 {
-        wait_until("the departed instance", || {
-            let state = cluster.status(n).and_then(|_| cluster.instance_state(n, "i-drains"))?;
-            state.has_departed().then_some(())
-        });
-    }
+    (1..=3).for_each(|n| cluster.wait_until_departed(n, "i-drains"));
 }
 
 /// A departure that no other controller stores is not acknowledged.
@@ -95,9 +85,7 @@
     let mut cluster = Cluster::new(12);
     cluster.start_with_ready_instance("i-leaves");
     assert_eq!(cluster.operator_request("DELETE /instances/i-leaves", ""), 200);
-    wait_until("the departure at the first controller", || {
-        cluster.instance_state(1, "i-leaves").filter(|state| state.has_departed())
-    });
+    cluster.wait_until_departed(1, "i-leaves");
     let mut connection = cluster.subscribe(1, false);
     connection.send_heartbeat(Readiness::Ready);
     let first = loop {
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -85,7 +85,7 @@
     pub fn write_settings(&self, n: usize, seeds: &[usize], bootstrap: bool) -> std::path::PathBuf {
         let own = self.control_address(n);
         let seeds: String = seeds.iter().map(|s| format!("  - \"{}\"\n", self.control_address(*s))).collect();
-        let data = self.folder.path().join(format!("controller{n}"));
+        let data = self.data_folder(n);
         let text = format!(
             "node-name: \"controller{n}\"\nip: \"{}\"\nzone: \"z1\"\nregion: \"r1\"\nzones:\n  z1: \"r1\"\nbind:\n  \
              control: \"{own}\"\n  directory: \"{}\"\nport-range:\n  - 7460\n  - 7475\nseeds:\n{seeds}\
@@ -153,9 +153,7 @@
             })
         })
     }
-}
 
-impl Cluster {
     pub fn data_folder(&self, n: usize) -> std::path::PathBuf {
         self.folder.path().join(format!("controller{n}"))
     }
@@ -195,6 +193,14 @@
         }
     }
 
+    /// Waits until a controller runs and knows that an instance has departed.
+    pub fn wait_until_departed(&self, n: usize, id: &str) {
+        wait_until("the departed instance", || {
+            let state = self.status(n).and_then(|_| self.instance_state(n, id))?;
+            state.has_departed().then_some(())
+        });
+    }
+
     /// Starts three controllers that have stored this instance as ready.
     pub fn start_with_ready_instance(&mut self, id: &str) {
         (1..=3).for_each(|n| self.start(n, &[1, 2, 3], true));
--- a/crates/fault-injection/src/soak/added_routes.rs
+++ b/crates/fault-injection/src/soak/added_routes.rs
@@ -1,7 +1,7 @@
 //! Checks that routes which the configuration changes add are served like the others.
 
 use super::checker::{Finding, SoakRule};
-use super::clients::{RequestEnd, SentRequest};
+use super::clients::SentRequest;
 
 /// Length of a window in which the shares of the routes are compared.
 const WINDOW_S: f64 = 5.0;
@@ -22,7 +22,7 @@
 impl Served {
     fn add(&mut self, request: &SentRequest) {
         self.sent += 1;
-        self.succeeded += usize::from(matches!(request.end, RequestEnd::Response { status: 200, .. }));
+        self.succeeded += usize::from(request.has_succeeded());
     }
 
     fn share(self) -> f64 {
--- a/crates/fault-injection/src/soak/checker.rs
+++ b/crates/fault-injection/src/soak/checker.rs
@@ -126,8 +126,7 @@
 /// Checks the requests of the tenant without a quota. Those beyond a quota are refused.
 fn check_served(history: &History) -> Option<Finding> {
     let unlimited = history.requests.iter().filter(|request| !request.is_limited);
-    let is_served = |request: &&SentRequest| matches!(request.end, RequestEnd::Response { status: 200, .. });
-    let (sent, served) = (unlimited.clone().count(), unlimited.filter(is_served).count());
+    let (sent, served) = (unlimited.clone().count(), unlimited.filter(|r| r.has_succeeded()).count());
     (served * 2 < sent || sent == 0).then(|| Finding {
         rule: SoakRule::TooFewServed,
         at_s: 0.0,
--- a/crates/fault-injection/src/soak/clients.rs
+++ b/crates/fault-injection/src/soak/clients.rs
@@ -66,6 +66,20 @@
     pub end: RequestEnd,
 }
 
+impl SentRequest {
+    /// Returns `true` if the request was answered with 200.
+    pub fn has_succeeded(&self) -> bool {
+        matches!(self.end, RequestEnd::Response { status: 200, .. })
+    }
+}
+
+/// Request of a batch that is being sent.
+struct BatchRequest {
+    id: String,
+    is_limited: bool,
+    is_added_route: bool,
+}
+
 /// Running clients.
 pub(super) struct Clients {
     threads: Vec<JoinHandle<()>>,
@@ -212,13 +226,13 @@
             text.push_str(&format!(
                 "{method} /{path}/x HTTP/1.1\r\nHost: soak\r\nAuthorization: Bearer {key}\r\nAttempt-Id: {id}\r\nTime-Left-Ms: {TIME_LEFT_MS}\r\nContent-Length: 0\r\n\r\n"
             ));
-            batch.push((id, is_limited, is_added_route));
+            batch.push(BatchRequest { id, is_limited, is_added_route });
         }
         let sent_s = self.now();
         let mut out = stream;
         let is_written = out.write_all(text.as_bytes()).is_ok();
         let mut is_open = is_written;
-        for (id, is_limited, is_added_route) in batch {
+        for BatchRequest { id, is_limited, is_added_route } in batch {
             let response = if is_open { HttpMessage::read(reader) } else { None };
             let ended_s = self.now();
             let end = match &response {
--- a/crates/fault-injection/src/soak/driver.rs
+++ b/crates/fault-injection/src/soak/driver.rs
@@ -218,29 +218,30 @@
                     self.workers.remove(0).leave();
                 }
             }
-            Action::KillAfterDeparture => self.kill_above_departures = Some(self.log.departures().len()),
+            Action::KillAfterDeparture => self.kill_above_departures = Some(self.log.departure_count()),
             Action::LosePower => self.lose_power(),
         }
     }
 
     /// Kills all controllers and every second proxy if a departure was acknowledged since that was planned.
     fn kill_after_departure(&mut self) {
-        if self.kill_above_departures.is_none_or(|count| self.log.departures().len() <= count) {
+        if self.kill_above_departures.is_none_or(|count| self.log.departure_count() <= count) {
             return;
         }
         self.kill_above_departures = None;
+        self.kill_controllers_and_proxies(2);
+    }
+
+    /// Kills all controllers at once with each `step`th proxy.
+    fn kill_controllers_and_proxies(&mut self, step: usize) {
         let controllers = (0..SoakShape::CONTROLLERS).map(ProcessName::Controller);
-        let proxies = (0..self.plan.shape.proxies).step_by(2).map(ProcessName::Proxy);
-        let killed: Vec<ProcessName> = controllers.chain(proxies).collect();
-        killed.into_iter().for_each(|name| self.perform(Action::Kill(name)));
+        let proxies = (0..self.plan.shape.proxies).step_by(step).map(ProcessName::Proxy);
+        controllers.chain(proxies).for_each(|name| self.perform(Action::Kill(name)));
     }
 
     /// Kills all processes. All workers restart their warm-up while no controller can record it.
     fn lose_power(&mut self) {
-        let controllers = (0..SoakShape::CONTROLLERS).map(ProcessName::Controller);
-        let all: Vec<ProcessName> =
-            controllers.chain((0..self.plan.shape.proxies).map(ProcessName::Proxy)).collect();
-        all.into_iter().for_each(|name| self.perform(Action::Kill(name)));
+        self.kill_controllers_and_proxies(1);
         self.workers.iter().for_each(Worker::start_warmup);
     }
 
--- a/crates/fault-injection/src/soak/workers.rs
+++ b/crates/fault-injection/src/soak/workers.rs
@@ -88,6 +88,11 @@
         self.departures.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns the number of acknowledged departures so far.
+    pub fn departure_count(&self) -> usize {
+        self.departures.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
     /// Records that the departure of a worker has just been acknowledged.
     fn record_departure(&self, worker: usize) {
         let acknowledged_s = self.origin.elapsed().as_secs_f64();
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -33,9 +33,9 @@
 
 /// Starts a worker that answers each request with its id, and its heartbeats. Ids that begin with "held" are
 /// reported and answered once released. Ids that begin with "unsized" are reported and answered with
-/// [`LARGE_BODY_BYTES`] without a length, which end with the connection. Ids that begin with "watched" are reported, and again when their
-/// connection ends. Ids that begin with "echo" are answered with the received headers. The heartbeats stop
-/// when the result is dropped.
+/// [`LARGE_BODY_BYTES`] without a length, which end with the connection. Ids that begin with "watched" are
+/// reported, and again when their connection ends. Ids that begin with "echo" are answered with the received
+/// headers. The heartbeats stop when the result is dropped.
 fn worker(at: SocketAddr, controllers: Vec<SocketAddr>, reporter: Sender<String>, held: Held) -> Sender<()> {
     let listener = TcpListener::bind(at).expect("bound");
     thread::spawn(move || {
--- a/crates/routing/benches/many_routes.rs
+++ b/crates/routing/benches/many_routes.rs
@@ -1,19 +1,20 @@
 //! Cost of a request and of a configuration change at the size of the largest deployment, by the number of
 //! different latency targets, and the memory that the balancer then holds.
 
+#[path = "../tests/support/mod.rs"]
+mod support;
+
 use std::fs;
 use std::hint::black_box;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use lynxstair::types::{Outcome, Span, Time};
 use lynxstair_config::configuration::{Configuration, RouteKind};
-use lynxstair_config::json;
-use lynxstair_config::table::ConfigTable;
-use lynxstair_control_state::instance_registry::InstanceRegistry;
-use lynxstair_protocol::messages::{Instance, InstanceState};
 use lynxstair_routing::locality_balancer::{EndpointQuery, LocalityBalancer, Pick};
 use lynxstair_routing::slow_start::{SlowStart, WarmUpKnowledge};
 
+use support::{parse_configuration, ready_worker};
+
 const ROUTES: u64 = 2_300;
 const WORKERS: usize = 2_100;
 const SERVICES: usize = 3;
@@ -45,31 +46,17 @@
         rows.join(","),
         services.join(",")
     );
-    let value = json::parse(text.as_bytes()).expect("JSON");
-    Configuration::from_table(&ConfigTable::from_json(&value).expect("a table")).expect("valid")
+    parse_configuration(&text)
 }
 
 fn balancer(now: Time, distinct_targets: u64) -> LocalityBalancer {
     let zones: Vec<(String, String)> = (0..ZONES).map(|n| (format!("z{n}"), "r".to_string())).collect();
     let slow_start = SlowStart::new(Time::default(), "z0", "edge-1", 1.5, 5.0);
     let mut balancer = LocalityBalancer::new(1, "z0", "r", &zones, slow_start);
-    let mut registry = InstanceRegistry::default();
     for n in 0..WORKERS {
-        let instance = Instance {
-            id: format!("i-{n}"),
-            service: service(n as u64),
-            address: "127.0.0.1:9000".parse().expect("an address"),
-            zone: format!("z{}", n / SERVICES % ZONES),
-            capacity: 6,
-            state: InstanceState::Ready,
-            warming_up_ms: 0,
-            call_seq: 1,
-            heartbeat_age_ms: 0,
-            is_unconfirmed: false,
-        };
-        registry.update(now, &instance);
+        let (id, zone) = (format!("i-{n}"), format!("z{}", n / SERVICES % ZONES));
+        balancer.update_instance(now, &id, &ready_worker(now, &id, &service(n as u64), &zone, 6));
     }
-    registry.instances().iter().for_each(|(id, instance)| balancer.update_instance(now, id, instance));
     balancer.configure(now, &configuration(distinct_targets));
     balancer
 }
--- a/crates/routing/tests/latency_targets.rs
+++ b/crates/routing/tests/latency_targets.rs
@@ -1,17 +1,18 @@
 //! Routes of one service with many different latency targets.
 
+mod support;
+
 use std::slice::from_ref;
 use std::sync::Arc;
 
 use lynxstair::types::{Outcome, Span, Time};
 use lynxstair_config::configuration::{Configuration, RouteKind};
-use lynxstair_config::json;
-use lynxstair_config::table::ConfigTable;
-use lynxstair_control_state::instance_registry::{InstanceRegistry, RegisteredInstance};
-use lynxstair_protocol::messages::{Instance, InstanceState};
+use lynxstair_control_state::instance_registry::RegisteredInstance;
 use lynxstair_routing::locality_balancer::{EndpointQuery, LocalityBalancer, Pick, PickedEndpoint, Worker};
 use lynxstair_routing::slow_start::{SlowStart, WarmUpKnowledge};
 
+use support::{parse_configuration, ready_worker};
+
 const START: Time = Time::from_nanos(10_000_000_000);
 /// Routes of the largest deployment.
 const ROUTES: u64 = 2_300;
@@ -30,26 +31,11 @@
         "limits":{{}},"tenants":{{"columns":["name","api-keys"],"rows":[]}}}}"#,
         rows.join(",")
     );
-    let value = json::parse(text.as_bytes()).expect("JSON");
-    Configuration::from_table(&ConfigTable::from_json(&value).expect("a table")).expect("valid")
+    parse_configuration(&text)
 }
 
 fn worker(id: &str) -> RegisteredInstance {
-    let mut registry = InstanceRegistry::default();
-    let instance = Instance {
-        id: id.to_string(),
-        service: "s".to_string(),
-        address: "127.0.0.1:9000".parse().expect("an address"),
-        zone: "a".to_string(),
-        capacity: 1_000,
-        state: InstanceState::Ready,
-        warming_up_ms: 0,
-        call_seq: 1,
-        heartbeat_age_ms: 0,
-        is_unconfirmed: false,
-    };
-    assert!(registry.update(START, &instance));
-    registry.instances().get(id).expect("known").clone()
+    ready_worker(START, id, "s", "a", 1_000)
 }
 
 /// Latency targets of the routes, as read from the configuration.
--- a/crates/routing/tests/unknown_warm_up.rs
+++ b/crates/routing/tests/unknown_warm_up.rs
@@ -1,16 +1,16 @@
 //! Without contact to the controllers any worker may be warming up. The proxies of all zones together must
 //! keep to the slow-start limit of such a worker.
 
+mod support;
+
 use lynxstair::types::{Span, Time};
-use lynxstair_config::configuration::{Configuration, RouteKind};
-use lynxstair_config::json;
-use lynxstair_config::table::ConfigTable;
-use lynxstair_control_state::instance_registry::{InstanceRegistry, RegisteredInstance};
+use lynxstair_config::configuration::RouteKind;
 use lynxstair_control_state::proxy_membership::ProxyMembership;
-use lynxstair_protocol::messages::{Instance, InstanceState};
 use lynxstair_routing::locality_balancer::{EndpointQuery, LocalityBalancer, Pick};
 use lynxstair_routing::slow_start::{SlowStart, WarmUpKnowledge};
 
+use support::{parse_configuration, ready_worker};
+
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 /// Proxies in each zone.
 const PROXIES_PER_ZONE: u32 = 2;
@@ -25,30 +25,6 @@
     "services":{"columns":["name","max-conns","cold-s","cold-per-s"],"rows":[["s",1000,3.0,22.0]]},
     "limits":{},"tenants":{"columns":["name","api-keys"],"rows":[]}}"#;
 
-fn configuration() -> Configuration {
-    let value = json::parse(CONFIGURATION.as_bytes()).expect("JSON");
-    Configuration::from_table(&ConfigTable::from_json(&value).expect("a table")).expect("valid")
-}
-
-/// The only worker of the service, in zone a.
-fn worker(now: Time) -> RegisteredInstance {
-    let mut registry = InstanceRegistry::default();
-    let instance = Instance {
-        id: "i-1".to_string(),
-        service: "s".to_string(),
-        address: "127.0.0.1:9000".parse().expect("an address"),
-        zone: "a".to_string(),
-        capacity: 1_000,
-        state: InstanceState::Ready,
-        warming_up_ms: 0,
-        call_seq: 1,
-        heartbeat_age_ms: 0,
-        is_unconfirmed: false,
-    };
-    assert!(registry.update(now, &instance));
-    registry.instances().get("i-1").expect("known").clone()
-}
-
 fn proxies(now: Time) -> Vec<LocalityBalancer> {
     let zones: Vec<(String, String)> = ZONES.iter().map(|z| (z.to_string(), "r".to_string())).collect();
     let counts: Vec<(String, u32)> = ZONES.iter().map(|z| (z.to_string(), PROXIES_PER_ZONE)).collect();
@@ -62,9 +38,10 @@
         let mut balancer = LocalityBalancer::new(n, zone, "r", &zones, slow_start);
         balancer.set_membership(&membership);
         balancer.on_membership_confirmed(now);
-        balancer.configure(now, &configuration());
+        balancer.configure(now, &parse_configuration(CONFIGURATION));
         balancer.set_proxy_counts(now, &counts);
-        balancer.update_instance(now, "i-1", &worker(now));
+        // The only worker of the service.
+        balancer.update_instance(now, "i-1", &ready_worker(now, "i-1", "s", "a", 1_000));
         balancer
     };
     (0..).zip(ZONES.iter().copied().flat_map(|zone| [zone; PROXIES_PER_ZONE as usize])).map(new).collect()
