--- /dev/null
+++ b/crates/fakes/src/broken_replies.rs
@@ -0,0 +1,101 @@
+//! Replies of workers that are no valid HTTP/1.1 responses (RFC 9110, RFC 9112), for tests of everything that reads
+//! replies. `docs/design/replies.md` has the rules behind the groups.
+
+/// A reply that must never reach a client as a response.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BrokenReply {
+    /// Short description.
+    pub name: &'static str,
+    status_line: &'static [u8],
+    /// Lines after the attempt id and the seal, each without its line end.
+    header_lines: &'static [&'static [u8]],
+    body: &'static [u8],
+    /// Whether the connection is closed after the last byte.
+    pub closes: bool,
+}
+
+impl BrokenReply {
+    /// Returns the bytes of the reply to the attempt `id`.
+    pub fn bytes(&self, id: &str) -> Vec<u8> {
+        let own_lines = [format!("Attempt-Id: {id}").into_bytes(), b"Server-Seal: s".to_vec()];
+        let mut bytes = self.status_line.to_vec();
+        for line in own_lines.iter().map(Vec::as_slice).chain(self.header_lines.iter().copied()) {
+            bytes.extend_from_slice(b"\r\n");
+            bytes.extend_from_slice(line);
+        }
+        bytes.extend_from_slice(b"\r\n\r\n");
+        // A body may itself look like a reply to the attempt.
+        match std::str::from_utf8(self.body) {
+            Ok(body) => bytes.extend_from_slice(body.replace("{id}", id).as_bytes()),
+            Err(_) => bytes.extend_from_slice(self.body),
+        }
+        bytes
+    }
+}
+
+const fn reply(
+    name: &'static str,
+    status_line: &'static [u8],
+    header_lines: &'static [&'static [u8]],
+    body: &'static [u8],
+) -> BrokenReply {
+    BrokenReply { name, status_line, header_lines, body, closes: false }
+}
+
+const fn ok(name: &'static str, header_lines: &'static [&'static [u8]], body: &'static [u8]) -> BrokenReply {
+    reply(name, b"HTTP/1.1 200 OK", header_lines, body)
+}
+
+const LENGTH_2: &[&[u8]] = &[b"Content-Length: 2"];
+
+/// Status lines. Status codes are 100 to 599.
+pub const BROKEN_STATUS_LINES: &[BrokenReply] = &[
+    reply("status 000", b"HTTP/1.1 000 OK", LENGTH_2, b"no"),
+    reply("status 000 without a reason", b"HTTP/1.1 000", LENGTH_2, b"no"),
+    reply("status 001", b"HTTP/1.1 001 OK", LENGTH_2, b"no"),
+    reply("status 099", b"HTTP/1.1 099 OK", LENGTH_2, b"no"),
+    reply("status 600", b"HTTP/1.1 600 OK", LENGTH_2, b"no"),
+    reply("status 999", b"HTTP/1.1 999 OK", LENGTH_2, b"no"),
+    reply("status with two digits", b"HTTP/1.1 20 OK", LENGTH_2, b"no"),
+    reply("status with four digits", b"HTTP/1.1 2000 OK", LENGTH_2, b"no"),
+    reply("negative status", b"HTTP/1.1 -20 OK", LENGTH_2, b"no"),
+    reply("hexadecimal status", b"HTTP/1.1 2a0 OK", LENGTH_2, b"no"),
+    reply("no status", b"HTTP/1.1 OK", LENGTH_2, b"no"),
+    reply("two blanks before the status", b"HTTP/1.1  200 OK", LENGTH_2, b"no"),
+    reply("tab before the status", b"HTTP/1.1\t200 OK", LENGTH_2, b"no"),
+    reply("unknown version", b"HTTP/3.7 200 OK", LENGTH_2, b"no"),
+    reply("version in lower case", b"http/1.1 200 OK", LENGTH_2, b"no"),
+    reply("another protocol", b"ICY 200 OK", LENGTH_2, b"no"),
+    reply("blank before the version", b" HTTP/1.1 200 OK", LENGTH_2, b"no"),
+    reply("control byte in the reason", b"HTTP/1.1 200 O\x01K", LENGTH_2, b"no"),
+    reply("bare carriage return in the reason", b"HTTP/1.1 200 O\rK", LENGTH_2, b"no"),
+];
+
+/// Field lines.
+pub const BROKEN_FIELD_LINES: &[BrokenReply] = &[
+    ok("blank in a name", &[b"Bad Name: x", b"Content-Length: 2"], b"no"),
+    ok("blank after a name", &[b"Name : x", b"Content-Length: 2"], b"no"),
+    ok("tab after a name", &[b"Name\t: x", b"Content-Length: 2"], b"no"),
+    ok("blank before a name", &[b"Content-Length: 2", b" Name: x"], b"no"),
+    ok("control byte in a name", &[b"Na\x01me: x", b"Content-Length: 2"], b"no"),
+    ok("vertical tab in a name", &[b"Na\x0bme: x", b"Content-Length: 2"], b"no"),
+    ok("NUL in a name", &[b"Na\0me: x", b"Content-Length: 2"], b"no"),
+    ok("DEL in a name", &[b"Na\x7fme: x", b"Content-Length: 2"], b"no"),
+    ok("high byte in a name", &[b"Na\xe9me: x", b"Content-Length: 2"], b"no"),
+    ok("bare carriage return in a name", &[b"Na\rme: x", b"Content-Length: 2"], b"no"),
+    ok("separator in a name", &[b"Na(me: x", b"Content-Length: 2"], b"no"),
+    ok("empty name", &[b": x", b"Content-Length: 2"], b"no"),
+    ok("no colon", &[b"Name", b"Content-Length: 2"], b"no"),
+    ok("blank after the name of the length", &[b"Content-Length : 2"], b"no"),
+    ok("control byte after the name of the length", &[b"Content-Length\x01: 2"], b"no"),
+    ok("blank after the name of the coding", &[b"Transfer-Encoding : chunked"], b"2\r\nno\r\n0\r\n\r\n"),
+    ok("control byte in a value", &[b"Name: a\x01b", b"Content-Length: 2"], b"no"),
+    ok("NUL in a value", &[b"Name: a\0b", b"Content-Length: 2"], b"no"),
+    ok("bare carriage return in a value", &[b"Name: a\rb", b"Content-Length: 2"], b"no"),
+    ok("folded line", &[b"Name: a", b" b", b"Content-Length: 2"], b"no"),
+];
+
+/// Returns all broken replies.
+pub fn broken_replies() -> impl Iterator<Item = &'static BrokenReply> {
+    [BROKEN_STATUS_LINES, BROKEN_FIELD_LINES].into_iter().flatten()
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,12 +7,14 @@
 //! | --- | --- |
 //! | `message.rs` | minimal HTTP/1.1 messages |
 //! | `worker.rs` | workers with scripted responses |
+//! | `broken_replies.rs` | replies that are no valid responses |
 //! | `counter.rs`, `discovery.rs`, `sink.rs` | the other peers of a gatekeeper |
 //! | `load.rs` | load generator that records what clients and workers observe |
 //! | `config.rs` | boot configurations of a gatekeeper |
 //! | `wait.rs` | polling with a time-out |
 #![forbid(unsafe_code)]
 
+mod broken_replies;
 mod config;
 mod counter;
 mod discovery;
@@ -26,6 +28,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 
+pub use broken_replies::{BrokenReply, broken_replies};
 pub use config::{gatekeeper_config, named_gatekeeper_config};
 pub use counter::{Counter, start_adding_counter, start_counter, start_counter_with_response};
 pub use discovery::{Discovery, start_discovery, worker_entry};
@@ -33,7 +36,7 @@
 pub use message::{HttpMessage, exchange, request_text};
 pub use sink::{ReceivedBatch, Sink};
 pub use wait::{WAIT_TIMEOUT, wait_until};
-pub use worker::{WorkerAction, WorkerLog, start_worker};
+pub use worker::{Pace, WorkerAction, WorkerLog, start_worker};
 
 /// Accepts connections on a new thread and handles each one on its own thread.
 fn serve(listener: TcpListener, handle: impl Fn(TcpStream) + Send + Sync + 'static) {
--- a/crates/fakes/src/message.rs
+++ b/crates/fakes/src/message.rs
@@ -24,6 +24,24 @@
     /// # Panics
     /// If the content length is not a number.
     pub fn read(from: &mut impl BufRead) -> Option<HttpMessage> {
+        let mut message = HttpMessage::read_head(from)?;
+        message.read_body(from)?;
+        Some(message)
+    }
+
+    /// Reads the response to a request with `method`; `None` if the connection ends before it is complete.
+    ///
+    /// # Panics
+    /// If the content length is not a number.
+    pub fn read_response_to(method: &str, from: &mut impl BufRead) -> Option<HttpMessage> {
+        let mut message = HttpMessage::read_head(from)?;
+        if method != "HEAD" && !matches!(message.status(), 204 | 304) {
+            message.read_body(from)?;
+        }
+        Some(message)
+    }
+
+    fn read_head(from: &mut impl BufRead) -> Option<HttpMessage> {
         let start_line = read_line(from)?;
         let mut headers = HashMap::new();
         loop {
@@ -31,10 +49,14 @@
             let Some((name, value)) = line.split_once(':') else { break };
             headers.insert(name.to_ascii_lowercase(), value.trim().to_string());
         }
-        let length = headers.get("content-length").map_or(0, |length| length.parse().expect("a length"));
-        let mut body = vec![0; length];
-        from.read_exact(&mut body).ok()?;
-        Some(HttpMessage { start_line, headers, body })
+        Some(HttpMessage { start_line, headers, body: Vec::new() })
+    }
+
+    fn read_body(&mut self, from: &mut impl BufRead) -> Option<()> {
+        let length = self.headers.get("content-length");
+        let length = length.map_or(0, |length| length.parse().expect("a length"));
+        self.body = vec![0; length];
+        from.read_exact(&mut self.body).ok()
     }
 
     /// Returns the value of a header; empty if the header is missing.
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::broken_replies::BrokenReply;
 use crate::message::HttpMessage;
 use crate::{bind_listener, lock, serve};
 
@@ -37,6 +38,36 @@
     Truncate,
     /// Never responds.
     Hang,
+    /// Sends a reply that is no valid response, at once or byte by byte.
+    SendBroken(&'static BrokenReply, Pace),
+}
+
+/// Division of a reply into writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pace {
+    /// One write.
+    AtOnce,
+    /// A write for each of the first [`MAX_SINGLE_BYTES`], and one for the rest.
+    ByteByByte,
+}
+
+/// Number of bytes that [`Pace::ByteByByte`] writes one by one, more than the head of a reply of a test.
+const MAX_SINGLE_BYTES: usize = 2_000;
+
+impl Pace {
+    /// All variants.
+    pub const ALL: [Pace; 2] = [Pace::AtOnce, Pace::ByteByByte];
+
+    /// Writes `bytes`. Returns `false` if the connection has ended.
+    pub fn write(self, mut stream: &TcpStream, bytes: &[u8]) -> bool {
+        let single_bytes = match self {
+            Pace::AtOnce => 0,
+            Pace::ByteByByte => bytes.len().min(MAX_SINGLE_BYTES),
+        };
+        let (single, rest) = bytes.split_at(single_bytes);
+        let mut pieces = single.chunks(1).chain([rest]);
+        pieces.all(|piece| stream.write_all(piece).is_ok())
+    }
 }
 
 /// Attempts and connections that the workers of a test received.
@@ -124,5 +155,9 @@
             let _ = reader.read(&mut [0]);
             false
         }
+        WorkerAction::SendBroken(reply, pace) => {
+            let _ = stream.set_nodelay(true);
+            pace.write(stream, &reply.bytes(id)) && !reply.closes
+        }
     }
 }
--- a/crates/gatekeeper/tests/support/mod.rs
+++ b/crates/gatekeeper/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! Test environment: a gatekeeper process with fake workers, counter and discovery on free loopback ports.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports, reason = "each test uses a part")]
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -5,7 +5,7 @@
 
 use std::fmt;
 use std::io::{self, Write};
-use std::ops::Range;
+use std::ops::{Range, RangeInclusive};
 
 use httparse::{EMPTY_HEADER, Status};
 
@@ -22,6 +22,9 @@
 /// Buffer size for a message and the framing of its body, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = MAX_BODY_BYTES + 2 * MAX_HEAD_BYTES;
 
+/// Valid status codes (RFC 9110, section 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
 /// Error in a message. It is permanent: the same message always fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HttpError {
@@ -109,12 +112,17 @@
 }
 
 /// Parses the head of a response. Returns it with its length, or `None` if it is incomplete.
+///
+/// Fails if the head is malformed or its status code is not one of 100 to 599.
 pub fn parse_response_head(bytes: &[u8]) -> Result<Option<(ResponseHead<'_>, usize)>, HttpError> {
     let mut all = [EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut all);
     match parsed.parse(bytes) {
         Ok(Status::Complete(length)) => {
             let status = parsed.code.unwrap_or(0);
+            if !STATUS_CODES.contains(&status) {
+                return Err(HttpError::new(502, "invalid status code"));
+            }
             let count = parsed.headers.len();
             let is_http_1_0 = parsed.version == Some(0);
             let headers = Headers::new(all, count);
--- /dev/null
+++ b/crates/proxy/tests/broken_replies.rs
@@ -0,0 +1,75 @@
+//! Broken replies of a worker, through the programs: the client gets the proxy's own failure, and the responses around it on the same connection stay whole.
+
+mod support;
+
+use std::io::BufReader;
+use std::net::TcpStream;
+use std::sync::mpsc::TryRecvError;
+
+use lynxstair_fakes::{HttpMessage, Pace, WAIT_TIMEOUT, broken_replies};
+
+use support::fixture::{Fixture, RawReply, connect, request, request_with, send};
+
+/// A system with a worker whose replies the test sets, and one client connection.
+struct ReplyFixture {
+    fixture: Fixture,
+    client: TcpStream,
+    exchanges: usize,
+}
+
+impl ReplyFixture {
+    /// `net`: see `System::start`.
+    fn start(net: u32) -> ReplyFixture {
+        let fixture = Fixture::start(net, 6);
+        let client = connect(&fixture.system);
+        ReplyFixture { fixture, client, exchanges: 0 }
+    }
+
+    /// Sends three requests one behind the other. The worker answers the second one with the bytes that `reply`
+    /// returns for its id, and the others properly. Checks the other responses and that the request ran once,
+    /// and returns its response.
+    fn exchange(
+        &mut self,
+        case: &str,
+        method: &str,
+        pace: Pace,
+        closes: bool,
+        reply: impl Fn(&str) -> Vec<u8>,
+    ) -> HttpMessage {
+        self.exchanges += 1;
+        let [before, id, after] = ["before", "raw", "after"].map(|role| format!("{role}-{}", self.exchanges));
+        let raw = RawReply { bytes: reply(&id), pace, closes };
+        self.fixture.raw_replies.lock().expect("raw replies").insert(id.clone(), raw);
+        send(&self.client, &[request(&before), request_with(method, &id), request(&after)].concat());
+        let mut reader = BufReader::new(&self.client);
+        let mut next = |method| {
+            let response = HttpMessage::read_response_to(method, &mut reader);
+            response.unwrap_or_else(|| panic!("{case}: no response"))
+        };
+        let [first, response, last] = [next("POST"), next(method), next("POST")];
+        for (sound, id) in [(first, before), (last, after)] {
+            assert_eq!((sound.status(), &sound.body[..]), (200, id.as_bytes()), "{case}: {id}");
+        }
+        assert_eq!(response.header("attempt-id"), id, "{case}");
+        assert_eq!(self.fixture.reports.recv_timeout(WAIT_TIMEOUT).as_deref(), Ok(&id[..]), "{case}");
+        assert_eq!(self.fixture.reports.try_recv(), Err(TryRecvError::Empty), "{case}: executed twice");
+        response
+    }
+}
+
+/// Guards against replies of a worker in trouble that reach a client as responses (issue 67).
+#[test]
+fn a_broken_reply_becomes_a_failure_of_the_proxy() {
+    let mut fixture = ReplyFixture::start(167);
+    let mut failures = Vec::new();
+    for reply in broken_replies() {
+        for pace in Pace::ALL {
+            let case = format!("{}, {pace:?}", reply.name);
+            let response = fixture.exchange(&case, "POST", pace, reply.closes, |id| reply.bytes(id));
+            if (response.status(), response.header("server-seal")) != (502, "") {
+                failures.push(format!("{case}: {response:?}"));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -1,5 +1,6 @@
 //! A system with one proxy, and a worker whose behaviour depends on the attempt id.
 
+use std::collections::HashMap;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
@@ -7,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use lynxstair_fakes::{HttpMessage, WAIT_TIMEOUT, wait_until};
+use lynxstair_fakes::{HttpMessage, Pace, WAIT_TIMEOUT, wait_until};
 
 use super::{System, call};
 
@@ -18,10 +19,15 @@
     stream
 }
 
-/// Returns the text of a request with this path and attempt id.
+/// Returns the text of a `POST` request with this path and attempt id.
 pub fn request(id: &str) -> String {
+    request_with("POST", id)
+}
+
+/// Returns the text of a request with this method, path and attempt id.
+pub fn request_with(method: &str, id: &str) -> String {
     format!(
-        "POST /{id} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nTime-Left-Ms: 20000\r\nContent-Length: 0\r\n\r\n"
+        "{method} /{id} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nTime-Left-Ms: 20000\r\nContent-Length: 0\r\n\r\n"
     )
 }
 
@@ -31,47 +37,84 @@
 /// Senders that release the requests held by the worker, in order of arrival.
 pub type Held = Arc<Mutex<Vec<Sender<()>>>>;
 
-/// Starts a worker that answers each request with its id, and its heartbeats. Ids that begin with "held" are
+/// Bytes that the worker sends as its reply to one attempt.
+#[derive(Clone, Debug)]
+pub struct RawReply {
+    pub bytes: Vec<u8>,
+    pub pace: Pace,
+    /// Whether the connection is closed after the last byte.
+    pub closes: bool,
+}
+
+/// Raw replies by attempt id.
+pub type RawReplies = Arc<Mutex<HashMap<String, RawReply>>>;
+
+/// What the connections of the worker share.
+#[derive(Clone)]
+struct WorkerState {
+    reporter: Sender<String>,
+    held: Held,
+    raw_replies: RawReplies,
+}
+
+impl WorkerState {
+    fn report(&self, text: impl Into<String>) {
+        self.reporter.send(text.into()).expect("test is running");
+    }
+
+    /// Serves a connection until it ends.
+    fn serve(&self, mut stream: &TcpStream) {
+        let mut reader = BufReader::new(stream);
+        while let Some(message) = HttpMessage::read(&mut reader) {
+            let id = message.header("attempt-id");
+            let raw = self.raw_replies.lock().expect("raw replies").get(id).cloned();
+            if let Some(raw) = raw {
+                self.report(id);
+                if !raw.pace.write(stream, &raw.bytes) || raw.closes {
+                    return;
+                }
+                continue;
+            }
+            if id.starts_with("held") {
+                let (release, released) = channel();
+                self.held.lock().expect("held").push(release);
+                self.report(id);
+                let _ = released.recv();
+            }
+            if id.starts_with("watched") {
+                self.report(id);
+                let _ = reader.read(&mut [0]);
+                return self.report(format!("gone {id}"));
+            }
+            if id.starts_with("unsized") {
+                let body = "b".repeat(LARGE_BODY_BYTES);
+                let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: s\r\n");
+                let _ = write!(stream, "{head}Connection: close\r\n\r\n{body}");
+                return self.report(id);
+            }
+            let body = if id.starts_with("echo") { head_of(&message) } else { id.to_string() };
+            let n = body.len();
+            let _ = write!(
+                stream,
+                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: s\r\nContent-Length: {n}\r\n\r\n{body}"
+            );
+        }
+    }
+}
+
+/// Starts a worker that answers each request with its id, and its heartbeats. Ids with an entry in
+/// `raw_replies` are reported and answered with these bytes. Ids that begin with "held" are
 /// reported and answered once released. Ids that begin with "unsized" are reported and answered with
 /// [`LARGE_BODY_BYTES`] without a length, which end with the connection. Ids that begin with "watched" are
 /// reported, and again when their connection ends. Ids that begin with "echo" are answered with the received
 /// headers. The heartbeats stop when the result is dropped.
-fn worker(at: SocketAddr, controllers: Vec<SocketAddr>, reporter: Sender<String>, held: Held) -> Sender<()> {
+fn worker(at: SocketAddr, controllers: Vec<SocketAddr>, state: WorkerState) -> Sender<()> {
     let listener = TcpListener::bind(at).expect("bound");
     thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            let (reporter, held) = (reporter.clone(), held.clone());
-            thread::spawn(move || {
-                let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
-                while let Some(message) = HttpMessage::read(&mut reader) {
-                    let id = message.header("attempt-id");
-                    if id.starts_with("held") {
-                        let (release, released) = channel();
-                        held.lock().expect("held").push(release);
-                        reporter.send(id.to_string()).expect("test is running");
-                        let _ = released.recv();
-                    }
-                    if id.starts_with("watched") {
-                        reporter.send(id.to_string()).expect("test is running");
-                        let _ = reader.read(&mut [0]);
-                        reporter.send(format!("gone {id}")).expect("test is running");
-                        return;
-                    }
-                    if id.starts_with("unsized") {
-                        let body = "b".repeat(LARGE_BODY_BYTES);
-                        let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: s\r\n");
-                        let _ = write!(stream, "{head}Connection: close\r\n\r\n{body}");
-                        reporter.send(id.to_string()).expect("test is running");
-                        return;
-                    }
-                    let body = if id.starts_with("echo") { head_of(&message) } else { id.to_string() };
-                    let n = body.len();
-                    let _ = write!(
-                        stream,
-                        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: s\r\nContent-Length: {n}\r\n\r\n{body}"
-                    );
-                }
-            });
+        for stream in listener.incoming().flatten() {
+            let _ = stream.set_nodelay(true);
+            let state = state.clone();
+            thread::spawn(move || state.serve(&stream));
         }
     });
     let (heartbeat_guard, dropped): (Sender<()>, Receiver<()>) = channel();
@@ -112,6 +155,7 @@
     /// Ids reported by the worker, in order.
     pub reports: Receiver<String>,
     pub held: Held,
+    pub raw_replies: RawReplies,
     _heartbeats: Sender<()>,
 }
 
@@ -120,8 +164,9 @@
     pub fn start(net: u32, grace_s: u32) -> Fixture {
         let system = System::start(net, 1, grace_s);
         let (reporter, reports) = channel();
-        let held = Held::default();
-        let heartbeats = worker(system.worker_address(1), system.controllers.clone(), reporter, held.clone());
+        let state = WorkerState { reporter, held: Held::default(), raw_replies: RawReplies::default() };
+        let (held, raw_replies) = (state.held.clone(), state.raw_replies.clone());
+        let heartbeats = worker(system.worker_address(1), system.controllers.clone(), state);
         let put = wait_until("a configuration", || {
             let put = |h: &SocketAddr| call(*h, "PUT /config HTTP/1.1", CONFIGURATION);
             system.controllers.iter().find_map(|h| put(h).filter(|m| m.status() == 200))
@@ -131,7 +176,7 @@
             call(system.proxy_addresses[0], "POST /warm HTTP/1.1\r\nAttempt-Id: warm", "")
                 .filter(|m| m.status() == 200)
         });
-        Fixture { system, reports, held, _heartbeats: heartbeats }
+        Fixture { system, reports, held, raw_replies, _heartbeats: heartbeats }
     }
 
     /// Returns an idle connection on which one request was served.
