--- a/crates/fakes/src/broken_replies.rs
+++ b/crates/fakes/src/broken_replies.rs
@@ -31,6 +31,11 @@
         }
         bytes
     }
+
+    const fn closing(mut self) -> BrokenReply {
+        self.closes = true;
+        self
+    }
 }
 
 const fn reply(
@@ -95,7 +100,59 @@
     ok("folded line", &[b"Name: a", b" b", b"Content-Length: 2"], b"no"),
 ];
 
+/// Content lengths.
+pub const BROKEN_LENGTHS: &[BrokenReply] = &[
+    ok("negative length", &[b"Content-Length: -2"], b"no"),
+    ok("length with a sign", &[b"Content-Length: +2"], b"no"),
+    ok("hexadecimal length", &[b"Content-Length: 0x2"], b"no"),
+    ok("length with a fraction", &[b"Content-Length: 2.0"], b"no"),
+    ok("length that is no number", &[b"Content-Length: two"], b"no"),
+    ok("empty length", &[b"Content-Length:"], b"no").closing(),
+    ok("length in two parts", &[b"Content-Length: 2 2"], b"no"),
+    ok("list of different lengths", &[b"Content-Length: 2, 3"], b"no!"),
+    ok("two different lengths", &[b"Content-Length: 2", b"Content-Length: 3"], b"no!"),
+    ok("length with a no-break space", &[b"Content-Length: 2\xc2\xa0"], b"no"),
+    ok("length above all numbers", &[b"Content-Length: 99999999999999999999999999"], b"no"),
+    ok("length that overflows to 2", &[b"Content-Length: 18446744073709551618"], b"no"),
+    ok("body shorter than its length", &[b"Content-Length: 3"], b"no").closing(),
+    ok("no body", &[b"Content-Length: 2"], b"").closing(),
+];
+
+/// Transfer codings. The proxy requests none, and decodes `chunked` only.
+pub const BROKEN_TRANSFER_CODINGS: &[BrokenReply] = &[
+    ok("length and coding", &[b"Content-Length: 2", b"Transfer-Encoding: chunked"], b"2\r\nno\r\n0\r\n\r\n"),
+    ok("unknown coding", &[b"Transfer-Encoding: zip"], b"no").closing(),
+    ok("identity", &[b"Transfer-Encoding: identity"], b"no").closing(),
+    ok("empty coding", &[b"Transfer-Encoding:"], b"no").closing(),
+    ok("coding before chunked", &[b"Transfer-Encoding: gzip, chunked"], b"2\r\nno\r\n0\r\n\r\n"),
+    ok("coding after chunked", &[b"Transfer-Encoding: chunked, gzip"], b"2\r\nno\r\n0\r\n\r\n"),
+    ok(
+        "coding on a line before chunked",
+        &[b"Transfer-Encoding: gzip", b"Transfer-Encoding: chunked"],
+        b"2\r\nno\r\n0\r\n\r\n",
+    ),
+    ok("chunked twice", &[b"Transfer-Encoding: chunked, chunked"], b"2\r\nno\r\n0\r\n\r\n"),
+    ok(
+        "chunked on two lines",
+        &[b"Transfer-Encoding: chunked", b"Transfer-Encoding: chunked"],
+        b"2\r\nno\r\n0\r\n\r\n",
+    ),
+    ok("chunked with a parameter", &[b"Transfer-Encoding: chunked;q=1"], b"2\r\nno\r\n0\r\n\r\n"),
+    ok("chunked with a no-break space", &[b"Transfer-Encoding: chunked\xc2\xa0"], b"2\r\nno\r\n0\r\n\r\n"),
+    ok(
+        "chunked beside a line that is no text",
+        &[b"Transfer-Encoding: \xff", b"Transfer-Encoding: chunked"],
+        b"2\r\nno\r\n0\r\n\r\n",
+    ),
+    reply(
+        "chunked in HTTP/1.0",
+        b"HTTP/1.0 200 OK",
+        &[b"Transfer-Encoding: chunked"],
+        b"2\r\nno\r\n0\r\n\r\n",
+    ),
+];
+
 /// Returns all broken replies.
 pub fn broken_replies() -> impl Iterator<Item = &'static BrokenReply> {
-    [BROKEN_STATUS_LINES, BROKEN_FIELD_LINES].into_iter().flatten()
+    [BROKEN_STATUS_LINES, BROKEN_FIELD_LINES, BROKEN_LENGTHS, BROKEN_TRANSFER_CODINGS].into_iter().flatten()
 }
--- a/crates/net/src/http/headers.rs
+++ b/crates/net/src/http/headers.rs
@@ -52,13 +52,17 @@
         self.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value)
     }
 
-    /// First value of a header, trimmed; `None` if it is missing or not UTF-8.
+    /// Returns `true` if there is a header with this name, whatever its value.
+    pub fn contains(&self, name: &str) -> bool {
+        self.named(name).next().is_some()
+    }
+
+    /// First value of a header; `None` if it is missing or not UTF-8.
     pub fn get(&self, name: &str) -> Option<&'a str> {
-        let value = self.named(name).next()?;
-        std::str::from_utf8(value).ok().map(str::trim)
+        std::str::from_utf8(self.named(name).next()?).ok()
     }
 
-    /// Value of a header, trimmed; `None` if it is missing.
+    /// Value of a header; `None` if it is missing.
     ///
     /// Fails if the header is repeated, because peers could disagree on the value that applies, or if it is
     /// not UTF-8.
@@ -69,49 +73,60 @@
         if values.next().is_some() {
             return Err(HttpError::new(400, "a header twice"));
         }
-        Ok(Some(text.trim()))
+        Ok(Some(text))
     }
 
     /// Headers to forward: all except hop-by-hop headers and those listed in `Connection`.
     pub fn end_to_end(&self) -> impl Iterator<Item = (&'a str, &'a [u8])> {
-        let has_connection_header = self.get("connection").is_some();
+        let has_connection_header = self.contains("connection");
         self.iter().filter(move |(name, _)| {
             let is_hop_by_hop = HOP_BY_HOP.iter().any(|hop| name.eq_ignore_ascii_case(hop));
             !(is_hop_by_hop || has_connection_header && self.has_token("connection", name))
         })
     }
 
+    /// Elements of a list-valued header on any number of lines, without the empty ones.
+    fn elements(&self, name: &str) -> impl Iterator<Item = &'a [u8]> {
+        let elements = self.named(name).flat_map(|list| list.split(|byte| *byte == b','));
+        elements.map(<[u8]>::trim_ascii).filter(|element| !element.is_empty())
+    }
+
     /// Returns `true` if a list-valued header contains `token`, ignoring case.
     pub(super) fn has_token(&self, name: &str, token: &str) -> bool {
-        let lists = self.named(name).filter_map(|value| std::str::from_utf8(value).ok());
-        lists.flat_map(|list| list.split(',')).any(|t| t.trim().eq_ignore_ascii_case(token))
+        self.elements(name).any(|element| element.eq_ignore_ascii_case(token.as_bytes()))
     }
 
-    /// Framing of the body; `None` if the headers give none.
+    /// Length of the body; `None` if the headers give none.
     ///
-    /// Fails for a length with a transfer coding and for different lengths, which could be used for request
-    /// smuggling.
-    pub(super) fn framing(&self) -> Result<Option<Framing>, HttpError> {
+    /// Fails if peers could disagree on it, which could be used for request smuggling: different lengths, a
+    /// length with a transfer coding, a transfer coding in HTTP/1.0, or any other than `chunked` alone.
+    pub(super) fn framing(&self, is_http_1_0: bool) -> Result<Option<Framing>, HttpError> {
         let length = self.content_length()?;
-        let is_encoded = self.named("transfer-encoding").next().is_some();
-        match (is_encoded, length) {
-            (true, Some(_)) => Err(HttpError::new(400, "a length and a coding")),
-            (true, None) if self.has_token("transfer-encoding", "chunked") => Ok(Some(Framing::Chunked)),
-            (true, None) => Err(HttpError::new(400, "unknown coding")),
-            (false, length) => Ok(length.map(Framing::Length)),
+        if !self.contains("transfer-encoding") {
+            return Ok(length.map(Framing::Length));
+        }
+        if length.is_some() {
+            return Err(HttpError::new(400, "a length and a coding"));
+        }
+        let mut codings = self.elements("transfer-encoding");
+        match (codings.next(), codings.next()) {
+            (Some(coding), None) if coding.eq_ignore_ascii_case(b"chunked") && !is_http_1_0 => {
+                Ok(Some(Framing::Chunked))
+            }
+            _ => Err(HttpError::new(400, "unknown coding")),
         }
     }
 
     fn content_length(&self) -> Result<Option<usize>, HttpError> {
         let mut length = None;
         for value in self.named("content-length") {
-            let text = std::str::from_utf8(value).unwrap_or("").trim();
-            let is_number = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+            let digits = std::str::from_utf8(value).unwrap_or("");
+            let is_number = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit());
             if !is_number {
                 return Err(HttpError::new(400, "bad length"));
             }
             // A number that overflows is a body that is too large, not a malformed length.
-            let parsed = text.parse().unwrap_or(usize::MAX);
+            let parsed = digits.parse().map_err(|_| HttpError::new(413, "body too large"))?;
             if length.is_some_and(|other| other != parsed) {
                 return Err(HttpError::new(400, "two lengths"));
             }
--- a/crates/net/src/http/request.rs
+++ b/crates/net/src/http/request.rs
@@ -40,7 +40,7 @@
 /// `max_body_bytes`.
 pub fn request_extent(bytes: &mut [u8], max_body_bytes: usize) -> Result<Option<Extent>, HttpError> {
     let Some((request, head)) = parse_request_head(bytes)? else { return Ok(None) };
-    let framing = request.headers.framing()?.unwrap_or(Framing::Length(0));
+    let framing = request.headers.framing(request.is_http_1_0)?.unwrap_or(Framing::Length(0));
     let has_connection_token = |token| request.headers.has_token("connection", token);
     let keep_alive =
         !has_connection_token("close") && (!request.is_http_1_0 || has_connection_token("keep-alive"));
--- a/crates/net/src/http/response.rs
+++ b/crates/net/src/http/response.rs
@@ -67,7 +67,7 @@
     let has_no_body = response.status < 200 || matches!(response.status, 204 | 304);
     let framing = match has_no_body {
         true => Framing::Length(0),
-        false => response.headers.framing()?.unwrap_or(Framing::UntilEnd),
+        false => response.headers.framing(response.is_http_1_0)?.unwrap_or(Framing::UntilEnd),
     };
     let keep_alive = !response.is_http_1_0 && !response.headers.has_token("connection", "close");
     match framing {
--- a/crates/proxy/src/worker_reply.rs
+++ b/crates/proxy/src/worker_reply.rs
@@ -96,7 +96,6 @@
         Err(_) => return Err(AttemptEvent::MalformedReply),
     };
     let headers = &response.headers;
-    let has = |name| headers.get(name).is_some();
     let owner = match headers.single("attempt-id") {
         Ok(Some(id)) if id == attempt_id => ReplyOwner::Own,
         Ok(Some(_)) => ReplyOwner::Other,
@@ -108,13 +107,13 @@
         reply: ReplyHead {
             owner,
             status: response.status,
-            reports_not_run: has("not-run"),
-            is_sealed: has("server-seal"),
-            is_encoded: has("content-encoding"),
+            reports_not_run: headers.contains("not-run"),
+            is_sealed: headers.contains("server-seal"),
+            is_encoded: headers.contains("content-encoding"),
             allows_reuse: false,
         },
         length: head,
-        long_body: length.filter(|l| *l > MAX_BUFFERED_BODY_BYTES && !has("transfer-encoding")),
+        long_body: length.filter(|l| *l > MAX_BUFFERED_BODY_BYTES && !headers.contains("transfer-encoding")),
         keep_alive: headers.get("keep-alive").and_then(keep_alive_timeout),
     }))
 }
--- a/crates/proxy/tests/broken_replies.rs
+++ b/crates/proxy/tests/broken_replies.rs
@@ -73,3 +73,25 @@
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+/// Guards against valid responses whose success the client could not attribute or trust.
+#[test]
+fn a_reply_with_unusable_headers_becomes_a_failure_of_the_proxy() {
+    let mut fixture = ReplyFixture::start(170);
+    let lines: [(&str, &[u8]); 2] = [
+        ("content coding", b"Content-Encoding: gzip"),
+        ("content coding that is no text", b"Content-Encoding: \xff"),
+    ];
+    let mut failures = Vec::new();
+    for (case, line) in lines {
+        let reply = |id: &str| {
+            let start = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: s\r\n");
+            [start.as_bytes(), line, b"\r\nContent-Length: 2\r\n\r\nno"].concat()
+        };
+        let response = fixture.exchange(case, "POST", Pace::AtOnce, false, reply);
+        if (response.status(), response.header("server-seal")) != (502, "") {
+            failures.push(format!("{case}: {response:?}"));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
