--- a/crates/fakes/src/broken_replies.rs
+++ b/crates/fakes/src/broken_replies.rs
@@ -51,6 +51,10 @@
     reply(name, b"HTTP/1.1 200 OK", header_lines, body)
 }
 
+const fn chunked(name: &'static str, body: &'static [u8]) -> BrokenReply {
+    ok(name, &[b"Transfer-Encoding: chunked"], body)
+}
+
 const LENGTH_2: &[&[u8]] = &[b"Content-Length: 2"];
 
 /// Status lines. Status codes are 100 to 599.
@@ -152,7 +156,38 @@
     ),
 ];
 
+/// Chunked bodies.
+pub const BROKEN_CHUNKS: &[BrokenReply] = &[
+    chunked("empty chunk size", b"2\r\nno\r\n\r\n\r\n"),
+    chunked("extension without a chunk size", b"2\r\nno\r\n;x\r\n\r\n"),
+    chunked("blank in place of a chunk size", b"2\r\nno\r\n \r\n\r\n"),
+    chunked("blank before a chunk size", b" 2\r\nno\r\n0\r\n\r\n"),
+    chunked("blank after a chunk size", b"2 \r\nno\r\n0\r\n\r\n"),
+    chunked("chunk size in two parts", b"2 2\r\nno\r\n0\r\n\r\n"),
+    chunked("chunk size with a prefix", b"0x2\r\nno\r\n0\r\n\r\n"),
+    chunked("negative chunk size", b"-2\r\nno\r\n0\r\n\r\n"),
+    chunked("chunk size that is no number", b"zz\r\nno\r\n0\r\n\r\n"),
+    chunked("chunk size that overflows to 2", b"10000000000000002\r\nno\r\n0\r\n\r\n"),
+    chunked("chunk size with 16 digits", b"fffffffffffffffe\r\nno\r\n0\r\n\r\n"),
+    chunked("control byte in a chunk extension", b"2;x\x01\r\nno\r\n0\r\n\r\n"),
+    chunked("bare line feed in a chunk extension", b"2;x\n\r\nno\r\n0\r\n\r\n"),
+    chunked("chunk size ended by a line feed", b"2\nno\r\n0\r\n\r\n"),
+    chunked("chunk longer than its size", b"2\r\nno!\r\n0\r\n\r\n"),
+    chunked("chunk without a line end", b"2\r\nno0\r\n\r\n"),
+    chunked("chunk ended by a line feed", b"2\r\nno\n0\r\n\r\n"),
+    chunked("no last chunk", b"2\r\nno\r\n").closing(),
+    chunked("no end after the last chunk", b"2\r\nno\r\n0\r\n").closing(),
+    chunked("chunk cut short", b"5\r\nno").closing(),
+    chunked("trailer without a colon", b"2\r\nno\r\n0\r\nTrailer\r\n\r\n"),
+    chunked("trailer with a blank in its name", b"2\r\nno\r\n0\r\nTrai ler: x\r\n\r\n"),
+    chunked("trailer with a control byte in its name", b"2\r\nno\r\n0\r\nTrai\x01ler: x\r\n\r\n"),
+    chunked("trailer with a control byte in its value", b"2\r\nno\r\n0\r\nTrailer: \x01\r\n\r\n"),
+    chunked("trailer ended by line feeds", b"2\r\nno\r\n0\r\nTrailer: x\n\n"),
+];
+
 /// Returns all broken replies.
 pub fn broken_replies() -> impl Iterator<Item = &'static BrokenReply> {
-    [BROKEN_STATUS_LINES, BROKEN_FIELD_LINES, BROKEN_LENGTHS, BROKEN_TRANSFER_CODINGS].into_iter().flatten()
+    [BROKEN_STATUS_LINES, BROKEN_FIELD_LINES, BROKEN_LENGTHS, BROKEN_TRANSFER_CODINGS, BROKEN_CHUNKS]
+        .into_iter()
+        .flatten()
 }
--- a/crates/gatekeeper/src/discovery.rs
+++ b/crates/gatekeeper/src/discovery.rs
@@ -244,15 +244,11 @@
     let mut inbound = watch.inbound();
     loop {
         let bytes = inbound.bytes();
-        let Some((start, size)) = http::chunk_at(bytes, 0).map_err(WatchEnd::Http)? else { return Ok(()) };
-        if size == 0 {
+        let Some(chunk) = http::chunk_at(bytes, 0).map_err(WatchEnd::Http)? else { return Ok(()) };
+        if chunk.is_last() {
             return Err(WatchEnd::StreamEnded);
         }
-        let end = start + size + 2;
-        if bytes.len() < end {
-            return Ok(());
-        }
-        text.extend_from_slice(&bytes[start..start + size]);
-        inbound.consume(end);
+        text.extend_from_slice(&bytes[chunk.data]);
+        inbound.consume(chunk.end);
     }
 }
--- a/crates/gatekeeper/tests/request_bodies.rs
+++ b/crates/gatekeeper/tests/request_bodies.rs
@@ -24,6 +24,11 @@
         encoded("chunked, gzip", CHUNKS),
         encoded("chunked\r\nTransfer-Encoding: chunked", CHUNKS),
         encoded("chunked", CHUNKS).replace("HTTP/1.1", "HTTP/1.0"),
+        encoded("chunked", "4\r\nbody\r\n\r\n\r\n"),
+        encoded("chunked", "4\r\nbody\r\n;x\r\n\r\n"),
+        encoded("chunked", "4 \r\nbody\r\n0\r\n\r\n"),
+        encoded("chunked", "4;x\n\r\nbody\r\n0\r\n\r\n"),
+        encoded("chunked", "4\r\nbody\r\n0\r\nmore\r\n\r\n"),
     ];
     let statuses = cases.clone().map(|text| env.send(&text).unwrap_or_default().status());
     assert_eq!(statuses, cases.map(|_| 400));
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -9,7 +9,7 @@
 use std::fmt;
 use std::ops::Range;
 
-pub use chunked::chunk_at;
+pub use chunked::{Chunk, chunk_at};
 use headers::Framing;
 pub use headers::Headers;
 pub use request::{RequestHead, parse_request_head, request_extent};
