--- a/crates/fakes/src/broken_replies.rs
+++ b/crates/fakes/src/broken_replies.rs
@@ -56,6 +56,9 @@
 }
 
 const LENGTH_2: &[&[u8]] = &[b"Content-Length: 2"];
+/// A body in the form of a valid reply.
+const REPLY_AS_BODY: &[u8] =
+    b"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nno";
 
 /// Status lines. Status codes are 100 to 599.
 pub const BROKEN_STATUS_LINES: &[BrokenReply] = &[
@@ -185,9 +188,61 @@
     chunked("trailer ended by line feeds", b"2\r\nno\r\n0\r\nTrailer: x\n\n"),
 ];
 
+/// Responses whose status allows no body, and switches to another protocol, which nobody requested.
+pub const BROKEN_BODILESS: &[BrokenReply] = &[
+    reply("204 with a length", b"HTTP/1.1 204 No Content", LENGTH_2, b"no"),
+    reply(
+        "204 with a coding",
+        b"HTTP/1.1 204 No Content",
+        &[b"Transfer-Encoding: chunked"],
+        b"2\r\nno\r\n0\r\n\r\n",
+    ),
+    reply(
+        "204 with two different lengths",
+        b"HTTP/1.1 204 No Content",
+        &[b"Content-Length: 0", b"Content-Length: 2"],
+        b"",
+    ),
+    reply("205 with a body", b"HTTP/1.1 205 Reset Content", LENGTH_2, b"no"),
+    reply(
+        "205 with a chunked body",
+        b"HTTP/1.1 205 Reset Content",
+        &[b"Transfer-Encoding: chunked"],
+        b"2\r\nno\r\n0\r\n\r\n",
+    ),
+    reply("205 with a body up to the end", b"HTTP/1.1 205 Reset Content", &[], b"no").closing(),
+    reply(
+        "304 with a length and a coding",
+        b"HTTP/1.1 304 Not Modified",
+        &[b"Content-Length: 2", b"Transfer-Encoding: chunked"],
+        b"",
+    ),
+    reply("304 with a broken length", b"HTTP/1.1 304 Not Modified", &[b"Content-Length: x"], b""),
+    reply("interim reply with a length", b"HTTP/1.1 100 Continue", LENGTH_2, REPLY_AS_BODY),
+    reply(
+        "interim reply with a coding",
+        b"HTTP/1.1 103 Early Hints",
+        &[b"Transfer-Encoding: chunked"],
+        REPLY_AS_BODY,
+    ),
+    reply(
+        "switch of protocols",
+        b"HTTP/1.1 101 Switching Protocols",
+        &[b"Upgrade: x", b"Connection: upgrade"],
+        REPLY_AS_BODY,
+    ),
+];
+
 /// Returns all broken replies.
 pub fn broken_replies() -> impl Iterator<Item = &'static BrokenReply> {
-    [BROKEN_STATUS_LINES, BROKEN_FIELD_LINES, BROKEN_LENGTHS, BROKEN_TRANSFER_CODINGS, BROKEN_CHUNKS]
-        .into_iter()
-        .flatten()
+    [
+        BROKEN_STATUS_LINES,
+        BROKEN_FIELD_LINES,
+        BROKEN_LENGTHS,
+        BROKEN_TRANSFER_CODINGS,
+        BROKEN_CHUNKS,
+        BROKEN_BODILESS,
+    ]
+    .into_iter()
+    .flatten()
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -8,6 +8,7 @@
 //! | `message.rs` | minimal HTTP/1.1 messages |
 //! | `worker.rs` | workers with scripted responses |
 //! | `broken_replies.rs` | replies that are no valid responses |
+//! | `sound_replies.rs` | valid replies in all forms |
 //! | `counter.rs`, `discovery.rs`, `sink.rs` | the other peers of a gatekeeper |
 //! | `load.rs` | load generator that records what clients and workers observe |
 //! | `config.rs` | boot configurations of a gatekeeper |
@@ -21,6 +22,7 @@
 mod load;
 mod message;
 mod sink;
+mod sound_replies;
 mod wait;
 mod worker;
 
@@ -35,6 +37,7 @@
 pub use load::{Load, LoadPlan, ReceivedAttempt, RequestOutcome, Traffic, monotonic_nanos};
 pub use message::{HttpMessage, exchange, request_text};
 pub use sink::{ReceivedBatch, Sink};
+pub use sound_replies::{SoundReply, sound_replies};
 pub use wait::{WAIT_TIMEOUT, wait_until};
 pub use worker::{Pace, WorkerAction, WorkerLog, start_worker};
 
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -10,6 +10,7 @@
 
 use crate::broken_replies::BrokenReply;
 use crate::message::HttpMessage;
+use crate::sound_replies::SoundReply;
 use crate::{bind_listener, lock, serve};
 
 /// Length of a truncated response, in bytes.
@@ -40,6 +41,8 @@
     Hang,
     /// Sends a reply that is no valid response, at once or byte by byte.
     SendBroken(&'static BrokenReply, Pace),
+    /// Sends a valid reply, at once or byte by byte.
+    SendSound(&'static SoundReply, Pace),
 }
 
 /// Division of a reply into writes.
@@ -159,5 +162,9 @@
             let _ = stream.set_nodelay(true);
             pace.write(stream, &reply.bytes(id)) && !reply.closes
         }
+        WorkerAction::SendSound(reply, pace) => {
+            let _ = stream.set_nodelay(true);
+            pace.write(stream, &reply.bytes(id)) && !reply.closes
+        }
     }
 }
--- a/crates/gatekeeper/src/counter.rs
+++ b/crates/gatekeeper/src/counter.rs
@@ -12,7 +12,7 @@
 use lynxstair_net::clock::Clock;
 use lynxstair_net::connection::{Connection, ReadOutcome};
 use lynxstair_net::coroutine::spawn_then;
-use lynxstair_net::http::{self, MAX_MESSAGE_BYTES, StreamState};
+use lynxstair_net::http::{self, MAX_MESSAGE_BYTES, RequestMethod, StreamState};
 use lynxstair_net::log_limited;
 use lynxstair_net::ring_buffer::RingBuffer;
 
@@ -172,7 +172,8 @@
                 return true;
             }
             let bytes = inbound.bytes();
-            let extent = match http::response_extent(bytes, StreamState::Open, MAX_REPLY_BODY_BYTES) {
+            let method = RequestMethod::Other;
+            let extent = match http::response_extent(bytes, method, StreamState::Open, MAX_REPLY_BODY_BYTES) {
                 Ok(Some(extent)) => extent,
                 Ok(None) => return true,
                 Err(_) => {
@@ -181,7 +182,9 @@
                     return false;
                 }
             };
-            let Ok(Some((head, _))) = http::parse_response_head(&bytes[..extent.head]) else { return false };
+            let Ok(Some(head)) = http::parse_response_head(&bytes[..extent.head], method) else {
+                return false;
+            };
             let body = std::str::from_utf8(&bytes[extent.body.clone()]).unwrap_or("");
             let (outcome, total) = parse_reply(head.status, body);
             inbound.consume(extent.total);
--- a/crates/gatekeeper/src/discovery.rs
+++ b/crates/gatekeeper/src/discovery.rs
@@ -14,7 +14,7 @@
 use lynxstair_net::clock::Clock;
 use lynxstair_net::connection::{Connection, ReadOutcome};
 use lynxstair_net::coroutine::spawn;
-use lynxstair_net::http::{self, HttpError};
+use lynxstair_net::http::{self, HttpError, RequestMethod};
 use lynxstair_net::log_limited;
 use lynxstair_settings::Names;
 
@@ -229,9 +229,9 @@
 /// Removes the head of the response; returns `false` if it is incomplete.
 fn take_head(watch: &Connection) -> Result<bool, WatchEnd> {
     let mut inbound = watch.inbound();
-    let length = match http::parse_response_head(inbound.bytes()) {
-        Ok(Some((head, _))) if head.status != 200 => return Err(WatchEnd::Status(head.status)),
-        Ok(Some((_, length))) => length,
+    let length = match http::parse_response_head(inbound.bytes(), RequestMethod::Other) {
+        Ok(Some(head)) if head.status != 200 => return Err(WatchEnd::Status(head.status)),
+        Ok(Some(head)) => head.framing.head,
         Ok(None) => return Ok(false),
         Err(error) => return Err(WatchEnd::Http(error)),
     };
--- a/crates/gatekeeper/src/forwarder.rs
+++ b/crates/gatekeeper/src/forwarder.rs
@@ -15,7 +15,7 @@
 use lynxstair_net::clock::Clock;
 use lynxstair_net::connection::ReadOutcome;
 use lynxstair_net::coroutine::spawn_then;
-use lynxstair_net::http::{self, Extent, MAX_BODY_BYTES, ResponseHead, StreamState};
+use lynxstair_net::http::{self, Extent, MAX_BODY_BYTES, RequestMethod, ResponseHead, StreamState};
 use lynxstair_net::ring_buffer::RingBuffer;
 use lynxstair_net::wake_timer::WakeTimer;
 
@@ -166,7 +166,8 @@
     fn relay(&self, client: &ClientConnection, assignment: &ClientAssignment, reply: &WorkerReply) {
         let mut inbound = reply.worker.connection.inbound();
         let bytes = inbound.bytes();
-        let Ok(Some((head, _))) = http::parse_response_head(&bytes[..reply.extent.head]) else { return };
+        let head = http::parse_response_head(&bytes[..reply.extent.head], RequestMethod::Other);
+        let Ok(Some(head)) = head else { return };
         let body = &bytes[reply.extent.body.clone()];
         client.finish(assignment.request_id, |out, keep_alive| {
             // Recorded before the reply is written, so that no delivered reply lacks its record if the
@@ -294,7 +295,9 @@
                 return true;
             }
             let bytes = inbound.bytes();
-            let extent = match http::response_extent(bytes, stream, MAX_BODY_BYTES) {
+            // Neither attempts nor health checks use `HEAD`.
+            let method = RequestMethod::Other;
+            let extent = match http::response_extent(bytes, method, stream, MAX_BODY_BYTES) {
                 Ok(Some(extent)) => extent,
                 Ok(None) => return true,
                 Err(_) => {
@@ -303,8 +306,10 @@
                     return false;
                 }
             };
-            let Ok(Some((head, _))) = http::parse_response_head(&bytes[..extent.head]) else { return false };
-            if (100..200).contains(&head.status) {
+            let Ok(Some(head)) = http::parse_response_head(&bytes[..extent.head], method) else {
+                return false;
+            };
+            if head.is_interim() {
                 inbound.consume(extent.total);
                 continue;
             }
--- a/crates/gatekeeper/tests/broken_replies.rs
+++ b/crates/gatekeeper/tests/broken_replies.rs
@@ -1,14 +1,17 @@
-//! Broken replies of workers: the client gets the gatekeeper's own failure, and the
+//! Broken and sound replies of workers: the client gets the sound reply, or the gatekeeper's own failure, and the
 //! responses around it on the same connection stay whole.
 
 mod support;
 
 use std::io::{BufReader, Write};
 
-use lynxstair_fakes::{Pace, broken_replies};
+use lynxstair_fakes::{Pace, broken_replies, sound_replies};
 
 use support::{HttpMessage, TestEnv, WorkerAction, request_text};
 
+/// Longest body of a reply that the gatekeeper relays, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 10;
+
 /// Sends three requests one behind the other, of which the first worker handles the second one by `action`.
 /// Checks the other responses and that the request ran once, and returns its response.
 fn exchange(env: &TestEnv, case: &str, action: WorkerAction) -> HttpMessage {
@@ -44,3 +47,21 @@
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+/// Replies with another status than 200 become failures, and so do bodies above the limit.
+#[test]
+fn a_sound_reply_reaches_the_client_with_its_body() {
+    let mut failures = Vec::new();
+    for reply in sound_replies().iter().filter(|reply| reply.method != "HEAD") {
+        let env = TestEnv::new(4, 0, Some(1.0));
+        let expected = if reply.status == 200 && reply.body.len() <= MAX_BODY_BYTES { 200 } else { 502 };
+        for pace in Pace::ALL {
+            let case = format!("{}, {pace:?}", reply.name);
+            let response = exchange(&env, &case, WorkerAction::SendSound(reply, pace));
+            if response.status() != expected || expected == 200 && response.body != reply.body {
+                failures.push(format!("{case}: {} bytes after {}", response.body.len(), response.start_line));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -13,7 +13,10 @@
 use headers::Framing;
 pub use headers::Headers;
 pub use request::{RequestHead, parse_request_head, request_extent};
-pub use response::{ResponseHead, StreamState, parse_response_head, response_extent};
+pub use response::{
+    RequestMethod, ResponseBody, ResponseFraming, ResponseHead, StreamState, parse_response_head,
+    response_extent,
+};
 pub use write::{reason_phrase, write_header, write_response};
 
 /// Default limit on the length of a body, in bytes.
@@ -71,7 +74,7 @@
     let (body, encoded_len) = match framing {
         Framing::Length(length) if length > max_body => return Err(HttpError::new(413, "body too large")),
         Framing::Length(length) => (length, length),
-        Framing::Chunked | Framing::UntilEnd => match chunked::decode(&mut bytes[head..], max_body)? {
+        Framing::Chunked => match chunked::decode(&mut bytes[head..], max_body)? {
             Some(decoded) => (decoded.body, decoded.encoded_len),
             None => return Ok(None),
         },
--- a/crates/net/src/http/headers.rs
+++ b/crates/net/src/http/headers.rs
@@ -20,15 +20,13 @@
     "expect",
 ];
 
-/// Indicator of the end of a body.
+/// Length of a body, as the headers give it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Framing {
     /// `Content-Length`, in bytes.
     Length(usize),
-    /// Last chunk.
+    /// Up to the last chunk.
     Chunked,
-    /// End of the connection.
-    UntilEnd,
 }
 
 /// Headers of a message, in the order received.
@@ -92,7 +90,7 @@
     }
 
     /// Returns `true` if a list-valued header contains `token`, ignoring case.
-    pub(super) fn has_token(&self, name: &str, token: &str) -> bool {
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
         self.elements(name).any(|element| element.eq_ignore_ascii_case(token.as_bytes()))
     }
 
--- a/crates/net/src/http/tests.rs
+++ b/crates/net/src/http/tests.rs
@@ -1,5 +1,5 @@
 use super::StreamState::{self, Broken, Ended, Open};
-use super::{HttpError, MAX_BODY_BYTES, request_extent, response_extent};
+use super::{HttpError, MAX_BODY_BYTES, RequestMethod, request_extent, response_extent};
 
 /// A request cut at any byte is incomplete; a complete one is found even if more bytes follow.
 #[test]
@@ -52,7 +52,7 @@
     ];
     for (text, stream, wanted) in cases {
         let mut bytes = text.as_bytes().to_vec();
-        let got = response_extent(&mut bytes, stream, MAX_BODY_BYTES);
+        let got = response_extent(&mut bytes, RequestMethod::Other, stream, MAX_BODY_BYTES);
         let got = got.map(|e| e.map(|e| (String::from_utf8_lossy(&bytes[e.body]), e.keep_alive)));
         let got = got
             .as_ref()
--- a/crates/proxy/src/forwarding.rs
+++ b/crates/proxy/src/forwarding.rs
@@ -6,7 +6,7 @@
 use lynxstair::types::{Outcome, Time};
 use lynxstair_net::alarms::Alarms;
 use lynxstair_net::connection::{Connection, ReadOutcome};
-use lynxstair_net::http::StreamState;
+use lynxstair_net::http::{RequestMethod, StreamState};
 use lynxstair_routing::attempt::{Attempt, AttemptEnd, AttemptEvent, AttemptState, AttemptStep, StopReason};
 use lynxstair_routing::execution::Execution;
 use lynxstair_routing::locality_balancer::Worker;
@@ -86,7 +86,7 @@
         } else {
             alarms.wake_connection(deadline, &connection);
             let wait = ReplyWait { alarms, deadline, cancel };
-            match self.await_reply(&wait, worker, &connection, request.attempt_id, &mut attempt) {
+            match self.await_reply(&wait, worker, &connection, request, &mut attempt) {
                 Ok(result) => return result,
                 Err(event) => attempt.on_event(event),
             }
@@ -101,9 +101,10 @@
         wait: &ReplyWait,
         worker: &Arc<Worker>,
         connection: &Arc<Connection>,
-        attempt_id: &str,
+        request: &OutgoingRequest,
         attempt: &mut Attempt,
     ) -> Result<AttemptResult, AttemptEvent> {
+        let method = RequestMethod::from(request.head.method);
         loop {
             let mut stream = stream_state(connection.read());
             let reason = wait.stop_reason(stream);
@@ -117,10 +118,12 @@
             }
             loop {
                 // A separate statement, so that the buffer is unlocked before the reply is handled.
-                let found = find_reply(&mut connection.inbound(), attempt_id, stream)?;
+                let found = find_reply(&mut connection.inbound(), method, request.attempt_id, stream)?;
                 let Some(found) = found else { break };
                 match attempt.on_event(AttemptEvent::Reply(found.head)) {
-                    AttemptStep::Ended(end) => return Ok(self.finish(wait, worker, connection, found, end)),
+                    AttemptStep::Ended(end) => {
+                        return Ok(self.finish(wait, worker, connection, method, found, end));
+                    }
                     AttemptStep::Continue | AttemptStep::SkipReply if found.remaining > 0 => break,
                     AttemptStep::Continue | AttemptStep::SkipReply => {
                         connection.inbound().consume(found.extent.total);
@@ -140,6 +143,7 @@
         wait: &ReplyWait,
         worker: &Arc<Worker>,
         connection: &Arc<Connection>,
+        method: RequestMethod,
         found: FoundReply,
         end: AttemptEnd,
     ) -> AttemptResult {
@@ -148,6 +152,8 @@
             connection: connection.clone(),
             worker: worker.clone(),
             status: found.head.status,
+            method,
+            content_length: found.content_length,
             relayed: 0,
             extent: found.extent,
             remaining: found.remaining,
--- a/crates/proxy/src/worker_reply.rs
+++ b/crates/proxy/src/worker_reply.rs
@@ -6,7 +6,9 @@
 use lynxstair::types::{Span, Time};
 use lynxstair_net::alarms::Alarms;
 use lynxstair_net::connection::{Connection, ReadOutcome};
-use lynxstair_net::http::{self, Extent, HttpError, MAX_HEAD_BYTES, StreamState};
+use lynxstair_net::http::{
+    self, Extent, MAX_HEAD_BYTES, RequestMethod, ResponseBody, ResponseFraming, StreamState,
+};
 use lynxstair_net::ring_buffer::RingBuffer;
 use lynxstair_routing::attempt::{AttemptEvent, ReplyHead, ReplyOwner};
 use lynxstair_routing::locality_balancer::Worker;
@@ -28,6 +30,10 @@
     /// HTTP status.
     pub status: u16,
     pub(crate) extent: Extent,
+    /// Method of the request.
+    pub(crate) method: RequestMethod,
+    /// `Content-Length` for the client; `None` if the response has none.
+    pub(crate) content_length: Option<usize>,
     /// Number of bytes of the received body that are relayed.
     pub(crate) relayed: usize,
     /// Number of body bytes that are not yet in the receive buffer.
@@ -42,6 +48,8 @@
     pub extent: Extent,
     /// Number of body bytes that are not yet in the receive buffer.
     pub remaining: usize,
+    /// `Content-Length` for the client; `None` if the response has none.
+    pub content_length: Option<usize>,
     /// Idle time-out announced by the worker's `Keep-Alive` header.
     pub keep_alive: Option<Span>,
 }
@@ -49,15 +57,15 @@
 /// The parsed head of a reply.
 struct ParsedHead {
     reply: ReplyHead,
-    length: usize,
-    /// Length of a body that is relayed as it arrives; `None` if the reply is buffered until complete.
-    long_body: Option<usize>,
+    framing: ResponseFraming,
     keep_alive: Option<Span>,
 }
 
 /// Returns the first reply in the buffer if it is complete, or, for a long body, if its head is complete.
+/// `method`: of the request.
 pub(crate) fn find_reply(
     inbound: &mut RingBuffer,
+    method: RequestMethod,
     attempt_id: &str,
     stream: StreamState,
 ) -> Result<Option<FoundReply>, AttemptEvent> {
@@ -65,32 +73,49 @@
         return Ok(None);
     }
     let bytes = inbound.bytes();
-    let Some(ParsedHead { mut reply, length: head, long_body, keep_alive }) = parse_head(bytes, attempt_id)?
-    else {
+    let Some(ParsedHead { mut reply, framing, keep_alive }) = parse_head(bytes, method, attempt_id)? else {
         return Ok(None);
     };
-    let received = bytes.len() - head;
-    match (http::response_extent(bytes, stream, MAX_BUFFERED_UNSIZED_BYTES), long_body) {
-        (Ok(Some(extent)), _) => {
-            reply.allows_reuse =
-                extent.keep_alive && extent.total == inbound.len() && stream == StreamState::Open;
-            Ok(Some(FoundReply { head: reply, extent, remaining: 0, keep_alive }))
-        }
+    let received = bytes.len() - framing.head;
+    let max_body_bytes = match framing.body {
         // The caller checks the attempt id in the head before it relays a long body.
-        (Ok(None) | Err(HttpError { status: 413, .. }), Some(length))
-            if stream == StreamState::Open && length > received =>
-        {
-            let extent =
-                Extent { head, body: head..head + received, total: head + received, keep_alive: false };
-            Ok(Some(FoundReply { head: reply, extent, remaining: length - received, keep_alive }))
+        ResponseBody::Length(length) if length > received && length > MAX_BUFFERED_BODY_BYTES => {
+            let is_arriving = stream == StreamState::Open;
+            return Ok(is_arriving.then(|| found_in_part(reply, framing, length, received, keep_alive)));
         }
-        (Ok(None), _) => Ok(None),
-        (Err(_), _) => Err(AttemptEvent::MalformedReply),
-    }
+        _ => MAX_BUFFERED_UNSIZED_BYTES,
+    };
+    let Ok(found) = framing.extent(bytes, stream, max_body_bytes) else {
+        return Err(AttemptEvent::MalformedReply);
+    };
+    let Some(extent) = found else { return Ok(None) };
+    reply.allows_reuse = extent.keep_alive && extent.total == inbound.len() && stream == StreamState::Open;
+    let content_length = match framing.body {
+        ResponseBody::Absent { content_length } => content_length,
+        _ => Some(extent.body.len()),
+    };
+    Ok(Some(FoundReply { head: reply, extent, remaining: 0, content_length, keep_alive }))
 }
 
-fn parse_head(bytes: &[u8], attempt_id: &str) -> Result<Option<ParsedHead>, AttemptEvent> {
-    let (response, head) = match http::parse_response_head(bytes) {
+/// Returns a reply whose long body has arrived in part. Its connection is not reused.
+fn found_in_part(
+    head: ReplyHead,
+    framing: ResponseFraming,
+    length: usize,
+    received: usize,
+    keep_alive: Option<Span>,
+) -> FoundReply {
+    let total = framing.head + received;
+    let extent = Extent { head: framing.head, body: framing.head..total, total, keep_alive: false };
+    FoundReply { head, extent, remaining: length - received, content_length: Some(length), keep_alive }
+}
+
+fn parse_head(
+    bytes: &[u8],
+    method: RequestMethod,
+    attempt_id: &str,
+) -> Result<Option<ParsedHead>, AttemptEvent> {
+    let response = match http::parse_response_head(bytes, method) {
         Ok(Some(found)) => found,
         Ok(None) => return Ok(None),
         Err(_) => return Err(AttemptEvent::MalformedReply),
@@ -102,7 +127,6 @@
         Ok(None) => ReplyOwner::Unidentified,
         Err(_) => ReplyOwner::Ambiguous,
     };
-    let length = headers.get("content-length").and_then(|l| l.parse::<usize>().ok());
     Ok(Some(ParsedHead {
         reply: ReplyHead {
             owner,
@@ -112,8 +136,7 @@
             is_encoded: headers.contains("content-encoding"),
             allows_reuse: false,
         },
-        length: head,
-        long_body: length.filter(|l| *l > MAX_BUFFERED_BODY_BYTES && !headers.contains("transfer-encoding")),
+        framing: response.framing,
         keep_alive: headers.get("keep-alive").and_then(keep_alive_timeout),
     }))
 }
@@ -130,14 +153,13 @@
     pub fn write_head(&mut self, out: &mut RingBuffer, connection_headers: &str) -> io::Result<()> {
         let mut inbound = self.connection.inbound();
         let bytes = inbound.bytes();
-        let Ok(Some((response, _))) = http::parse_response_head(&bytes[..self.extent.head]) else {
+        let Ok(Some(response)) = http::parse_response_head(&bytes[..self.extent.head], self.method) else {
             return Err(io::ErrorKind::InvalidData.into());
         };
         let body = &bytes[self.extent.body.clone()];
         write!(out, "HTTP/1.1 {} {}\r\n", self.status, http::reason_phrase(self.status))?;
-        let has_no_body = matches!(self.status, 204 | 304);
-        if !has_no_body {
-            write!(out, "Content-Length: {}\r\n", body.len() + self.remaining)?;
+        if let Some(content_length) = self.content_length {
+            write!(out, "Content-Length: {content_length}\r\n")?;
         }
         out.write_all(connection_headers.as_bytes())?;
         for (name, value) in response.headers.end_to_end() {
--- a/crates/proxy/tests/broken_replies.rs
+++ b/crates/proxy/tests/broken_replies.rs
@@ -1,4 +1,5 @@
-//! Broken replies of a worker, through the programs: the client gets the proxy's own failure, and the responses around it on the same connection stay whole.
+//! Broken and sound replies of a worker, through the programs: the client gets the sound reply, or the proxy's
+//! own failure, and the responses around it on the same connection stay whole.
 
 mod support;
 
@@ -6,7 +7,7 @@
 use std::net::TcpStream;
 use std::sync::mpsc::TryRecvError;
 
-use lynxstair_fakes::{HttpMessage, Pace, WAIT_TIMEOUT, broken_replies};
+use lynxstair_fakes::{HttpMessage, Pace, SoundReply, WAIT_TIMEOUT, broken_replies, sound_replies};
 
 use support::fixture::{Fixture, RawReply, connect, request, request_with, send};
 
@@ -95,3 +96,41 @@
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+/// Guards against sound replies that do not reach the client, or with another body or length.
+#[test]
+fn a_sound_reply_reaches_the_client_unchanged() {
+    let mut fixture = ReplyFixture::start(168);
+    let mut failures = Vec::new();
+    for reply in sound_replies() {
+        for pace in Pace::ALL {
+            let case = format!("{}, {pace:?}", reply.name);
+            let response = fixture.exchange(&case, reply.method, pace, reply.closes, |id| reply.bytes(id));
+            let is_same = response.status() == reply.status
+                && response.body == reply.body
+                && response.header("server-seal") == "s"
+                && response.header("content-length") == expected_length(reply)
+                && response.header("transfer-encoding").is_empty();
+            if !is_same {
+                let length = response.body.len();
+                failures.push(format!(
+                    "{case}: {length} bytes after {} {:?}",
+                    response.start_line, response.headers
+                ));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+/// Returns the `Content-Length` of the response to the client: that of the body or, for a response that has none,
+/// that of the worker.
+fn expected_length(reply: &SoundReply) -> String {
+    match reply.status {
+        204 => String::new(),
+        _ if reply.method == "HEAD" || reply.status == 304 => {
+            reply.content_length().unwrap_or("").to_string()
+        }
+        _ => reply.body.len().to_string(),
+    }
+}
