--- a/crates/proxy/src/worker_reply.rs
+++ b/crates/proxy/src/worker_reply.rs
@@ -83,7 +83,10 @@
             let is_arriving = stream == StreamState::Open;
             return Ok(is_arriving.then(|| found_in_part(reply, framing, length, received, keep_alive)));
         }
-        _ => MAX_BUFFERED_UNSIZED_BYTES,
+        ResponseBody::Length(length) => length.max(MAX_BUFFERED_BODY_BYTES),
+        ResponseBody::Absent { .. } | ResponseBody::Chunked | ResponseBody::UntilEnd => {
+            MAX_BUFFERED_UNSIZED_BYTES
+        }
     };
     let Ok(found) = framing.extent(bytes, stream, max_body_bytes) else {
         return Err(AttemptEvent::MalformedReply);
@@ -241,3 +244,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
