--- a/crates/net/src/http/write.rs
+++ b/crates/net/src/http/write.rs
@@ -19,18 +19,37 @@
     headers: &str,
     body: &str,
     keep_alive: bool,
+) -> io::Result<()> {
+    write_response_head(out, status, headers, body.len(), keep_alive)?;
+    out.write_all(body.as_bytes())
+}
+
+/// Writes the head of a response. `headers` holds complete header lines. The body, of `content_length` bytes, must
+/// follow unless the request was a `HEAD`.
+pub fn write_response_head(
+    out: &mut RingBuffer,
+    status: u16,
+    headers: &str,
+    content_length: usize,
+    keep_alive: bool,
 ) -> io::Result<()> {
     let connection = if keep_alive { "" } else { "Connection: close\r\n" };
-    let (reason, length) = (reason_phrase(status), body.len());
-    write!(out, "HTTP/1.1 {status} {reason}\r\n{headers}{connection}Content-Length: {length}\r\n\r\n{body}")
+    let reason = reason_phrase(status);
+    write!(out, "HTTP/1.1 {status} {reason}\r\n{headers}{connection}Content-Length: {content_length}\r\n\r\n")
 }
 
-/// Reason phrase of a status code; `Error` for an unlisted one.
+/// Reason phrase of a status code; empty for an unlisted one.
 pub fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
-        400 => "Bad Request",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        205 => "Reset Content",
+        206 => "Partial Content",
+        304 => "Not Modified",
         307 => "Temporary Redirect",
+        400 => "Bad Request",
         401 => "Unauthorized",
         403 => "Forbidden",
         404 => "Not Found",
@@ -41,9 +60,10 @@
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
-        _ => "Error",
+        _ => "",
     }
 }
--- a/crates/proxy/src/client_reader.rs
+++ b/crates/proxy/src/client_reader.rs
@@ -7,7 +7,7 @@
 use lynxstair::types::{Span, Time};
 use lynxstair_net::connection::{Connection, ReadOutcome};
 use lynxstair_net::coroutine::spawn_then;
-use lynxstair_net::http::{self, Extent, HttpError};
+use lynxstair_net::http::{self, Extent, HttpError, RequestMethod};
 use lynxstair_net::server;
 use may::io::CoIo;
 
@@ -235,9 +235,9 @@
         spawn_then(
             "rejection",
             move || {
-                if client.wait_for_turn(number)
-                    && client.connection.write(|out| response.write(out, None, "", false)).is_ok()
-                {
+                // The connection ends after the response, so that it may have a body whatever the method.
+                let write = |out: &mut _| response.write(out, RequestMethod::Other, None, "", false);
+                if client.wait_for_turn(number) && client.connection.write(write).is_ok() {
                     client.requests().pipeline.on_answered(number);
                 }
             },
--- a/crates/proxy/src/local_response.rs
+++ b/crates/proxy/src/local_response.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use lynxstair::types::Span;
-use lynxstair_net::http;
+use lynxstair_net::http::{self, RequestMethod};
 use lynxstair_net::ring_buffer::RingBuffer;
 
 /// Smallest `Retry-After` in seconds; the client would take 0 as an immediate retry.
@@ -31,11 +31,12 @@
         LocalResponse { status, reason, retry_after: Some(after) }
     }
 
-    /// Writes the response. `connection_headers`: header lines about the connection, used only if
-    /// `keep_alive`.
+    /// Writes the response to a request with `method`. `connection_headers`: header lines about the connection,
+    /// used only if `keep_alive`.
     pub fn write(
         &self,
         out: &mut RingBuffer,
+        method: RequestMethod,
         attempt_id: Option<&str>,
         connection_headers: &str,
         keep_alive: bool,
@@ -48,6 +49,14 @@
         if let Some(attempt_id) = attempt_id.filter(|id| !id.is_empty()) {
             headers.push_str(&format!("Attempt-Id: {attempt_id}\r\n"));
         }
-        http::write_response(out, self.status, &headers, self.reason, keep_alive)
+        match method {
+            // A body would be taken for the beginning of the next response.
+            RequestMethod::Head => {
+                http::write_response_head(out, self.status, &headers, self.reason.len(), keep_alive)
+            }
+            RequestMethod::Connect | RequestMethod::Other => {
+                http::write_response(out, self.status, &headers, self.reason, keep_alive)
+            }
+        }
     }
 }
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use lynxstair::types::{Span, Time};
-use lynxstair_net::http::{self, Extent, HttpError, MAX_HEAD_BYTES};
+use lynxstair_net::http::{self, Extent, HttpError, MAX_HEAD_BYTES, RequestMethod};
 
 use crate::admitted_request::AdmittedRequest;
 use crate::cancellation::CancelToken;
@@ -66,7 +66,8 @@
     let connection = client.connection_headers(idle_timeout);
     let is_complete = match result {
         Err(response) => {
-            let write = |out: &mut _| response.write(out, Some(attempt_id), &connection, keep_alive);
+            let method = RequestMethod::from(head.method);
+            let write = |out: &mut _| response.write(out, method, Some(attempt_id), &connection, keep_alive);
             client.connection.write(write).is_ok()
         }
         Ok((admitted, reply)) => relay(proxy, client, admitted.deadline, reply, cancel, &connection),
--- a/crates/proxy/tests/broken_replies.rs
+++ b/crates/proxy/tests/broken_replies.rs
@@ -134,3 +134,13 @@
         _ => reply.body.len().to_string(),
     }
 }
+
+/// Guards against a body of the proxy's own response to `HEAD`, which the client would take for the beginning of
+/// the next response.
+#[test]
+fn a_failure_in_response_to_head_has_no_body() {
+    let mut fixture = ReplyFixture::start(169);
+    let reply = broken_replies().next().expect("a broken reply");
+    let response = fixture.exchange(reply.name, "HEAD", Pace::AtOnce, reply.closes, |id| reply.bytes(id));
+    assert_eq!(response.status(), 502);
+}
