--- a/crates/proxy/src/worker_reply.rs
+++ b/crates/proxy/src/worker_reply.rs
@@ -20,6 +20,8 @@
 const MAX_BUFFERED_BODY_BYTES: usize = 64 << 10;
 /// Longest body without a declared length that is buffered until the reply is complete.
 const MAX_BUFFERED_UNSIZED_BYTES: usize = (1 << 20) + MAX_HEAD_BYTES;
+/// Headers that a worker must not restrict to its connection with the proxy.
+const END_TO_END_HEADERS: [&str; 2] = ["attempt-id", "server-seal"];
 /// Most bytes of a body that are written to the client's buffer at once.
 pub const MAX_PIECE_BYTES: usize = 128 << 10;
 
@@ -124,6 +126,10 @@
         Err(_) => return Err(AttemptEvent::MalformedReply),
     };
     let headers = &response.headers;
+    // Otherwise the client would get a response without its id or seal.
+    if END_TO_END_HEADERS.iter().any(|name| headers.has_token("connection", name)) {
+        return Err(AttemptEvent::MalformedReply);
+    }
     let owner = match headers.single("attempt-id") {
         Ok(Some(id)) if id == attempt_id => ReplyOwner::Own,
         Ok(Some(_)) => ReplyOwner::Other,
--- a/crates/proxy/tests/broken_replies.rs
+++ b/crates/proxy/tests/broken_replies.rs
@@ -79,9 +79,11 @@
 #[test]
 fn a_reply_with_unusable_headers_becomes_a_failure_of_the_proxy() {
     let mut fixture = ReplyFixture::start(170);
-    let lines: [(&str, &[u8]); 2] = [
+    let lines: [(&str, &[u8]); 4] = [
         ("content coding", b"Content-Encoding: gzip"),
         ("content coding that is no text", b"Content-Encoding: \xff"),
+        ("seal for the connection only", b"Connection: server-seal"),
+        ("attempt id for the connection only", b"Connection: keep-alive\r\nConnection: attempt-id"),
     ];
     let mut failures = Vec::new();
     for (case, line) in lines {
