--- a/crates/fakes/src/discovery.rs
+++ b/crates/fakes/src/discovery.rs
@@ -29,6 +29,12 @@
 
 /// Starts a discovery service without updates on a free port.
 pub fn start_discovery() -> Discovery {
+    start_discovery_with_stream(STREAM_HEAD)
+}
+
+/// Starts a discovery service that sends these bytes to each watcher before the updates.
+pub fn start_discovery_with_stream(start: &[u8]) -> Discovery {
+    let start = start.to_vec();
     let (listener, addr) = bind_listener();
     let discovery = Discovery {
         addr,
@@ -41,7 +47,7 @@
         let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
         let Some(message) = HttpMessage::read(&mut reader) else { return };
         let published: String = lock(&shared.published).iter().map(|update| chunk(update)).collect();
-        if stream.write_all(STREAM_HEAD).is_ok() && stream.write_all(published.as_bytes()).is_ok() {
+        if stream.write_all(&start).is_ok() && stream.write_all(published.as_bytes()).is_ok() {
             lock(&shared.watchers).push(stream);
             lock(&shared.request_lines).push(message.start_line);
         }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -33,7 +33,7 @@
 pub use broken_replies::{BrokenReply, broken_replies};
 pub use config::{gatekeeper_config, named_gatekeeper_config};
 pub use counter::{Counter, start_adding_counter, start_counter, start_counter_with_response};
-pub use discovery::{Discovery, start_discovery, worker_entry};
+pub use discovery::{Discovery, start_discovery, start_discovery_with_stream, worker_entry};
 pub use load::{Load, LoadPlan, ReceivedAttempt, RequestOutcome, Traffic, monotonic_nanos};
 pub use message::{HttpMessage, exchange, request_text};
 pub use sink::{ReceivedBatch, Sink};
--- a/crates/gatekeeper/src/counter.rs
+++ b/crates/gatekeeper/src/counter.rs
@@ -185,6 +185,10 @@
             let Ok(Some(head)) = http::parse_response_head(&bytes[..extent.head], method) else {
                 return false;
             };
+            if head.is_interim() {
+                inbound.consume(extent.total);
+                continue;
+            }
             let body = std::str::from_utf8(&bytes[extent.body.clone()]).unwrap_or("");
             let (outcome, total) = parse_reply(head.status, body);
             inbound.consume(extent.total);
--- a/crates/gatekeeper/src/discovery.rs
+++ b/crates/gatekeeper/src/discovery.rs
@@ -14,7 +14,7 @@
 use lynxstair_net::clock::Clock;
 use lynxstair_net::connection::{Connection, ReadOutcome};
 use lynxstair_net::coroutine::spawn;
-use lynxstair_net::http::{self, HttpError, RequestMethod};
+use lynxstair_net::http::{self, HttpError, RequestMethod, ResponseBody};
 use lynxstair_net::log_limited;
 use lynxstair_settings::Names;
 
@@ -226,17 +226,24 @@
     }
 }
 
-/// Removes the head of the response; returns `false` if it is incomplete.
+/// Removes the head of the response, and interim responses before it; returns `false` if it is incomplete.
 fn take_head(watch: &Connection) -> Result<bool, WatchEnd> {
     let mut inbound = watch.inbound();
-    let length = match http::parse_response_head(inbound.bytes(), RequestMethod::Other) {
-        Ok(Some(head)) if head.status != 200 => return Err(WatchEnd::Status(head.status)),
-        Ok(Some(head)) => head.framing.head,
-        Ok(None) => return Ok(false),
-        Err(error) => return Err(WatchEnd::Http(error)),
-    };
-    inbound.consume(length);
-    Ok(true)
+    loop {
+        let parsed = http::parse_response_head(inbound.bytes(), RequestMethod::Other);
+        let Some(response) = parsed.map_err(WatchEnd::Http)? else { return Ok(false) };
+        let (framing, is_interim) = (response.framing, response.is_interim());
+        match response.status {
+            _ if is_interim => {}
+            200 if framing.body == ResponseBody::Chunked => {}
+            200 => return Err(WatchEnd::Http(HttpError::new(502, "the stream is not chunked"))),
+            status => return Err(WatchEnd::Status(status)),
+        }
+        inbound.consume(framing.head);
+        if !is_interim {
+            return Ok(true);
+        }
+    }
 }
 
 /// Moves the data of complete chunks from the connection's buffer to `text`.
