--- a/crates/cluster/src/sink_client.rs
+++ b/crates/cluster/src/sink_client.rs
@@ -1,12 +1,13 @@
 //! HTTP client of the usage sink. Each call opens a new connection and has time-outs. The protocol is
 //! described in docs/operators/sink.md.
 
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddrV4, TcpStream};
 use std::time::Duration;
 
 use lynxstair_export::{Batch, BatchReply, StreamId, StreamPosition, StreamStatus};
 use lynxstair_leases::Epoch;
+use lynxstair_net::http::{self, HttpError, RequestMethod, StreamState};
 use serde::de::DeserializeOwned;
 
 use crate::exporter::DUTY;
@@ -17,6 +18,10 @@
 const IO_TIMEOUT: Duration = Duration::from_millis(1_000);
 const STATUS_OK: u16 = 200;
 const STATUS_CONFLICT: u16 = 409;
+const STATUS_PRECONDITION_FAILED: u16 = 412;
+const STATUS_UNPROCESSABLE: u16 = 422;
+/// Size of a read, in bytes.
+const READ_BYTES: usize = 16 << 10;
 
 /// Failure of a call to the sink.
 #[derive(Debug, thiserror::Error)]
@@ -28,6 +33,8 @@
     Io(#[from] io::Error),
     #[error("incomplete HTTP response")]
     IncompleteResponse,
+    #[error("HTTP response: {0}")]
+    InvalidResponse(#[from] HttpError),
     #[error("HTTP status {0}")]
     Status(u16),
     #[error("malformed JSON: {0}")]
@@ -39,6 +46,7 @@
 /// Position of each stream at the sink, and the streams that it has marked as incomplete.
 pub(crate) type SinkPositions = (Vec<(StreamId, StreamPosition)>, Vec<StreamId>);
 
+/// A final response.
 struct HttpResponse {
     status: u16,
     body: Vec<u8>,
@@ -68,7 +76,12 @@
     pub fn send_batch(&self, epoch: Epoch, batch: &Batch) -> Result<BatchReply, SinkError> {
         let body = serde_json::to_vec(batch).map_err(SinkError::Malformed)?;
         let response = self.call("POST", &format!("/duties/{DUTY}/batches?epoch={}", epoch.0), &body)?;
-        decode(&response.body)
+        match response.status {
+            STATUS_OK | STATUS_CONFLICT | STATUS_PRECONDITION_FAILED | STATUS_UNPROCESSABLE => {
+                decode(&response.body)
+            }
+            status => Err(SinkError::Status(status)),
+        }
     }
 
     /// Reports whether a stream is complete.
@@ -88,7 +101,7 @@
             body.len()
         );
         (&stream).write_all(&[head.as_bytes(), body].concat())?;
-        read_response(&stream).ok_or(SinkError::IncompleteResponse)
+        read_response(&stream)
     }
 }
 
@@ -108,28 +121,41 @@
     serde_json::from_slice(body).map_err(SinkError::Malformed)
 }
 
-/// Reads a response; `None` if it is malformed, too long or incomplete.
-fn read_response(stream: &TcpStream) -> Option<HttpResponse> {
-    let mut reader = BufReader::new(stream.take(MAX_RESPONSE_BYTES as u64));
-    let mut status_line = String::new();
-    reader.read_line(&mut status_line).ok()?;
-    let status = status_line.split(' ').nth(1)?.parse().ok()?;
-    let length = read_content_length(&mut reader)?;
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    Some(HttpResponse { status, body })
+/// Reads a response. Fails if it is malformed, longer than [`MAX_RESPONSE_BYTES`] or incomplete.
+fn read_response(mut stream: &TcpStream) -> Result<HttpResponse, SinkError> {
+    let (mut received, mut piece) = (Vec::new(), vec![0; READ_BYTES]);
+    loop {
+        let length = match stream.read(&mut piece) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+            result => result?,
+        };
+        received.extend_from_slice(&piece[..length]);
+        let state = if length == 0 { StreamState::Ended } else { StreamState::Open };
+        if let Some(response) = take_response(&mut received, state)? {
+            return Ok(response);
+        }
+        if state == StreamState::Ended {
+            return Err(SinkError::IncompleteResponse);
+        }
+    }
 }
 
-/// Reads all headers; `None` without a valid content length of at most [`MAX_RESPONSE_BYTES`].
-fn read_content_length(reader: &mut impl BufRead) -> Option<usize> {
-    let mut length = None;
+/// Removes the final response and interim ones before it; `None` if it is incomplete.
+fn take_response(received: &mut Vec<u8>, state: StreamState) -> Result<Option<HttpResponse>, HttpError> {
     loop {
-        let mut line = String::new();
-        reader.read_line(&mut line).ok().filter(|bytes| *bytes > 0)?;
-        let Some((name, value)) = line.trim_end().split_once(':') else { break };
-        if name.eq_ignore_ascii_case("content-length") {
-            length = value.trim().parse::<usize>().ok();
+        let method = RequestMethod::Other;
+        let Some(extent) = http::response_extent(received, method, state, MAX_RESPONSE_BYTES)? else {
+            return Ok(None);
+        };
+        let Some(head) = http::parse_response_head(&received[..extent.head], method)? else {
+            return Ok(None);
+        };
+        if !head.is_interim() {
+            return Ok(Some(HttpResponse { status: head.status, body: received[extent.body].to_vec() }));
         }
+        received.drain(..extent.total);
     }
-    length.filter(|length| *length <= MAX_RESPONSE_BYTES)
 }
+
+#[cfg(test)]
+mod tests;
