--- a/crates/fakes/src/message.rs
+++ b/crates/fakes/src/message.rs
@@ -81,7 +81,8 @@
 /// Sends a request and reads the response; `None` if the connection ends before the response is complete.
 pub fn exchange(mut stream: &TcpStream, request: &str) -> Option<HttpMessage> {
     stream.write_all(request.as_bytes()).ok()?;
-    HttpMessage::read(&mut BufReader::new(stream))
+    let method = request.split(' ').next().unwrap_or("");
+    HttpMessage::read_response_to(method, &mut BufReader::new(stream))
 }
 
 /// Formats a request of the default tenant. The operation `get` is idempotent, `put` is not.
--- a/crates/gatekeeper/src/client_connection.rs
+++ b/crates/gatekeeper/src/client_connection.rs
@@ -10,7 +10,9 @@
 use lynxstair_dispatch::FinalReply;
 use lynxstair_net::clock::Clock;
 use lynxstair_net::connection::Connection;
-use lynxstair_net::http::{self, Extent, HttpError, MAX_BODY_BYTES, MAX_MESSAGE_BYTES, RequestHead};
+use lynxstair_net::http::{
+    self, Extent, HttpError, MAX_BODY_BYTES, MAX_MESSAGE_BYTES, RequestHead, RequestMethod,
+};
 use lynxstair_net::ring_buffer::RingBuffer;
 
 use crate::lifecycle::Lifecycle;
@@ -184,13 +186,13 @@
             Err(error) => {
                 drop(inbound);
                 // The end of a malformed message is unknown, so no further message can be read.
-                self.reply_locally(&mut state, error.status, error.reason, None);
+                self.reply_locally(&mut state, RequestMethod::Other, error.status, error.reason, None);
                 return NextMessage::None;
             }
         };
-        let parsed = match http::parse_request_head(&bytes[..extent.head]) {
-            Ok(Some((head, _))) => self.parse(&head, received_at(now)),
-            _ => Err(HttpError::new(400, "malformed")),
+        let (method, parsed) = match http::parse_request_head(&bytes[..extent.head]) {
+            Ok(Some((head, _))) => (RequestMethod::from(head.method), self.parse(&head, received_at(now))),
+            _ => (RequestMethod::Other, Err(HttpError::new(400, "malformed"))),
         };
         drop(inbound);
         state.has_sent_continue = false;
@@ -204,14 +206,14 @@
             Ok(Parsed::Readiness) => {
                 let is_shutting_down = self.context.lifecycle.is_shutting_down();
                 let (status, body) = if is_shutting_down { (503, "leaving\n") } else { (200, "up\n") };
-                self.reply_locally(&mut state, status, body, Some(&extent));
+                self.reply_locally(&mut state, method, status, body, Some(&extent));
                 NextMessage::Handled
             }
             Err(error) => {
                 state.bad_messages += 1;
                 let is_last = state.bad_messages >= MAX_BAD_MESSAGES;
                 let extent = Some(&extent).filter(|_| !is_last);
-                self.reply_locally(&mut state, error.status, error.reason, extent);
+                self.reply_locally(&mut state, method, error.status, error.reason, extent);
                 NextMessage::Handled
             }
         }
@@ -304,9 +306,22 @@
         self.write(&mut state, Some(&extent), write);
     }
 
-    /// Writes a reply to a message that is not forwarded. Without an extent it is the last reply.
-    fn reply_locally(&self, state: &mut State, status: u16, body: &str, extent: Option<&Extent>) {
-        self.write(state, extent, |out, keep_alive| http::write_response(out, status, "", body, keep_alive));
+    /// Writes a reply to a message with `method` that is not forwarded. Without an extent it is the last reply.
+    fn reply_locally(
+        &self,
+        state: &mut State,
+        method: RequestMethod,
+        status: u16,
+        body: &str,
+        extent: Option<&Extent>,
+    ) {
+        self.write(state, extent, |out, keep_alive| match method {
+            // A body would be taken for the beginning of the next reply.
+            RequestMethod::Head => http::write_response_head(out, status, "", body.len(), keep_alive),
+            RequestMethod::Connect | RequestMethod::Other => {
+                http::write_response(out, status, "", body, keep_alive)
+            }
+        });
     }
 
     fn write(
@@ -356,7 +371,7 @@
             return;
         }
         if state.stage == Stage::Waiting && state.partial_since.is_some() {
-            self.reply_locally(&mut state, 408, "not whole in time\n", None);
+            self.reply_locally(&mut state, RequestMethod::Other, 408, "not whole in time\n", None);
         } else {
             self.connection.close();
         }
--- a/crates/gatekeeper/tests/request_bodies.rs
+++ b/crates/gatekeeper/tests/request_bodies.rs
@@ -1,7 +1,11 @@
-//! Requests whose body has no certain end.
+//! Requests whose body has no certain end, and requests whose response has no body.
 
 mod support;
 
+use std::io::{BufReader, Write};
+
+use lynxstair_fakes::HttpMessage;
+
 use support::{TestEnv, request_text};
 
 const ID: &str = "00000000000000ff";
@@ -34,3 +38,23 @@
     assert_eq!(statuses, cases.map(|_| 400));
     assert_eq!(env.log.attempts_of(ID).len(), 0);
 }
+
+/// Guards against a body in response to `HEAD`, which the client would take for the beginning of the next response.
+#[test]
+fn responses_to_head_have_no_body() {
+    let env = TestEnv::new(1, 0, Some(1.0));
+    let client = env.client();
+    let rejected = request_text("get", "wide", ID, 800).replace("GET ", "HEAD ");
+    let requests = format!("HEAD /up HTTP/1.1\r\n\r\n{rejected}GET /up HTTP/1.1\r\n\r\n");
+    (&client).write_all(requests.as_bytes()).expect("sent");
+    let mut reader = BufReader::new(&client);
+    let responses = ["HEAD", "HEAD", "GET"].map(|method| {
+        let response = HttpMessage::read_response_to(method, &mut reader).expect("a response");
+        (response.status(), response.header("content-length").to_string(), response.body)
+    });
+    let expected = [(200, "3", ""), (405, "10", ""), (200, "3", "up\n")];
+    assert_eq!(
+        responses,
+        expected.map(|(status, n, body)| (status, n.to_string(), body.as_bytes().to_vec()))
+    );
+}
