--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -50,11 +50,11 @@
 pub enum Pace {
     /// One write.
     AtOnce,
-    /// A write for each of the first [`MAX_SINGLE_BYTES`], and one for the rest.
+    /// A write for each of the first 2,000 bytes, more than the head of a reply of a test, and one for the rest.
     ByteByByte,
 }
 
-/// Number of bytes that [`Pace::ByteByByte`] writes one by one, more than the head of a reply of a test.
+/// Number of bytes that [`Pace::ByteByByte`] writes one by one.
 const MAX_SINGLE_BYTES: usize = 2_000;
 
 impl Pace {
