--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -63,6 +63,7 @@
 
     /// Writes `bytes`. Returns `false` if the connection has ended.
     pub fn write(self, mut stream: &TcpStream, bytes: &[u8]) -> bool {
+        let _ = stream.set_nodelay(true);
         let single_bytes = match self {
             Pace::AtOnce => 0,
             Pace::ByteByByte => bytes.len().min(MAX_SINGLE_BYTES),
@@ -158,13 +159,7 @@
             let _ = reader.read(&mut [0]);
             false
         }
-        WorkerAction::SendBroken(reply, pace) => {
-            let _ = stream.set_nodelay(true);
-            pace.write(stream, &reply.bytes(id)) && !reply.closes
-        }
-        WorkerAction::SendSound(reply, pace) => {
-            let _ = stream.set_nodelay(true);
-            pace.write(stream, &reply.bytes(id)) && !reply.closes
-        }
+        WorkerAction::SendBroken(reply, pace) => pace.write(stream, &reply.bytes(id)) && !reply.closes,
+        WorkerAction::SendSound(reply, pace) => pace.write(stream, &reply.bytes(id)) && !reply.closes,
     }
 }
--- a/crates/fault-injection/src/soak/workers.rs
+++ b/crates/fault-injection/src/soak/workers.rs
@@ -193,7 +193,6 @@
 }
 
 fn serve(stream: &TcpStream, number: usize, log: &RunLog) {
-    let _ = stream.set_nodelay(true);
     let mut reader = BufReader::new(stream);
     while let Some(message) = HttpMessage::read(&mut reader) {
         let id = message.header("attempt-id").to_string();
--- a/crates/gatekeeper/src/client_connection.rs
+++ b/crates/gatekeeper/src/client_connection.rs
@@ -288,7 +288,11 @@
         let header = retry_after
             .map(|retry_after| format!("Retry-After: {:.3}\r\n", retry_after.secs()))
             .unwrap_or_default();
-        self.finish(request, |out, keep_alive| http::write_response(out, status, &header, body, keep_alive));
+        // Requests with `HEAD` are rejected before.
+        let method = RequestMethod::Other;
+        self.finish(request, |out, keep_alive| {
+            http::write_response(out, method, status, &header, body, keep_alive)
+        });
     }
 
     /// Writes the final reply to a request, unless the request is no longer open. The connection can then
@@ -315,12 +319,8 @@
         body: &str,
         extent: Option<&Extent>,
     ) {
-        self.write(state, extent, |out, keep_alive| match method {
-            // A body would be taken for the beginning of the next reply.
-            RequestMethod::Head => http::write_response_head(out, status, "", body.len(), keep_alive),
-            RequestMethod::Connect | RequestMethod::Other => {
-                http::write_response(out, status, "", body, keep_alive)
-            }
+        self.write(state, extent, |out, keep_alive| {
+            http::write_response(out, method, status, "", body, keep_alive)
         });
     }
 
--- a/crates/gatekeeper/src/discovery.rs
+++ b/crates/gatekeeper/src/discovery.rs
@@ -232,17 +232,16 @@
     loop {
         let parsed = http::parse_response_head(inbound.bytes(), RequestMethod::Other);
         let Some(response) = parsed.map_err(WatchEnd::Http)? else { return Ok(false) };
-        let (framing, is_interim) = (response.framing, response.is_interim());
-        match response.status {
-            _ if is_interim => {}
-            200 if framing.body == ResponseBody::Chunked => {}
-            200 => return Err(WatchEnd::Http(HttpError::new(502, "the stream is not chunked"))),
-            status => return Err(WatchEnd::Status(status)),
-        }
+        let (status, framing, is_interim) = (response.status, response.framing, response.is_interim());
         inbound.consume(framing.head);
-        if !is_interim {
-            return Ok(true);
+        if is_interim {
+            continue;
         }
+        return match (status, framing.body) {
+            (200, ResponseBody::Chunked) => Ok(true),
+            (200, _) => Err(WatchEnd::Http(HttpError::new(502, "the stream is not chunked"))),
+            _ => Err(WatchEnd::Status(status)),
+        };
     }
 }
 
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -17,7 +17,7 @@
     RequestMethod, ResponseBody, ResponseFraming, ResponseHead, StreamState, parse_response_head,
     response_extent,
 };
-pub use write::{reason_phrase, write_header, write_response, write_response_head};
+pub use write::{reason_phrase, write_header, write_response};
 
 /// Default limit on the length of a body, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
--- a/crates/net/src/http/chunked.rs
+++ b/crates/net/src/http/chunked.rs
@@ -47,6 +47,15 @@
     data_start: usize,
 }
 
+impl ChunkHead {
+    /// Returns the chunk; `None` if it is incomplete.
+    fn chunk(&self, bytes: &[u8]) -> Result<Option<Chunk>, HttpError> {
+        let data = self.data_start..self.data_start + self.size;
+        let end = if self.size == 0 { Some(data.end) } else { line_end_at(bytes, data.end)? };
+        Ok(end.map(|end| Chunk { data, end }))
+    }
+}
+
 /// Decodes a chunked body to the front of `bytes`. Returns `None`, and moves nothing, if the body is
 /// incomplete.
 pub(super) fn decode(bytes: &mut [u8], max_body_bytes: usize) -> Result<Option<Decoded>, HttpError> {
@@ -74,7 +83,7 @@
         if total > max_body_bytes {
             return Err(BODY_TOO_LARGE);
         }
-        let Some(chunk) = chunk_at(bytes, at)? else { return Ok(None) };
+        let Some(chunk) = head.chunk(bytes)? else { return Ok(None) };
         if chunk.is_last() {
             return Ok(Some(chunk.end));
         }
@@ -84,13 +93,8 @@
 
 /// Parses the chunk at `at`. Returns `None` if it is incomplete, and fails as soon as it is known to be malformed.
 pub fn chunk_at(bytes: &[u8], at: usize) -> Result<Option<Chunk>, HttpError> {
-    let Some(ChunkHead { size, data_start }) = chunk_head_at(bytes, at)? else { return Ok(None) };
-    if size == 0 {
-        return Ok(Some(Chunk { data: data_start..data_start, end: data_start }));
-    }
-    let data_end = data_start + size;
-    match line_end_at(bytes, data_end)? {
-        Some(end) => Ok(Some(Chunk { data: data_start..data_end, end })),
+    match chunk_head_at(bytes, at)? {
+        Some(head) => head.chunk(bytes),
         None => Ok(None),
     }
 }
--- a/crates/net/src/http/write.rs
+++ b/crates/net/src/http/write.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Write};
 
+use super::RequestMethod;
 use crate::ring_buffer::RingBuffer;
 
 /// Writes a header line.
@@ -12,30 +13,22 @@
     out.write_all(b"\r\n")
 }
 
-/// Writes a response with a text body. `headers` holds complete header lines.
+/// Writes the response to a request with `method`, with a text body. `headers` holds complete header lines.
+///
+/// The response to `HEAD` has the length of the body but not the body, which would be taken for the beginning of the
+/// next response.
 pub fn write_response(
     out: &mut RingBuffer,
+    method: RequestMethod,
     status: u16,
     headers: &str,
     body: &str,
     keep_alive: bool,
-) -> io::Result<()> {
-    write_response_head(out, status, headers, body.len(), keep_alive)?;
-    out.write_all(body.as_bytes())
-}
-
-/// Writes the head of a response. `headers` holds complete header lines. The body, of `content_length` bytes, must
-/// follow unless the request was a `HEAD`.
-pub fn write_response_head(
-    out: &mut RingBuffer,
-    status: u16,
-    headers: &str,
-    content_length: usize,
-    keep_alive: bool,
 ) -> io::Result<()> {
     let connection = if keep_alive { "" } else { "Connection: close\r\n" };
-    let reason = reason_phrase(status);
-    write!(out, "HTTP/1.1 {status} {reason}\r\n{headers}{connection}Content-Length: {content_length}\r\n\r\n")
+    let (reason, length) = (reason_phrase(status), body.len());
+    let body = if method == RequestMethod::Head { "" } else { body };
+    write!(out, "HTTP/1.1 {status} {reason}\r\n{headers}{connection}Content-Length: {length}\r\n\r\n{body}")
 }
 
 /// Reason phrase of a status code; empty for an unlisted one.
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -14,7 +14,7 @@
 use crate::alarms::Alarms;
 use crate::connection::{Connection, ReadOutcome};
 use crate::coroutine::spawn_then;
-use crate::http::{self, Extent, MAX_HEAD_BYTES};
+use crate::http::{self, Extent, MAX_HEAD_BYTES, RequestMethod};
 use crate::log_limited;
 
 /// A connection is closed if no request has been completed for this long after its start or its last
@@ -191,7 +191,9 @@
             Ok(Some(message)) => message,
             Ok(None) => continue,
             Err(error) => {
-                let write = |out: &mut _| http::write_response(out, error.status, "", error.reason, false);
+                let write = |out: &mut _| {
+                    http::write_response(out, RequestMethod::Other, error.status, "", error.reason, false)
+                };
                 let _ = connection.write(write);
                 return connection.shut_down_write();
             }
--- a/crates/proxy/src/local_response.rs
+++ b/crates/proxy/src/local_response.rs
@@ -49,14 +49,6 @@
         if let Some(attempt_id) = attempt_id.filter(|id| !id.is_empty()) {
             headers.push_str(&format!("Attempt-Id: {attempt_id}\r\n"));
         }
-        match method {
-            // A body would be taken for the beginning of the next response.
-            RequestMethod::Head => {
-                http::write_response_head(out, self.status, &headers, self.reason.len(), keep_alive)
-            }
-            RequestMethod::Connect | RequestMethod::Other => {
-                http::write_response(out, self.status, &headers, self.reason, keep_alive)
-            }
-        }
+        http::write_response(out, method, self.status, &headers, self.reason, keep_alive)
     }
 }
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -112,7 +112,6 @@
     let listener = TcpListener::bind(at).expect("bound");
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let _ = stream.set_nodelay(true);
             let state = state.clone();
             thread::spawn(move || state.serve(&stream));
         }
