--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -2,6 +2,10 @@
 //! environment the same without the disruption. Exit code 1: the rule was broken, 0: it held, 2: the case
 //! could not run.
 
+mod directory;
+mod grace;
+mod home;
+mod tenants;
 mod upload;
 mod world;
 
@@ -27,6 +31,10 @@
     log.line(format!("case {name}, {} the disruption", if has_trouble { "with" } else { "without" }));
     let outcome = match name.as_str() {
         "upload" => upload::run(world, has_trouble),
+        "grace" => grace::run(world, has_trouble),
+        "tenants" => tenants::run(world, has_trouble),
+        "home" => home::run(world, has_trouble),
+        "directory" => directory::run(world, has_trouble),
         _ => Err("unknown case".to_string()),
     };
     log.line(match &outcome {
--- a/review/harness-2/world.rs
+++ b/review/harness-2/world.rs
@@ -40,6 +40,9 @@
     thread::sleep(Duration::from_millis(ms));
 }
 
+/// Zone and region of the controllers and workers.
+const HOME: (&str, &str) = ("gebze-salon", "marmara");
+
 /// Ports that every machine uses, free on all addresses of the deployment.
 #[derive(Clone, Copy)]
 pub struct Ports {
@@ -59,7 +62,9 @@
     net: String,
     ports: Ports,
     /// Added to the bounds of each settings file, after the common ones.
-    pub bounds: Vec<(String, String)>,
+    pub bounds: Vec<(&'static str, &'static str)>,
+    /// Zone and region of each proxy; the first zone for those that are not listed.
+    pub places: Vec<(&'static str, &'static str)>,
     pub children: Vec<(String, Child)>,
 }
 
@@ -107,6 +112,7 @@
             net,
             ports,
             bounds: Vec::new(),
+            places: Vec::new(),
             children: Vec::new(),
         })
     }
@@ -131,7 +137,16 @@
         format!("{}.{}:{}", self.net, 100 + n, self.ports.worker).parse().unwrap()
     }
 
-    fn settings(&self, node: &str, ip: &str, bind: &[(&str, u16)], counted: bool, bootstrap: bool) -> String {
+    fn settings(
+        &self,
+        node: &str,
+        ip: &str,
+        place: (&str, &str),
+        bind: &[(&str, u16)],
+        counted: bool,
+        bootstrap: bool,
+    ) -> String {
+        let (zone, region) = place;
         let mut bounds: Vec<(String, String)> = [
             ("seed-lag-s", "3"),
             ("reuse-delay-s", "2"),
@@ -162,8 +177,8 @@
         .to_vec();
         for (name, value) in &self.bounds {
             match bounds.iter_mut().find(|(k, _)| k == name) {
-                Some(known) => known.1 = value.clone(),
-                None => bounds.push((name.clone(), value.clone())),
+                Some(known) => known.1 = value.to_string(),
+                None => bounds.push((name.to_string(), value.to_string())),
             }
         }
         let bounds: String = bounds.iter().map(|(k, v)| format!("  - \"{k}={v}\"\n")).collect();
@@ -179,8 +194,8 @@
         let port = self.ports.internal;
         format!(
             "node-name: \"{node}\"\nrole: \"{serves}\"\nmachine-class: \"{class}\"\nserves:\n  - \"{serves}\"\n\
-             ip: \"{ip}\"\nzone: \"gebze-salon\"\nregion: \"marmara\"\nzones:\n  gebze-salon: \"marmara\"\n\
-             \x20 torbali-salon: \"ege\"\nbind:\n{binds}port-range:\n  - {port}\n  - {port}\nseeds:\n{seeds}\
+             ip: \"{ip}\"\nzone: \"{zone}\"\nregion: \"{region}\"\nzones:\n  gebze-salon: \"marmara\"\n\
+             \x20 tuzla-salon: \"marmara\"\n  torbali-salon: \"ege\"\n  sincan-salon: \"ic-anadolu\"\nbind:\n{binds}port-range:\n  - {port}\n  - {port}\nseeds:\n{seeds}\
              bootstrap: {bootstrap}\ncounted: {counted}\nlimits:\n  cpu-share: 0.6\n  cores: 1\n  memory-mb: 260\n\
              \x20 max-fds: 4096\n  link-mbps: 1000.0\n  disk-mb: 256\ndata-dir: {disk}\ndiscovery: \"registry\"\n\
              entry: \"directory\"\nbeat-period-s: 1.5\nfault-budget:\n  machines: 1\n  zones: 1\n  regions: 0\n\
@@ -211,7 +226,7 @@
         for n in 1..=3 {
             let node = format!("core-{n}");
             let bind = [("control", self.ports.control), ("directory", self.ports.directory)];
-            let settings = self.settings(&node, &format!("{}.{n}", self.net), &bind, true, true);
+            let settings = self.settings(&node, &format!("{}.{n}", self.net), HOME, &bind, true, true);
             self.start(&node, CONTROLLER, settings);
         }
     }
@@ -219,7 +234,8 @@
     pub fn start_proxy(&mut self, n: u32, bootstrap: bool) {
         let node = format!("edge-{n}");
         let bind = [("front", self.ports.front), ("readiness", self.ports.readiness)];
-        let settings = self.settings(&node, &format!("{}.{}", self.net, 10 + n), &bind, false, bootstrap);
+        let place = self.places.get(n as usize - 1).copied().unwrap_or(HOME);
+        let settings = self.settings(&node, &format!("{}.{}", self.net, 10 + n), place, &bind, false, bootstrap);
         self.start(&node, PROXY, settings);
     }
 
@@ -231,7 +247,7 @@
         let _ = Command::new("kill").args([&format!("-{signal}"), &pid]).status();
     }
 
-    /// Returns the time at which the process has ended, if it has.
+    /// Returns `true` if the process has ended.
     pub fn has_ended(&mut self, node: &str) -> bool {
         let found = self.children.iter_mut().rev().find(|(name, _)| name == node);
         matches!(found.expect("a known process").1.try_wait(), Ok(Some(_)))
