--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -2,6 +2,7 @@
 //! environment the same without the disruption. Exit code 1: the rule was broken, 0: it held, 2: the case
 //! could not run.
 
+mod behind;
 mod directory;
 mod grace;
 mod home;
@@ -35,6 +36,7 @@
         "tenants" => tenants::run(world, has_trouble),
         "home" => home::run(world, has_trouble),
         "directory" => directory::run(world, has_trouble),
+        "behind" => behind::run(world, has_trouble),
         _ => Err("unknown case".to_string()),
     };
     log.line(match &outcome {
