--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,7 +6,7 @@
 [ -x target/review-2/cases ] || { echo "review/build-2.sh has not run"; exit 2; }
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review-2/cases tenants "$folder" review/8/record.txt
+target/review-2/cases home "$folder" review/8/record.txt
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
