--- a/crates/proxy/src/forwarding.rs
+++ b/crates/proxy/src/forwarding.rs
@@ -31,6 +31,8 @@
     alarms: &'a Alarms,
     deadline: Time,
     cancel: &'a CancelToken,
+    /// Length of the request that the reply belongs to, head included.
+    request_bytes: usize,
 }
 
 impl ReplyWait<'_> {
@@ -57,11 +59,11 @@
         cancel: &CancelToken,
     ) -> AttemptResult {
         if let Some(reason) = cancel.stop_reason() {
-            return result_unsent(AttemptEvent::Stopped { reason, has_partial_reply: false });
+            return result_unsent(AttemptEvent::Stopped(reason));
         }
         let Some(opened) = self.connect(alarms, worker, deadline, cancel) else {
             return result_unsent(match cancel.stop_reason() {
-                Some(reason) => AttemptEvent::Stopped { reason, has_partial_reply: false },
+                Some(reason) => AttemptEvent::Stopped(reason),
                 None => AttemptEvent::NoConnection,
             });
         };
@@ -74,21 +76,23 @@
         }
         let mut attempt = Attempt::new(is_new);
         let time_left_ms = (deadline - now).nanos() / 1_000_000;
-        let mut is_complete = false;
-        let written = connection.write(|out| {
+        let mut request_bytes = None;
+        // A failed write is seen by the read that follows.
+        let _ = connection.write(|out| {
             request.write(out, worker, time_left_ms)?;
-            is_complete = true;
+            request_bytes = Some(out.len());
             Ok(())
         });
-        let end = if written.is_err() && !is_complete {
+        let end = match request_bytes {
             // The request does not fit into the send buffer; nothing was sent.
-            attempt.on_event(AttemptEvent::NoConnection)
-        } else {
-            alarms.wake_connection(deadline, &connection);
-            let wait = ReplyWait { alarms, deadline, cancel };
-            match self.await_reply(&wait, worker, &connection, request, &mut attempt) {
-                Ok(result) => return result,
-                Err(event) => attempt.on_event(event),
+            None => attempt.on_event(AttemptEvent::NoConnection),
+            Some(request_bytes) => {
+                alarms.wake_connection(deadline, &connection);
+                let wait = ReplyWait { alarms, deadline, cancel, request_bytes };
+                match self.await_reply(&wait, worker, &connection, request, &mut attempt) {
+                    Ok(result) => return result,
+                    Err(event) => attempt.on_event(event),
+                }
             }
         };
         self.discard(&connection);
@@ -113,8 +117,10 @@
                 // was read. So everything in the kernel's receive buffer is read first.
                 stream = read_all(connection).unwrap_or(stream);
             }
-            if attempt.state() < AttemptState::Sent {
-                attempt.on_event(AttemptEvent::Written { is_complete: connection.unsent() == 0 });
+            let unsent = connection.unsent();
+            // A connection that the worker has closed before may take no byte at all.
+            if attempt.state() < AttemptState::Sent && unsent < wait.request_bytes {
+                attempt.on_event(AttemptEvent::Written { is_complete: unsent == 0 });
             }
             loop {
                 // A separate statement, so that the buffer is unlocked before the reply is handled.
@@ -131,8 +137,7 @@
                 }
             }
             if let Some(reason) = reason {
-                let has_partial_reply = !connection.inbound().is_empty();
-                return Err(AttemptEvent::Stopped { reason, has_partial_reply });
+                return Err(AttemptEvent::Stopped(reason));
             }
         }
     }
--- a/crates/proxy/tests/forwarding.rs
+++ b/crates/proxy/tests/forwarding.rs
@@ -313,9 +313,10 @@
 /// A body larger than the kernel buffers while the worker does not read.
 const LARGE_BODY_BYTES: usize = 2 << 20;
 
-/// Without a reply, the result depends on how much of the request the kernel has taken.
+/// Without a reply, a request has not run only if the kernel took no byte of it. Guards against a second run of a
+/// request that was sent in part: a worker may begin before it has read the whole body (review, case 4).
 #[test]
-fn a_request_may_have_run_once_the_kernel_took_all_of_it() {
+fn a_request_may_have_run_once_the_kernel_took_a_part_of_it() {
     let mut fixture = AttemptFixture::new();
     let [cancelled, active] = [Arc::new(CancelToken::default()), Arc::default()];
     cancelled.cancel();
@@ -345,14 +346,14 @@
     drop(connection);
     assert_eq!(result.recv_timeout(WAIT_TIMEOUT).as_deref(), Ok("MayHaveRun Reset"), "unread");
 
-    // Only a part of it was sent. A worker that replies nevertheless may have run it.
+    // Only a part of it was sent.
     let socket = socket2::SockRef::from(&fixture.listener);
     socket.set_recv_buffer_size(4096).expect("set");
     socket.set_tcp_mss(600).expect("set");
     for (event, reply, expected) in [
-        ("resets", "", "NeverRan ConnectFailed"),
-        ("silence", "", "NeverRan ConnectFailed"),
-        ("leaves", "", "NeverRan Cancelled"),
+        ("resets", "", "MayHaveRun Reset"),
+        ("silence", "", "MayHaveRun TimedOut"),
+        ("leaves", "", "MayHaveRun Cancelled"),
         ("waits", "200 me :bad", "MayHaveRun Errored"),
         ("closes", "200 me :bad /30", "MayHaveRun Reset"),
     ] {
--- a/crates/routing/src/attempt.rs
+++ b/crates/routing/src/attempt.rs
@@ -14,9 +14,9 @@
     /// The kernel has accepted no byte of the request.
     Unsent,
     /// The kernel has accepted some bytes, but not the last one, which is not sent after the attempt has
-    /// ended.
+    /// ended. A worker may begin before it has read the whole body, so the request may run.
     PartlySent,
-    /// The kernel has accepted the whole request: it may run even if the connection or this process fails.
+    /// The kernel has accepted the whole request, which is a condition for the reuse of the connection.
     Sent,
     /// The attempt is over.
     Ended,
@@ -73,7 +73,7 @@
     /// The request may no longer be sent: for example its deadline has passed, its zone is evacuated or the
     /// configuration lease has expired.
     SendNotPermitted,
-    /// The kernel has accepted bytes of the request.
+    /// The kernel has accepted at least one byte of the request.
     Written {
         /// The whole request has been accepted.
         is_complete: bool,
@@ -83,12 +83,7 @@
     /// The received bytes are not a valid reply.
     MalformedReply,
     /// Waiting has ended; all received bytes were read and hold no complete reply to this attempt.
-    Stopped {
-        /// Reason to stop waiting.
-        reason: StopReason,
-        /// An incomplete reply was received.
-        has_partial_reply: bool,
-    },
+    Stopped(StopReason),
 }
 
 /// Next action of the caller after an event.
@@ -146,7 +141,7 @@
             AttemptEvent::Reply(head) => self.on_reply(head),
             // A worker that answers may have acted on the request, even if the last byte was not sent.
             AttemptEvent::MalformedReply => ended(Execution::MayHaveRun, Outcome::Errored),
-            AttemptEvent::Stopped { reason, has_partial_reply } => self.on_stopped(reason, has_partial_reply),
+            AttemptEvent::Stopped(reason) => self.on_stopped(reason),
         };
         if matches!(step, AttemptStep::Ended(_)) {
             self.state = AttemptState::Ended;
@@ -194,21 +189,20 @@
         }
     }
 
-    fn on_stopped(&self, reason: StopReason, has_partial_reply: bool) -> AttemptStep {
+    fn on_stopped(&self, reason: StopReason) -> AttemptStep {
         let outcome = match reason {
             StopReason::ConnectionLost => Outcome::Reset,
             StopReason::ClientGone | StopReason::ShuttingDown => Outcome::Cancelled,
             StopReason::DeadlineReached => Outcome::TimedOut,
         };
-        // A worker that has begun to reply did not wait for the end of the request.
-        let may_have_run =
-            self.state >= AttemptState::Sent || self.state == AttemptState::PartlySent && has_partial_reply;
-        match (may_have_run, reason) {
-            (true, _) => ended(Execution::MayHaveRun, outcome),
-            (false, StopReason::ClientGone | StopReason::ShuttingDown) => {
+        match (self.state, reason) {
+            (AttemptState::Unsent, StopReason::ClientGone | StopReason::ShuttingDown) => {
                 ended(Execution::NeverRan, Outcome::Cancelled)
             }
-            (false, _) => ended(Execution::NeverRan, Outcome::ConnectFailed),
+            (AttemptState::Unsent, _) => ended(Execution::NeverRan, Outcome::ConnectFailed),
+            (AttemptState::PartlySent | AttemptState::Sent | AttemptState::Ended, _) => {
+                ended(Execution::MayHaveRun, outcome)
+            }
         }
     }
 }
--- a/crates/routing/src/execution.rs
+++ b/crates/routing/src/execution.rs
@@ -5,8 +5,8 @@
 /// one takes precedence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Execution {
-    /// The request has not run and will not run: it was not sent completely, or the worker reported that it
-    /// did not run.
+    /// The request has not run and will not run: no byte of it was sent, or the worker reported that it did
+    /// not run.
     NeverRan,
     /// It is unknown whether the request has run: no conclusive reply was received.
     MayHaveRun,
--- a/crates/routing/tests/attempt.rs
+++ b/crates/routing/tests/attempt.rs
@@ -36,9 +36,9 @@
     let foreign_before = events[..events.len() - 1].iter().any(is_foreign);
     match end.execution {
         Execution::NeverRan => {
-            // The request was not sent completely and got no reply (a partial one counts only if bytes were
-            // sent), or the worker reported for this request, or for the only one on the connection, that
-            // it has not run.
+            // No byte of the request was sent, or the worker reported for this request, or for the only one
+            // on the connection, that it has not run. Guards against a second run of a request that was sent
+            // in part: a worker may begin before it has read the whole body (review, case 4).
             let reported_not_run = own_reply
                 .is_some_and(|h| h.status == 421 || h.reports_not_run && [400, 429, 503].contains(&h.status));
             let is_only_request = reply.is_some_and(|h| {
@@ -48,15 +48,8 @@
                     && is_first
                     && !foreign_before
             });
-            let has_reply = matches!(
-                last,
-                AttemptEvent::MalformedReply
-                    | AttemptEvent::Reply(_)
-                    | AttemptEvent::Stopped { has_partial_reply: true, .. }
-            );
-            let unsent = !sent_completely
-                && (!has_reply || !events.iter().any(|m| matches!(m, AttemptEvent::Written { .. })));
-            assert!(reported_not_run || is_only_request || unsent, "{events:?}: {end:?}");
+            let is_unsent = !events.iter().any(|event| matches!(event, AttemptEvent::Written { .. }));
+            assert!(reported_not_run || is_only_request || is_unsent, "{events:?}: {end:?}");
         }
         Execution::Ran | Execution::Failed => {
             let head = own_reply.unwrap_or_else(|| panic!("{events:?}: {end:?}"));
@@ -89,9 +82,7 @@
     let mut next: Vec<AttemptEvent> = replies.iter().map(|h| AttemptEvent::Reply(*h)).collect();
     next.push(AttemptEvent::MalformedReply);
     for reason in [StopReason::ConnectionLost, StopReason::ClientGone, StopReason::DeadlineReached] {
-        next.extend(
-            [false, true].map(|has_partial_reply| AttemptEvent::Stopped { reason, has_partial_reply }),
-        );
+        next.push(AttemptEvent::Stopped(reason));
     }
     if !events.contains(&AttemptEvent::Written { is_complete: true }) {
         next.extend([false, true].map(|is_complete| AttemptEvent::Written { is_complete }));
