--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -1,6 +1,6 @@
 //! A validated configuration: routes, services, tenants and limits, with lookup by request.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use indexmap::IndexMap;
@@ -118,9 +118,28 @@
     /// Returns the route of a request: the one with the longest matching path prefix among the routes of
     /// the host.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        self.routes_of_host(host).iter().find(|r| path.starts_with(&r.prefix))
+    }
+
+    /// Returns the routes of a host, longest prefix first. `host` may end in a port.
+    fn routes_of_host(&self, host: &str) -> &[Arc<Route>] {
         let host = host.rsplit_once(':').filter(|(_, p)| p.parse::<u16>().is_ok()).map_or(host, |(h, _)| h);
-        let routes = self.routes.get(host).or_else(|| self.routes.get(&host.to_ascii_lowercase()))?;
-        routes.iter().find(|r| path.starts_with(&r.prefix))
+        let routes = self.routes.get(host).or_else(|| self.routes.get(&host.to_ascii_lowercase()));
+        routes.map_or(&[], |routes| &routes[..])
+    }
+
+    /// Returns the regions that requests to a host may be sent to, whichever of its routes they are on: the home
+    /// regions that its routes have in common. `None` if none of its routes has home regions.
+    ///
+    /// Routes with disjoint home regions can't all be satisfied; the result then has the regions of them all.
+    pub fn home_regions_of_host(&self, host: &str) -> Option<BTreeSet<&str>> {
+        let routes = self.routes_of_host(host).iter().filter(|route| !route.home_regions.is_empty());
+        let homes: Vec<BTreeSet<&str>> =
+            routes.map(|route| route.home_regions.iter().map(String::as_str).collect()).collect();
+        let first = homes.first()?;
+        let common: BTreeSet<&str> =
+            first.iter().copied().filter(|region| homes.iter().all(|h| h.contains(region))).collect();
+        Some(if common.is_empty() { homes.into_iter().flatten().collect() } else { common })
     }
 
     /// Returns the tenant with an API key, and its index in `tenants`.
--- a/crates/config/tests/configuration.rs
+++ b/crates/config/tests/configuration.rs
@@ -33,6 +33,26 @@
     assert_eq!(c.route("h.example", "/a/b/").map(|r| r.kind), Some(RouteKind::Unsafe));
 }
 
+/// The requests of a host may be on any of its routes, so only regions that all of them allow are its homes.
+#[test]
+fn home_regions_of_a_host_are_those_that_its_routes_have_in_common() {
+    let with_rows = |rows: &str| {
+        let row = r#"["r2","h.example","/a/b/","unsafe",4,1,1,null,2,false,["east"],"s2"]"#;
+        read(&GOOD.replace(row, &format!("{row},{rows}"))).expect("good")
+    };
+    let route = |name: &str, host: &str, homes: &str| {
+        format!(r#"["{name}","{host}","/{name}/","safe",3,0.8,2,null,2,false,[{homes}],"s1"]"#)
+    };
+    let common = with_rows(&route("r3", "h.example", r#""west","east""#));
+    let homes = |host| common.home_regions_of_host(host).map(Vec::from_iter);
+    assert_eq!(homes("H.example:80"), Some(vec!["east"]), "r1 has no homes");
+    assert_eq!(homes("i.example"), None);
+    let disjoint = with_rows(&route("r3", "h.example", r#""west""#));
+    assert_eq!(disjoint.home_regions_of_host("h.example").map(Vec::from_iter), Some(vec!["east", "west"]));
+    let without = with_rows(&route("r3", "i.example", ""));
+    assert_eq!(without.home_regions_of_host("i.example"), None);
+}
+
 /// Each kind of invalid configuration is rejected with the path of the invalid key.
 #[test]
 fn errors_name_the_invalid_key() {
--- a/crates/control-state/src/directory.rs
+++ b/crates/control-state/src/directory.rs
@@ -2,7 +2,7 @@
 //! proxies that are connected to this controller with the reports of the other controllers, so that a
 //! controller without connected proxies can answer look-ups too.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use lynxstair::types::{Span, Time};
@@ -34,6 +34,25 @@
     statuses: HashMap<String, ProxyStatus>,
 }
 
+/// Question of a client.
+#[derive(Clone, Debug)]
+pub struct Lookup<'a> {
+    /// Region of the client.
+    pub region: &'a str,
+    /// Home regions of the client's host; `None` if its requests may be sent to any region.
+    pub home_regions: Option<BTreeSet<&'a str>>,
+    /// This controller has quorum contact.
+    pub has_quorum_contact: bool,
+}
+
+impl Lookup<'_> {
+    /// Returns `true` if a proxy of this region may get the client's requests: one of its own region, or of a
+    /// home region.
+    fn allows(&self, region: &str) -> bool {
+        region == self.region || self.home_regions.as_ref().is_none_or(|homes| homes.contains(region))
+    }
+}
+
 /// The proxies that one controller knows.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -47,8 +66,8 @@
     shutting_down: HashMap<String, (u64, Time)>,
     /// Proxies by node name, and the time at which they were last reported as able to serve.
     last_serving: HashMap<String, (ProxyInfo, Time)>,
-    /// Cached result of `serving` with the time of its computation.
-    cached: Option<(Time, Vec<ProxyInfo>)>,
+    /// Cached statuses of the proxies that can serve, with the time of their computation.
+    cached: Option<(Time, Vec<ProxyStatus>)>,
     /// Number of look-ups, by which the answers are rotated, so that all proxies are returned and listed
     /// first about equally often.
     lookups: usize,
@@ -159,10 +178,9 @@
         self.shutting_down.get(&proxy.node).is_some_and(|(incarnation, _)| *incarnation == proxy.incarnation)
     }
 
-    /// Returns the proxies that clients may connect to: all that any controller reports as ready or, if
-    /// there are none, those that serve with an unconfirmed configuration. Excludes incarnations that are
-    /// shutting down.
-    pub fn serving(&self, now: Time) -> Vec<&ProxyInfo> {
+    /// Returns the best status of each proxy that any controller reports as able to serve. Excludes
+    /// incarnations that are shutting down.
+    fn able_to_serve(&self, now: Time) -> Vec<&ProxyStatus> {
         let views = self.remote.values().filter(|view| now - view.last_message_at < STATUS_TIMEOUT);
         let statuses = self.local_statuses(now).chain(views.flat_map(|view| view.statuses.values()));
         let mut best: HashMap<&str, &ProxyStatus> = HashMap::new();
@@ -172,25 +190,35 @@
                 best.insert(&status.proxy.node, status);
             }
         }
-        let with = |readiness| best.values().filter(move |s| s.readiness == readiness).map(|s| &s.proxy);
-        let ready: Vec<&ProxyInfo> = with(Readiness::Ready).collect();
-        if ready.is_empty() { with(Readiness::Stale).collect() } else { ready }
+        best.into_values().collect()
     }
 
-    /// Returns the addresses for a client in `region`: proxies of that region if there are any, otherwise of
-    /// all regions. If no proxy is serving, a controller with quorum contact returns those that served last,
-    /// as they may only be partitioned from the controllers. A controller without quorum contact returns
-    /// none, since others may know more.
-    pub fn lookup(&mut self, now: Time, region: &str, has_quorum_contact: bool) -> Vec<SocketAddr> {
+    /// Returns the proxies that clients may connect to, in any region.
+    pub fn serving(&self, now: Time) -> Vec<&ProxyInfo> {
+        prefer_ready(&self.able_to_serve(now))
+    }
+
+    /// Returns the addresses for a client: proxies of its region if there are any, otherwise of all regions that
+    /// its requests may be sent to. Of these, ready proxies come first, then those that serve with an unconfirmed
+    /// configuration. If there is none, a controller with quorum contact returns those that served last, as they
+    /// may only be partitioned from the controllers. A controller without quorum contact returns none, since
+    /// others may know more.
+    ///
+    /// A proxy that is in no region of the client or of its host's homes is never returned: without an answer,
+    /// the client keeps the addresses that it has.
+    pub fn lookup(&mut self, now: Time, lookup: &Lookup) -> Vec<SocketAddr> {
         if self.cached.as_ref().is_none_or(|(at, _)| now - *at >= CACHE_TTL) {
-            self.cached = Some((now, self.serving(now).into_iter().cloned().collect()));
+            self.cached = Some((now, self.able_to_serve(now).into_iter().cloned().collect()));
         }
-        let serving = self.cached.as_ref().map_or(&[][..], |(_, serving)| serving);
-        let mut candidates: Vec<&ProxyInfo> = serving.iter().collect();
-        if candidates.is_empty() && has_quorum_contact {
-            candidates = self.recently_serving(now);
+        let able_to_serve = self.cached.as_ref().map_or(&[][..], |(_, statuses)| statuses);
+        let allowed: Vec<&ProxyStatus> =
+            able_to_serve.iter().filter(|status| lookup.allows(&status.proxy.region)).collect();
+        let mut candidates = prefer_ready(&allowed);
+        if candidates.is_empty() && lookup.has_quorum_contact {
+            candidates = self.recently_serving(now, lookup);
         }
-        let mut nearby: Vec<&ProxyInfo> = candidates.iter().copied().filter(|p| p.region == region).collect();
+        let mut nearby: Vec<&ProxyInfo> =
+            candidates.iter().copied().filter(|p| p.region == lookup.region).collect();
         if nearby.is_empty() {
             nearby = candidates;
         }
@@ -204,12 +232,20 @@
         addresses
     }
 
-    fn recently_serving(&self, now: Time) -> Vec<&ProxyInfo> {
+    fn recently_serving(&self, now: Time, lookup: &Lookup) -> Vec<&ProxyInfo> {
         let recent = self.last_serving.values().filter(|(_, at)| now - *at < RETENTION);
-        recent.map(|(proxy, _)| proxy).filter(|proxy| !self.is_shutting_down(proxy)).collect()
+        let allowed = recent.map(|(proxy, _)| proxy).filter(|proxy| lookup.allows(&proxy.region));
+        allowed.filter(|proxy| !self.is_shutting_down(proxy)).collect()
     }
 }
 
+/// Returns the proxies that are ready or, if there are none, those that serve with an unconfirmed configuration.
+fn prefer_ready<'a>(statuses: &[&'a ProxyStatus]) -> Vec<&'a ProxyInfo> {
+    let with = |readiness| statuses.iter().filter(move |s| s.readiness == readiness).map(|s| &s.proxy);
+    let ready: Vec<&ProxyInfo> = with(Readiness::Ready).collect();
+    if ready.is_empty() { with(Readiness::Stale).collect() } else { ready }
+}
+
 /// Rank of a status; the highest counts if controllers report different ones. 0 if the proxy is not serving.
 fn serving_rank(status: &ProxyStatus) -> u8 {
     match status.readiness {
--- a/crates/controller/src/directory_api.rs
+++ b/crates/controller/src/directory_api.rs
@@ -1,5 +1,6 @@
 //! Directory look-ups: addresses of proxies that clients may connect to.
 
+use lynxstair_control_state::directory::Lookup;
 use lynxstair_net::server::{Request, Response};
 
 use crate::controller::Controller;
@@ -8,19 +9,24 @@
 /// Time for which clients may use an answer, in seconds, unless the bound in the settings is shorter.
 const ANSWER_TTL_S: f64 = 3.0;
 
-/// Handles a request at the directory address: `GET /resolve?region=REGION`.
+/// Handles a request at the directory address: `GET /resolve?name=HOST&region=REGION`.
 pub fn handle(controller: &Controller, request: &Request) -> Response {
     if (request.method, &request.segments[..]) != ("GET", &["resolve"]) {
         return Response::new(404);
     }
     let now = controller.alarms.now();
-    let mut state = controller.state();
+    let state = &mut *controller.state();
     if !state.may_answer_lookups(now) {
         return unavailable();
     }
-    let has_quorum_contact = state.consensus.has_quorum_contact(now);
-    let region = request.query_value("region").unwrap_or("");
-    let addresses = state.directory.lookup(now, region, has_quorum_contact);
+    let host = request.query_value("name").unwrap_or("");
+    let configuration = state.committed.store.configuration();
+    let lookup = Lookup {
+        region: request.query_value("region").unwrap_or(""),
+        home_regions: configuration.and_then(|configuration| configuration.home_regions_of_host(host)),
+        has_quorum_contact: state.consensus.has_quorum_contact(now),
+    };
+    let addresses = state.directory.lookup(now, &lookup);
     if addresses.is_empty() {
         return unavailable();
     }
--- a/crates/controller/tests/cluster.rs
+++ b/crates/controller/tests/cluster.rs
@@ -9,7 +9,7 @@
 
 use lynxstair_config::json;
 use lynxstair_fakes::{WAIT_TIMEOUT, wait_until};
-use lynxstair_protocol::messages::{Readiness, ToController, ToProxy};
+use lynxstair_protocol::messages::{ProxyInfo, Readiness, ToController, ToProxy};
 use nix::sys::signal::Signal;
 
 use support::{Cluster, InternalConnection, call, configuration, heartbeat, proxy, send};
@@ -133,6 +133,37 @@
     wait_until("the directory without the proxy that shuts down", || (look_up() == Some(503)).then_some(()));
 }
 
+/// The directory takes the homes of a host from the configuration. Guards against requests with homes that it
+/// sends to a region that is no home while the proxies of the client's region are restarted (review, case 8).
+#[test]
+fn the_directory_returns_no_proxy_outside_the_home_regions() {
+    let mut cluster = Cluster::new(13);
+    cluster.start(1, &[1], true);
+    let homes = configuration(5, 0)
+        .replace(r#""max-attempts"]"#, r#""max-attempts","home-regions"]"#)
+        .replace(r#""s",2]"#, r#""s",2,["r1","r2"]]"#);
+    assert_eq!(cluster.operator_request("PUT /config", &homes), 200);
+    let mut proxies = [("e1", "r1"), ("e2", "r2"), ("e3", "r3")].map(|(node, region)| {
+        let client_address = format!("10.0.0.{}:80", &node[1..]).parse().expect("an address");
+        let proxy = ProxyInfo { region: region.into(), client_address, ..proxy(node) };
+        let mut connection = InternalConnection::open(cluster.control_address(1));
+        connection.send(&ToController::Subscribe { proxy, wants_instances: false });
+        connection
+    });
+    let look_up = |host: &str| {
+        let answer = call(cluster.directory(1), &format!("GET /resolve?name={host}&region=r1&zone=z1"), "")?;
+        (answer.status() == 200).then(|| String::from_utf8_lossy(&answer.body).into_owned())
+    };
+    let names_all = |answer: &String| (2..=3).all(|n| answer.contains(&format!("\"10.0.0.{n}:80\"")));
+    wait_until("all proxies but the one that shuts down", || {
+        proxies.iter_mut().for_each(|connection| connection.send_heartbeat(Readiness::Ready));
+        proxies[0].send_heartbeat(Readiness::ShuttingDown);
+        look_up("elsewhere.example").filter(names_all)
+    });
+    let answer = look_up("h.example").expect("an answer");
+    assert!(answer.contains("10.0.0.2:80") && !answer.contains("10.0.0.3:80"), "{answer}");
+}
+
 /// A configuration above 64 KiB, which is parsed on the blocking pool, is applied and returned like any
 /// other. A controller with an unreadable database quarantines it and catches up, even if its settings say
 /// `bootstrap`.
