--- a/crates/controller/tests/departures.rs
+++ b/crates/controller/tests/departures.rs
@@ -44,7 +44,7 @@
     cluster.start_with_ready_instance("i-stays");
     let leader = wait_until("a leader", || cluster.leader());
     let followers: Vec<usize> = (1..=3).filter(|n| *n != leader).collect();
-    followers.iter().for_each(|n| cluster.signal(*n, Signal::SIGSTOP));
+    followers.iter().for_each(|n| cluster.pause(*n));
     let message = call(cluster.control_address(leader), "DELETE /instances/i-stays", "").expect("answered");
     assert_eq!(message.status(), 503);
     followers.iter().for_each(|n| cluster.signal(*n, Signal::SIGCONT));
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -124,6 +124,20 @@
         kill(Pid::from_raw(self.controllers[&n].id() as i32), signal).expect("signalled");
     }
 
+    /// Stops a controller by SIGSTOP. Returns when all its threads have stopped, as the signal alone lets them run
+    /// on for a while.
+    pub fn pause(&self, n: usize) {
+        self.signal(n, Signal::SIGSTOP);
+        let threads = format!("/proc/{}/task", self.controllers[&n].id());
+        wait_until("stopped threads", || {
+            let mut threads = std::fs::read_dir(&threads).expect("a process").flatten();
+            let has_stopped = |state: String| state.contains("State:\tT");
+            threads
+                .all(|t| std::fs::read_to_string(t.path().join("status")).is_ok_and(has_stopped))
+                .then_some(())
+        });
+    }
+
     /// Returns the status of a controller, or `None` if it does not respond.
     pub fn status(&self, n: usize) -> Option<Object> {
         let message = call(self.control_address(n), "GET /status", "")?;
