--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `sound_replies.rs` | valid replies in all forms |
 //! | `counter.rs`, `discovery.rs`, `sink.rs` | the other peers of a gatekeeper |
 //! | `load.rs` | load generator that records what clients and workers observe |
+//! | `crowd.rs` | clients that send ahead and read nothing, and what a process takes |
 //! | `config.rs` | boot configurations of a gatekeeper |
 //! | `wait.rs` | polling with a time-out |
 #![forbid(unsafe_code)]
@@ -18,6 +19,7 @@
 mod broken_replies;
 mod config;
 mod counter;
+mod crowd;
 mod discovery;
 mod load;
 mod message;
@@ -33,6 +35,7 @@
 pub use broken_replies::{BrokenReply, broken_replies};
 pub use config::{gatekeeper_config, named_gatekeeper_config};
 pub use counter::{Counter, start_adding_counter, start_counter, start_counter_with_response};
+pub use crowd::{Crowd, CrowdPlan, ProcessUsage};
 pub use discovery::{Discovery, start_discovery, start_discovery_with_stream, worker_entry};
 pub use load::{Load, LoadPlan, ReceivedAttempt, RequestOutcome, Traffic, monotonic_nanos};
 pub use message::{HttpMessage, exchange, request_text};
--- a/crates/gatekeeper/src/forwarder.rs
+++ b/crates/gatekeeper/src/forwarder.rs
@@ -272,7 +272,7 @@
             let stream = match worker.connection.read() {
                 ReadOutcome::Bytes => StreamState::Open,
                 ReadOutcome::End => StreamState::Ended,
-                ReadOutcome::Broken => StreamState::Broken,
+                ReadOutcome::Broken | ReadOutcome::OutOfMemory => StreamState::Broken,
             };
             if !self.handle_replies(worker, stream) || stream != StreamState::Open {
                 return;
--- a/crates/gatekeeper/src/startup.rs
+++ b/crates/gatekeeper/src/startup.rs
@@ -10,7 +10,7 @@
 use lynxstair_net::clock::Clock;
 use lynxstair_net::coroutine::{configure_runtime, spawn};
 use lynxstair_net::log_limited;
-use lynxstair_net::ring_buffer::limit_buffer_memory;
+use lynxstair_net::memory_budget::limit_connection_memory;
 use lynxstair_net::wake_timer::WakeTimer;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -40,7 +40,7 @@
 const MIN_USABLE_DESCRIPTORS: usize = 16;
 const CLIENT_FRACTION: f64 = 0.65;
 /// The buffers of all connections may use the memory limit divided by this.
-const BUFFER_MEMORY_DIVISOR: usize = 2;
+const CONNECTION_MEMORY_DIVISOR: usize = 2;
 
 /// Runs the gatekeeper until SIGTERM or SIGINT and the end of the graceful shutdown.
 ///
@@ -82,7 +82,7 @@
     let clock = Clock::start();
     let settings = &config.settings;
     let (max_clients, max_workers) = split_descriptors(config.limits.sockets);
-    limit_buffer_memory((config.limits.memory_mb << 20) as usize / BUFFER_MEMORY_DIVISOR);
+    limit_connection_memory((config.limits.memory_mb << 20) as usize / CONNECTION_MEMORY_DIVISOR);
     let wake_timer =
         WakeTimer::new(clock, settings.policy.time_resolution).map_err(GatekeeperError::Timer)?;
     let wake_timer = Arc::new(wake_timer);
--- a/crates/net/src/alarms.rs
+++ b/crates/net/src/alarms.rs
@@ -1,7 +1,8 @@
 //! Wake-ups at requested times, for readers of connections and for sleeping coroutines.
 //!
-//! One coroutine waits for one timer. Alarms cannot be cancelled: an outdated alarm causes a spurious
-//! wake-up, so every waiter checks its own condition again.
+//! One coroutine waits for one timer. Alarms of blockers cannot be cancelled: an outdated alarm causes a spurious
+//! wake-up, so every waiter checks its own condition again. A connection has one alarm, which the next one
+//! replaces, so that memory does not grow with the number of alarms set.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -22,19 +23,58 @@
     Blocker(Arc<Blocker>),
 }
 
-impl Waiter {
-    fn wake(self) {
-        match self {
-            Waiter::Connection(connection) => {
-                if let Some(connection) = connection.upgrade() {
-                    connection.wake();
-                }
+/// The alarm of a connection.
+#[derive(Debug, Default)]
+pub(crate) struct ConnectionAlarm {
+    /// Time at which its reader is to be woken; `None` if there is no alarm.
+    due: Option<Time>,
+    /// Time of its entry in the queue, which is at `due` or before; `None` if there is none. An entry with another
+    /// time is outdated.
+    queued: Option<Time>,
+}
+
+impl ConnectionAlarm {
+    /// Replaces the alarm. Returns `true` if it needs a new entry in the queue.
+    fn replace(&mut self, due: Time) -> bool {
+        self.due = Some(due);
+        let needs_entry = self.queued.is_none_or(|queued| queued > due);
+        if needs_entry {
+            self.queued = Some(due);
+        }
+        needs_entry
+    }
+
+    /// Handles the entry with time `at`, which was removed from the queue.
+    fn on_removed(&mut self, now: Time, at: Time) -> AlarmStep {
+        if self.queued != Some(at) {
+            return AlarmStep::Nothing;
+        }
+        self.queued = None;
+        match self.due {
+            Some(due) if due > now => {
+                self.queued = Some(due);
+                AlarmStep::Requeue(due)
             }
-            Waiter::Blocker(blocker) => blocker.unpark(),
+            Some(_) => {
+                self.due = None;
+                AlarmStep::Wake
+            }
+            None => AlarmStep::Nothing,
         }
     }
 }
 
+/// What to do after an entry of a connection was removed from the queue.
+enum AlarmStep {
+    Nothing,
+    Wake,
+    Requeue(Time),
+}
+
+fn lock_alarm(connection: &Connection) -> MutexGuard<'_, ConnectionAlarm> {
+    connection.alarm.lock().unwrap_or_else(|e| e.into_inner())
+}
+
 /// A pending wake-up, ordered by time and then by the order of creation.
 struct Alarm {
     at: Time,
@@ -122,9 +162,27 @@
         self.wake_timer.received_at(now)
     }
 
-    /// Wakes the reader of a connection at `at`, unless the connection has been dropped.
+    /// Wakes the reader of a connection at `at`, unless the connection has been dropped. Replaces the alarm that
+    /// was set before.
     pub fn wake_connection(&self, at: Time, connection: &Arc<Connection>) {
-        self.set(at, Waiter::Connection(Arc::downgrade(connection)));
+        if lock_alarm(connection).replace(at) {
+            self.set(at, Waiter::Connection(Arc::downgrade(connection)));
+        }
+    }
+
+    fn fire(&self, now: Time, alarm: Alarm) {
+        match alarm.waiter {
+            Waiter::Blocker(blocker) => blocker.unpark(),
+            Waiter::Connection(waiting) => {
+                let Some(connection) = waiting.upgrade() else { return };
+                let step = lock_alarm(&connection).on_removed(now, alarm.at);
+                match step {
+                    AlarmStep::Nothing => {}
+                    AlarmStep::Wake => connection.wake(),
+                    AlarmStep::Requeue(due) => self.set(due, Waiter::Connection(waiting)),
+                }
+            }
+        }
     }
 
     /// Unparks a blocker at `at`.
@@ -150,7 +208,7 @@
                 // A separate statement, so that the queue is unlocked when the waiter is woken.
                 let due = self.queue().pop_due(now);
                 let Some(alarm) = due else { break };
-                alarm.waiter.wake();
+                self.fire(now, alarm);
             }
             let next = self.queue().next_due();
             if let Some(next) = next {
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -5,7 +5,7 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
 use lynxstair::types::Span;
@@ -13,6 +13,7 @@
 use nix::sys::epoll::EpollFlags;
 use socket2::{Domain, Socket, Type};
 
+use crate::alarms::ConnectionAlarm;
 use crate::log_limited;
 use crate::ring_buffer::RingBuffer;
 
@@ -32,6 +33,10 @@
     /// `true` after an error. The kernel reports it only once, to a read or a write; later reads look like an
     /// orderly end.
     is_broken: AtomicBool,
+    /// Number of bytes that the kernel has taken.
+    sent_bytes: AtomicU64,
+    /// Pending wake-up, owned by [`Alarms`](crate::alarms::Alarms).
+    pub(crate) alarm: Mutex<ConnectionAlarm>,
 }
 
 /// Result of a read.
@@ -43,6 +48,19 @@
     End,
     /// The connection failed or was closed by this side. The bytes in the buffer may be incomplete.
     Broken,
+    /// The memory budget has no room for more bytes. The connection is intact.
+    OutOfMemory,
+}
+
+fn start_connecting(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&address.into()) {
+        Ok(()) => {}
+        Err(e) if e.raw_os_error() == Some(nix::errno::Errno::EINPROGRESS as i32) => {}
+        Err(e) => return Err(e),
+    }
+    Ok(socket.into())
 }
 
 fn lock_buffer(buffer: &Mutex<RingBuffer>) -> MutexGuard<'_, RingBuffer> {
@@ -52,28 +70,38 @@
 impl Connection {
     /// Wraps an accepted stream. `max_buffer_bytes` is the limit of each of the two buffers.
     pub fn new(stream: TcpStream, max_buffer_bytes: usize) -> io::Result<Self> {
+        Connection::with_buffers(stream, || RingBuffer::new(max_buffer_bytes))
+    }
+
+    /// Like `new`, for a connection between the system's own processes: its buffers are exempt from the memory
+    /// budget.
+    pub fn new_internal(stream: TcpStream, max_buffer_bytes: usize) -> io::Result<Self> {
+        Connection::with_buffers(stream, || RingBuffer::exempt(max_buffer_bytes))
+    }
+
+    fn with_buffers(stream: TcpStream, new_buffer: impl Fn() -> RingBuffer) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         Ok(Connection {
             io: CoIo::new(stream).map_err(|e| io::Error::other(e.to_string()))?,
-            inbound: Mutex::new(RingBuffer::new(max_buffer_bytes)),
-            outbound: Mutex::new(RingBuffer::new(max_buffer_bytes)),
+            inbound: Mutex::new(new_buffer()),
+            outbound: Mutex::new(new_buffer()),
             is_closed: AtomicBool::new(false),
             is_drained: AtomicBool::new(false),
             is_ending: AtomicBool::new(false),
             is_broken: AtomicBool::new(false),
+            sent_bytes: AtomicU64::new(0),
+            alarm: Mutex::default(),
         })
     }
 
     /// Starts to connect to `address`. `wait_connected` waits until the connection is established.
     pub fn open(address: SocketAddr, max_buffer_bytes: usize) -> io::Result<Self> {
-        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-        socket.set_nonblocking(true)?;
-        match socket.connect(&address.into()) {
-            Ok(()) => {}
-            Err(e) if e.raw_os_error() == Some(nix::errno::Errno::EINPROGRESS as i32) => {}
-            Err(e) => return Err(e),
-        }
-        Connection::new(socket.into(), max_buffer_bytes)
+        Connection::new(start_connecting(address)?, max_buffer_bytes)
+    }
+
+    /// Like `open`, for a connection between the system's own processes.
+    pub fn open_internal(address: SocketAddr, max_buffer_bytes: usize) -> io::Result<Self> {
+        Connection::new_internal(start_connecting(address)?, max_buffer_bytes)
     }
 
     /// Sets the time after which the connection fails if the peer acknowledges no bytes (`TCP_USER_TIMEOUT`).
@@ -115,43 +143,64 @@
     }
 
     /// Reads the available bytes. If there are none, waits for bytes, for the end or for a call of `wake`.
+    ///
+    /// While the buffer is full nothing is read, and an end is noticed only by an error of the connection.
     pub fn read(&self) -> ReadOutcome {
+        self.read_until(|| false)
+    }
+
+    /// Like `read`, but also returns `Bytes` once `is_ready` returns `true`, which is asked after each event, for
+    /// example when the peer has taken bytes.
+    pub fn read_until(&self, is_ready: impl Fn() -> bool) -> ReadOutcome {
         loop {
             if !self.is_drained.load(Ordering::Relaxed) {
                 match self.read_available() {
                     Ok(0) => {}
                     Ok(_) => return ReadOutcome::Bytes,
-                    Err(_) => return self.end(),
+                    Err(e) => return self.end_after(&e),
                 }
             }
             if self.is_closed() || self.flush().is_err() {
                 return self.end();
             }
-            let events = self.io.wait_io();
-            let is_woken = events & WOKEN != 0;
-            let events = EpollFlags::from_bits_truncate(events as i32);
-            let ends = EpollFlags::EPOLLRDHUP | EpollFlags::EPOLLHUP | EpollFlags::EPOLLERR;
-            if events.intersects(ends) {
-                self.is_ending.store(true, Ordering::Relaxed);
-            }
-            if events.intersects(ends | EpollFlags::EPOLLIN) {
-                self.is_drained.store(false, Ordering::Relaxed);
+            if is_ready() {
+                return ReadOutcome::Bytes;
             }
+            let is_woken = self.wait_event();
             if is_woken {
                 return if self.is_closed() { self.end() } else { ReadOutcome::Bytes };
             }
         }
     }
 
+    /// Waits for an event of the socket or a call of `wake`, and records what it says of the inbound direction.
+    /// Returns `true` after a call of `wake`.
+    fn wait_event(&self) -> bool {
+        let bits = self.io.wait_io();
+        let events = EpollFlags::from_bits_truncate(bits as i32);
+        let ends = EpollFlags::EPOLLRDHUP | EpollFlags::EPOLLHUP | EpollFlags::EPOLLERR;
+        if events.intersects(ends) {
+            self.is_ending.store(true, Ordering::Relaxed);
+        }
+        if events.intersects(ends | EpollFlags::EPOLLIN) {
+            self.is_drained.store(false, Ordering::Relaxed);
+        }
+        bits & WOKEN != 0
+    }
+
     /// Reads the available bytes without waiting; `None` if there are none or the buffer is full.
     pub fn try_read(&self) -> Option<ReadOutcome> {
         match self.read_available() {
             Ok(0) => None,
             Ok(_) => Some(ReadOutcome::Bytes),
-            Err(_) => Some(self.end()),
+            Err(e) => Some(self.end_after(&e)),
         }
     }
 
+    fn end_after(&self, error: &io::Error) -> ReadOutcome {
+        if error.kind() == io::ErrorKind::OutOfMemory { ReadOutcome::OutOfMemory } else { self.end() }
+    }
+
     /// Returns `End` if the connection ended in order, and `Broken` after an error or if this side closed it.
     fn end(&self) -> ReadOutcome {
         let is_broken = self.is_broken.load(Ordering::Relaxed) || self.is_closed();
@@ -190,7 +239,8 @@
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => {
-                    self.is_broken.store(true, Ordering::Relaxed);
+                    let is_broken = e.kind() != io::ErrorKind::OutOfMemory;
+                    self.is_broken.fetch_or(is_broken, Ordering::Relaxed);
                     return if received > 0 { Ok(received) } else { Err(e) };
                 }
             }
@@ -209,7 +259,10 @@
 
     fn flush(&self) -> io::Result<()> {
         let mut outbound = lock_buffer(&self.outbound);
-        match outbound.write_to(&mut self.io.inner()) {
+        let unsent = outbound.len();
+        let written = outbound.write_to(&mut self.io.inner());
+        self.sent_bytes.fetch_add((unsent - outbound.len()) as u64, Ordering::Relaxed);
+        match written {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
             Err(e) => {
                 self.is_broken.store(true, Ordering::Relaxed);
@@ -222,17 +275,28 @@
     /// Waits until the kernel has taken all written bytes.
     ///
     /// Returns `false` if the connection failed or was closed, or if `is_over` returned `true`; the caller
-    /// must have the connection woken then. Only the reading coroutine may call this, after its last read.
+    /// must have the connection woken then. Only the reading coroutine may call this.
     pub fn wait_flushed(&self, is_over: impl Fn() -> bool) -> bool {
         while !self.is_closed() && !is_over() && self.flush().is_ok() {
             if self.unsent() == 0 {
                 return true;
             }
-            self.io.wait_io();
+            self.wait_event();
         }
         false
     }
 
+    /// Number of bytes that the kernel has taken since the start.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Returns `true` if the peer has closed its sending direction, or the connection has failed, even if bytes
+    /// from before are still unread.
+    pub fn is_ending(&self) -> bool {
+        self.is_ending.load(Ordering::Relaxed)
+    }
+
     /// Number of written bytes that the kernel has not taken yet.
     pub fn unsent(&self) -> usize {
         lock_buffer(&self.outbound).len()
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`wake_timer`], [`alarms`] | timer of one coroutine; wake-ups of any number of coroutines |
 //! | [`coroutine`] | starting coroutines and containing their panics |
 //! | [`connection`], [`ring_buffer`] | socket with a bounded buffer for each direction |
+//! | [`memory_budget`] | limit on the memory of all connections and requests |
 //! | [`http`], [`server`] | HTTP/1.1 messages; a small HTTP server |
 //! | [`log`] | rate-limited log lines |
 #![deny(unsafe_code)]
@@ -19,6 +20,7 @@
 pub mod coroutine;
 pub mod http;
 pub mod log;
+pub mod memory_budget;
 pub mod ring_buffer;
 pub mod server;
 pub mod wake_timer;
--- a/crates/net/src/ring_buffer.rs
+++ b/crates/net/src/ring_buffer.rs
@@ -1,35 +1,38 @@
-//! Ring buffer for one direction of a connection. Each buffer and the total size of all buffers are bounded.
+//! Ring buffer for one direction of a connection, with a limit on its length. All buffers together are limited by the
+//! [`memory_budget`](crate::memory_budget).
 
 use std::io::{self, Read, Write};
-use std::sync::atomic::{AtomicUsize, Ordering};
 
-use crate::log_limited;
+use crate::memory_budget::{Need, Reservation};
 
 /// Smallest allocation of a buffer, in bytes. A larger one is freed when the buffer becomes empty.
 pub(crate) const MIN_ALLOCATION_BYTES: usize = 2048;
 
-/// Limit on the allocations of all buffers together, and their current sum, in bytes.
-static MAX_TOTAL_BYTES: AtomicUsize = AtomicUsize::new(usize::MAX);
-static TOTAL_BYTES: AtomicUsize = AtomicUsize::new(0);
-
-/// Limits the allocations of all buffers together, in bytes. Reads and writes that need more fail with
-/// `OutOfMemory`.
-pub fn limit_buffer_memory(max_bytes: usize) {
-    MAX_TOTAL_BYTES.store(max_bytes, Ordering::Relaxed);
-}
-
 /// Ring buffer that grows up to a limit and frees a large allocation when it becomes empty.
 pub struct RingBuffer {
     bytes: Vec<u8>,
     head: usize,
     len: usize,
     max_len: usize,
+    /// Memory of `bytes`; `None` if it is exempt from the memory budget.
+    reservation: Option<Reservation>,
 }
 
 impl RingBuffer {
     /// Creates an empty buffer that holds up to `max_len` bytes.
     pub fn new(max_len: usize) -> Self {
-        RingBuffer { bytes: Vec::new(), head: 0, len: 0, max_len }
+        let reservation = Some(Reservation::default());
+        RingBuffer { bytes: Vec::new(), head: 0, len: 0, max_len, reservation }
+    }
+
+    /// Creates a buffer that is exempt from the memory budget, for the system's own connections.
+    pub fn exempt(max_len: usize) -> Self {
+        RingBuffer { reservation: None, ..RingBuffer::new(max_len) }
+    }
+
+    /// Changes the maximum length. A buffer that is longer keeps its bytes.
+    pub fn set_max_len(&mut self, max_len: usize) {
+        self.max_len = max_len;
     }
 
     /// Number of buffered bytes.
@@ -72,8 +75,10 @@
     }
 
     fn release(&mut self) {
-        TOTAL_BYTES.fetch_sub(self.bytes.len(), Ordering::Relaxed);
         self.bytes = Vec::new();
+        if let Some(reservation) = &mut self.reservation {
+            *reservation = Reservation::default();
+        }
     }
 
     fn grow(&mut self, min_size: usize) -> io::Result<()> {
@@ -82,12 +87,8 @@
             .max(MIN_ALLOCATION_BYTES)
             .next_power_of_two()
             .min(self.max_len.max(MIN_ALLOCATION_BYTES));
-        let added = size - self.bytes.len();
-        let total = TOTAL_BYTES.fetch_add(added, Ordering::Relaxed) + added;
-        if total > MAX_TOTAL_BYTES.load(Ordering::Relaxed) {
-            TOTAL_BYTES.fetch_sub(added, Ordering::Relaxed);
-            log_limited!("the buffers of all connections have reached their memory limit");
-            return Err(io::ErrorKind::OutOfMemory.into());
+        if let Some(reservation) = &mut self.reservation {
+            reservation.grow(size - self.bytes.len(), Need::for_size(size))?;
         }
         self.bytes.resize(size, 0);
         Ok(())
@@ -100,7 +101,7 @@
     }
 
     /// Reads once. Returns the number of bytes read, and `true` if the free part was filled, so that more may
-    /// be available.
+    /// be available. Fails with `OutOfMemory` if the memory budget has no room.
     pub(crate) fn read_from(&mut self, source: &mut impl Read) -> io::Result<(usize, bool)> {
         if self.len == self.bytes.len() {
             self.grow(self.len + 1)?;
@@ -127,12 +128,6 @@
     }
 }
 
-impl Drop for RingBuffer {
-    fn drop(&mut self) {
-        self.release();
-    }
-}
-
 impl Write for RingBuffer {
     /// Buffers all of `from`, or fails and buffers nothing.
     fn write(&mut self, from: &[u8]) -> io::Result<usize> {
--- a/crates/proxy/src/forwarding.rs
+++ b/crates/proxy/src/forwarding.rs
@@ -13,8 +13,8 @@
 
 use crate::cancellation::CancelToken;
 use crate::outgoing_request::OutgoingRequest;
-use crate::worker_pool::{WorkerConnection, WorkerPool, max_idle_time};
-use crate::worker_reply::{FoundReply, WorkerReply, find_reply};
+use crate::worker_pool::{MAX_BUFFER_BYTES, WorkerConnection, WorkerPool, max_idle_time};
+use crate::worker_reply::{FoundReply, MAX_FIRST_READ_BYTES, WorkerReply, find_reply};
 
 /// Result of an attempt.
 pub struct AttemptResult {
@@ -75,6 +75,7 @@
             return result_unsent(AttemptEvent::SendNotPermitted);
         }
         let mut attempt = Attempt::new(is_new);
+        connection.inbound().set_max_len(MAX_FIRST_READ_BYTES);
         let time_left_ms = (deadline - now).nanos() / 1_000_000;
         let mut request_bytes = None;
         // A failed write is seen by the read that follows.
@@ -115,6 +116,7 @@
             if reason.is_some() {
                 // After a pause of the process, the deadline may wake it before a reply that arrived in time
                 // was read. So everything in the kernel's receive buffer is read first.
+                connection.inbound().set_max_len(MAX_BUFFER_BYTES);
                 stream = read_all(connection).unwrap_or(stream);
             }
             let unsent = connection.unsent();
@@ -139,6 +141,11 @@
             if let Some(reason) = reason {
                 return Err(AttemptEvent::Stopped(reason));
             }
+            let mut inbound = connection.inbound();
+            if inbound.is_full() {
+                // A body without a declared length, or a long reply that is not for this attempt.
+                inbound.set_max_len(MAX_BUFFER_BYTES);
+            }
         }
     }
 
@@ -179,7 +186,7 @@
     match outcome {
         ReadOutcome::Bytes => StreamState::Open,
         ReadOutcome::End => StreamState::Ended,
-        ReadOutcome::Broken => StreamState::Broken,
+        ReadOutcome::Broken | ReadOutcome::OutOfMemory => StreamState::Broken,
     }
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,7 +11,7 @@
 //! | start and shutdown | [`startup`] | all layers below |
 //! | entry points | `client_reader`, `request_handler`, `control_client` | shared state |
 //! | shared | [`proxy`] | all components |
-//! | components | [`routing_state`], [`admitted_request`], `control_connections`, `client_registry`, `client_connection`, `client_limits`, [`pipeline`], [`local_response`], [`phase`] | decision packages, connections |
+//! | components | [`routing_state`], [`admitted_request`], `control_connections`, `client_registry`, `client_connection`, `client_limits`, `request_memory`, `send_progress`, [`pipeline`], [`local_response`], [`phase`] | decision packages, connections |
 //! | workers | `forwarding`, [`worker_pool`], [`worker_reply`], [`outgoing_request`], [`cancellation`] | connections |
 //!
 //! The decision logic is in `lynxstair-routing` and `lynxstair-control-state`; this package does the I/O.
@@ -32,7 +32,9 @@
 pub mod pipeline;
 pub mod proxy;
 mod request_handler;
+mod request_memory;
 pub mod routing_state;
+mod send_progress;
 pub mod startup;
 pub mod worker_pool;
 pub mod worker_reply;
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -5,6 +5,7 @@
 
 use lynxstair::types::{Span, Time};
 use lynxstair_net::http::{self, Extent, HttpError, MAX_HEAD_BYTES, RequestMethod};
+use lynxstair_net::memory_budget::Reservation;
 
 use crate::admitted_request::AdmittedRequest;
 use crate::cancellation::CancelToken;
@@ -20,8 +21,9 @@
 const DEADLINE_MARGIN: Span = Span::from_millis(4);
 /// Maximum length of an attempt id.
 const MAX_ATTEMPT_ID_BYTES: usize = 128;
-/// Limit of unsent bytes on a client connection above which no more of a long response is read from the worker.
-const MAX_UNSENT_BYTES: usize = 256 << 10;
+/// Limit of unsent bytes on a client connection above which no more of a long response is read from the worker, and
+/// no further request is started.
+pub const MAX_UNSENT_BYTES: usize = 256 << 10;
 /// Limit of unsent bytes on a client connection above which the relay of a received response is paused. The
 /// buffer then has room for the next piece and its head.
 const MAX_UNSENT_RECEIVED_BYTES: usize = 1 << 20;
@@ -41,42 +43,61 @@
     pub extent: Extent,
     /// Time at which it was read.
     pub read_at: Time,
+    /// Memory of `bytes`.
+    pub _reservation: Reservation,
+}
+
+/// A request after its last attempt.
+struct ForwardedRequest {
+    method: RequestMethod,
+    attempt_id: String,
+    /// The reply to relay, or the proxy's own response.
+    result: Result<(AdmittedRequest, WorkerReply), LocalResponse>,
 }
 
 /// Handles one request; runs in its own coroutine.
 pub fn handle(
     proxy: &Arc<Proxy>,
     client: &ClientConnection,
-    request: &ReadRequest,
+    request: ReadRequest,
     cancel: &Arc<CancelToken>,
 ) {
-    let head = http::parse_request_head(&request.bytes[..request.extent.head]);
-    let Ok(Some((head, _))) = head else { return client.connection.close() };
-    let body = &request.bytes[request.extent.body.clone()];
-    let attempt_id = head.headers.get("attempt-id").unwrap_or("");
-    let result = forward(proxy, &head, body, attempt_id, request.read_at, cancel);
-    if cancel.is_cancelled() || !client.wait_for_turn(request.number) {
+    let number = request.number;
+    let Some(forwarded) = forward_read(proxy, &request, cancel) else { return client.connection.close() };
+    // The response may wait for long until it is its turn and the client has read it.
+    drop(request);
+    let ForwardedRequest { method, attempt_id, result } = forwarded;
+    if cancel.is_cancelled() || !client.wait_for_turn(number) {
         if let Ok((_, reply)) = result {
             proxy.workers.release(reply);
         }
         return;
     }
-    let keep_alive = !client.requests().pipeline.closes_after(request.number, proxy.is_closing());
+    let keep_alive = !client.requests().pipeline.closes_after(number, proxy.is_closing());
     let idle_timeout = keep_alive.then(|| Limits::in_force(&proxy.routing()).idle_timeout);
     let connection = client.connection_headers(idle_timeout);
     let is_complete = match result {
         Err(response) => {
-            let method = RequestMethod::from(head.method);
-            let write = |out: &mut _| response.write(out, method, Some(attempt_id), &connection, keep_alive);
+            let write = |out: &mut _| response.write(out, method, Some(&attempt_id), &connection, keep_alive);
             client.connection.write(write).is_ok()
         }
         Ok((admitted, reply)) => relay(proxy, client, admitted.deadline, reply, cancel, &connection),
     };
     if is_complete {
-        client.requests().pipeline.on_answered(request.number);
+        client.requests().pipeline.on_answered(number);
     }
 }
 
+/// Forwards a request that was read. Returns `None` if its head is malformed.
+fn forward_read(proxy: &Proxy, request: &ReadRequest, cancel: &Arc<CancelToken>) -> Option<ForwardedRequest> {
+    let (head, _) = http::parse_request_head(&request.bytes[..request.extent.head]).ok()??;
+    let body = &request.bytes[request.extent.body.clone()];
+    let attempt_id = head.headers.get("attempt-id").unwrap_or("");
+    let result = forward(proxy, &head, body, attempt_id, request.read_at, cancel);
+    let method = RequestMethod::from(head.method);
+    Some(ForwardedRequest { method, attempt_id: attempt_id.to_string(), result })
+}
+
 /// Forwards a request to a worker and retries at others if allowed. Returns the reply to relay, or the
 /// proxy's own response.
 fn forward(
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -10,7 +10,7 @@
 use lynxstair_net::alarms::Alarms;
 use lynxstair_net::clock::Clock;
 use lynxstair_net::coroutine::{configure_runtime, spawn};
-use lynxstair_net::ring_buffer::limit_buffer_memory;
+use lynxstair_net::memory_budget::limit_connection_memory;
 use lynxstair_net::server::{self, Request, Response, ServerLimits};
 use lynxstair_protocol::messages::ProxyInfo;
 use lynxstair_service::{Signals, StartError, fnv1a};
@@ -26,8 +26,8 @@
 const MIN_DESCRIPTORS: usize = 32;
 /// Fraction of these descriptors that clients may use.
 const CLIENT_DESCRIPTOR_FRACTION: f64 = 0.6;
-/// The buffers of all connections may take the memory limit divided by this.
-const BUFFER_MEMORY_DIVISOR: usize = 2;
+/// Connections and requests may take the memory limit divided by this.
+const CONNECTION_MEMORY_DIVISOR: usize = 2;
 /// Interval of periodic maintenance.
 const MAINTENANCE_INTERVAL: Span = Span::from_millis(200);
 /// Interval at which requests to workers that may be warming up are logged.
@@ -65,7 +65,7 @@
 }
 
 fn new_proxy(settings: Settings, front: SocketAddr, alarms: Arc<Alarms>) -> Proxy {
-    limit_buffer_memory((settings.limits.memory_mb << 20) as usize / BUFFER_MEMORY_DIVISOR);
+    limit_connection_memory((settings.limits.memory_mb << 20) as usize / CONNECTION_MEMORY_DIVISOR);
     let descriptors = settings.limits.max_fds.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_DESCRIPTORS);
     let max_clients = (descriptors as f64 * CLIENT_DESCRIPTOR_FRACTION) as usize;
     let start = alarms.now().nanos() ^ u64::from(std::process::id()) << 40;
@@ -81,8 +81,8 @@
 
 /// Starts all coroutines of the proxy.
 fn spawn_coroutines(proxy: &Arc<Proxy>, front: SocketAddr) -> Result<(), StartError> {
-    let front = server::listen(front)?;
-    let readiness = proxy.settings.readiness.map(server::listen).transpose()?;
+    let front = server::listen_to_callers(front)?;
+    let readiness = proxy.settings.readiness.map(server::listen_to_callers).transpose()?;
     info!(node = proxy.settings.node; "proxy started");
     let shared = proxy.clone();
     spawn("alarms", move || shared.alarms.run());
--- a/crates/proxy/src/worker_pool.rs
+++ b/crates/proxy/src/worker_pool.rs
@@ -14,7 +14,7 @@
 use crate::worker_reply::WorkerReply;
 
 /// Buffer size of a worker connection: the longest body that a client may send, and its head.
-const MAX_BUFFER_BYTES: usize = (2 << 20) + 2 * MAX_HEAD_BYTES;
+pub(crate) const MAX_BUFFER_BYTES: usize = (2 << 20) + 2 * MAX_HEAD_BYTES;
 /// Time-out of a connect to a worker. One that takes longer leads to no worker that is there.
 const CONNECT_TIMEOUT: Span = Span::from_millis(400);
 /// Longest time that an idle connection may be reused.
--- a/crates/proxy/src/worker_reply.rs
+++ b/crates/proxy/src/worker_reply.rs
@@ -20,6 +20,9 @@
 const MAX_BUFFERED_BODY_BYTES: usize = 64 << 10;
 /// Longest body without a declared length that is buffered until the reply is complete.
 const MAX_BUFFERED_UNSIZED_BYTES: usize = (1 << 20) + MAX_HEAD_BYTES;
+/// Bytes of a reply that are received at first: all of one that is buffered until it is complete, unless its body has
+/// no declared length.
+pub(crate) const MAX_FIRST_READ_BYTES: usize = MAX_BUFFERED_BODY_BYTES + 2 * MAX_HEAD_BYTES;
 /// Headers that a worker must not restrict to its connection with the proxy.
 const END_TO_END_HEADERS: [&str; 2] = ["attempt-id", "server-seal"];
 /// Most bytes of a body that are written to the client's buffer at once.
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -15,6 +15,9 @@
 
 /// Number of controllers of a system.
 const CONTROLLERS: usize = 3;
+/// Limits of each process.
+pub const MEMORY_MB: u64 = 64;
+pub const MAX_FDS: usize = 900;
 
 /// Makes one HTTP call on a new connection. `head`: request line and headers.
 pub fn call(to: SocketAddr, head: &str, body: &str) -> Option<HttpMessage> {
@@ -85,8 +88,8 @@
         let seeds: String = self.controllers.iter().map(|seed| format!("  - \"{seed}\"\n")).collect();
         let settings = format!(
             "node-name: \"{name}\"\nip: \"{ip}\"\nzone: \"z1\"\nregion: \"r1\"\nzones:\n  z1: \"r1\"\nbind:\n{bind}\
-             port-range:\n  - 7460\n  - 7475\nseeds:\n{seeds}bootstrap: {bootstrap}\nlimits:\n  memory-mb: 64\n  \
-             max-fds: 900\ndata-dir: \"{}\"\nbeat-period-s: 0.3\nbounds: \"revoke-final=true,grace-s={}\"\n",
+             port-range:\n  - 7460\n  - 7475\nseeds:\n{seeds}bootstrap: {bootstrap}\nlimits:\n  memory-mb: {MEMORY_MB}\n  \
+             max-fds: {MAX_FDS}\ndata-dir: \"{}\"\nbeat-period-s: 0.3\nbounds: \"revoke-final=true,grace-s={}\"\n",
             self.folder.path().join(name).display(),
             self.grace_s
         );
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -23,7 +23,7 @@
 /// Opens a connection. Returns `None` if it fails or takes longer than `timeout`, which should be slightly
 /// longer than the longest round trip: a lost SYN packet is retransmitted only after a second or more.
 pub fn connect(alarms: &Alarms, to: SocketAddr, timeout: Span) -> Option<Arc<Connection>> {
-    let connection = Arc::new(Connection::open(to, MAX_BUFFER_LEN).ok()?);
+    let connection = Arc::new(Connection::open_internal(to, MAX_BUFFER_LEN).ok()?);
     let deadline = alarms.now() + timeout;
     alarms.wake_connection(deadline, &connection);
     if connection.wait_connected_until(|| alarms.now() >= deadline).is_err() {
@@ -92,7 +92,8 @@
     }
 }
 
-/// Reads messages until the connection ends, a frame is invalid or `handle` returns `false`.
+/// Reads messages until the connection ends, a frame is invalid or longer than the receive buffer, or `handle`
+/// returns `false`.
 pub fn read<T: DeserializeOwned>(connection: &Connection, mut handle: impl FnMut(T) -> bool) {
     read_with_wakeups(connection, |message: Option<T>| message.is_none_or(&mut handle));
 }
@@ -110,6 +111,7 @@
         loop {
             let mut inbound = connection.inbound();
             match frames::decode::<T>(inbound.bytes()) {
+                Ok(None) if inbound.is_full() => return,
                 Ok(None) => break,
                 Ok(Some((message, length))) => {
                     inbound.consume(length);
