--- a/crates/controller/src/command_parser.rs
+++ b/crates/controller/src/command_parser.rs
@@ -1,4 +1,5 @@
-//! Parses operator commands without holding the state lock; large ones on the blocking pool.
+//! Parses operator commands without holding the state lock; large ones on the blocking pool. Limits how much of them
+//! is handled at the same time.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -8,31 +9,47 @@
 
 use crate::blocking_pool::{BlockingPool, MAX_INLINE_BYTES};
 
-/// Maximum total size of the large commands that wait or are being parsed. Bounds memory, as parsed JSON
-/// takes about twenty times the size of its text. A single command may be larger.
-const MAX_PARSING_BYTES: usize = 2 << 20;
-
-/// Parser of operator commands, with a limit on concurrent work.
-#[derive(Default)]
+/// Parser of operator commands, with a limit on the commands that are handled at the same time.
 pub struct CommandParser {
-    /// Bytes of large commands that wait or are being parsed.
-    parsing_bytes: AtomicUsize,
+    /// Limit of `handled_bytes`. A single command may be larger.
+    max_bytes: usize,
+    /// Bytes of the commands that are handled: their texts, and what they were parsed into, are held until their
+    /// callers are answered.
+    handled_bytes: AtomicUsize,
+}
+
+/// A command counts as handled until this is dropped.
+pub struct CommandPermit<'a> {
+    parser: &'a CommandParser,
+    bytes: usize,
+}
+
+impl Drop for CommandPermit<'_> {
+    fn drop(&mut self) {
+        self.parser.handled_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
 }
 
 impl CommandParser {
-    /// Parses a command. Returns `None` if too many bytes are being parsed, or if the parser panics. Must
-    /// be called from a coroutine.
+    /// Creates a parser. `max_bytes`: limit on the bytes of the commands that are handled at the same time.
+    pub fn new(max_bytes: usize) -> CommandParser {
+        CommandParser { max_bytes, handled_bytes: AtomicUsize::new(0) }
+    }
+
+    /// Permits a command with a body of this length; `None` if too many bytes are being handled.
+    pub fn permit(&self, bytes: usize) -> Option<CommandPermit<'_>> {
+        let before = self.handled_bytes.fetch_add(bytes, Ordering::Relaxed);
+        let permit = CommandPermit { parser: self, bytes };
+        (before == 0 || before + bytes <= self.max_bytes).then_some(permit)
+    }
+
+    /// Parses a permitted command. Returns `None` if the parser panics. Must be called from a coroutine.
     pub fn parse(&self, pool: &BlockingPool, mut command: Command) -> Option<Command> {
-        let bytes = command.body_len();
-        if bytes <= MAX_INLINE_BYTES {
+        if command.body_len() <= MAX_INLINE_BYTES {
             command.parse();
             return Some(command);
         }
-        let before = self.parsing_bytes.fetch_add(bytes, Ordering::Relaxed);
-        let is_too_much = before > 0 && before + bytes > MAX_PARSING_BYTES;
-        let parsed = if is_too_much { None } else { parse_on(pool, command) };
-        self.parsing_bytes.fetch_sub(bytes, Ordering::Relaxed);
-        parsed
+        parse_on(pool, command)
     }
 }
 
--- /dev/null
+++ b/crates/controller/src/connection_limits.rs
@@ -0,0 +1,59 @@
+//! Limits on the connections of a controller and on what callers may make it hold, from the limits of its process.
+
+use lynxstair_config::settings::Limits;
+use lynxstair_net::server::ServerLimits;
+
+/// File descriptors reserved for files, the database and outgoing connections.
+const RESERVED_DESCRIPTORS: usize = 300;
+/// Least number of descriptors for accepted connections.
+const MIN_DESCRIPTORS: usize = 32;
+/// Fractions of the other descriptors that each listener may use. The rest is for the internal one.
+const CONTROL_FRACTION: f64 = 0.4;
+const DIRECTORY_FRACTION: f64 = 0.3;
+/// Longest body of a worker's or an operator's request, in bytes.
+const MAX_CONTROL_BODY_BYTES: usize = 8 << 20;
+/// Longest body of a look-up, in bytes.
+const MAX_DIRECTORY_BODY_BYTES: usize = 1024;
+/// The connections of callers may take the memory limit divided by this. Most of the rest is for the state of the
+/// controller and for its internal connections.
+const CONNECTION_MEMORY_DIVISOR: usize = 4;
+/// The texts of commands that are handled at the same time may take the memory limit divided by this: a parsed one
+/// takes about twenty times as much as its text.
+const COMMAND_MEMORY_DIVISOR: usize = 64;
+
+/// Limits on the connections of a controller.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Limits of the control address, for workers and operators.
+    pub control: ServerLimits,
+    /// Limits of the directory address, for look-ups of clients.
+    pub directory: ServerLimits,
+    /// Maximum number of incoming connections of controllers and proxies.
+    pub max_internal: usize,
+    /// Memory that the connections of callers may take together, in bytes.
+    pub memory_bytes: usize,
+}
+
+impl ConnectionLimits {
+    /// Splits the limits of the process.
+    pub fn new(limits: &Limits) -> ConnectionLimits {
+        let descriptors = limits.max_fds.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_DESCRIPTORS);
+        let part = |fraction: f64| (descriptors as f64 * fraction) as usize;
+        let (control, directory) = (part(CONTROL_FRACTION), part(DIRECTORY_FRACTION));
+        ConnectionLimits {
+            control: ServerLimits { max_body_bytes: MAX_CONTROL_BODY_BYTES, max_connections: control },
+            directory: ServerLimits { max_body_bytes: MAX_DIRECTORY_BODY_BYTES, max_connections: directory },
+            max_internal: descriptors - control - directory,
+            memory_bytes: memory_bytes(limits) / CONNECTION_MEMORY_DIVISOR,
+        }
+    }
+}
+
+/// Returns how many bytes of commands may be handled at the same time.
+pub fn max_command_bytes(limits: &Limits) -> usize {
+    memory_bytes(limits) / COMMAND_MEMORY_DIVISOR
+}
+
+fn memory_bytes(limits: &Limits) -> usize {
+    (limits.memory_mb << 20) as usize
+}
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -10,6 +10,7 @@
 
 use crate::blocking_pool::BlockingPool;
 use crate::command_parser::CommandParser;
+use crate::connection_limits::max_command_bytes;
 use crate::disk_writer::DiskQueue;
 use crate::state::ControllerState;
 
@@ -45,11 +46,11 @@
     ) -> Controller {
         Controller {
             me: state.me,
+            command_parser: CommandParser::new(max_command_bytes(&settings.limits)),
             settings,
             alarms,
             disk: Arc::default(),
             blocking_pool,
-            command_parser: CommandParser::default(),
             reload: Mutex::new(SettingsReload::from_environment()),
             state: Mutex::new(state),
         }
--- a/crates/controller/src/inbound.rs
+++ b/crates/controller/src/inbound.rs
@@ -1,14 +1,17 @@
 //! Incoming connections of other controllers and of subscribing proxies.
 
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
-use lynxstair::types::Time;
+use lynxstair::types::{Span, Time};
 use lynxstair_consensus::NodeAddress;
 use lynxstair_net::connection::Connection;
 use lynxstair_net::coroutine::spawn_then;
+use lynxstair_net::server;
 use lynxstair_protocol::messages::{ProxyInfo, ToController, ToProxy};
 use lynxstair_transport as transport;
+use may::io::CoIo;
 
 use crate::consensus_driver::perform_actions;
 use crate::controller::Controller;
@@ -18,6 +21,11 @@
 use crate::state::ControllerState;
 use crate::subscribers::SubscriberId;
 
+/// Longest frame, in bytes, from an end that has not identified itself as a controller or a proxy.
+const MAX_UNIDENTIFIED_BYTES: usize = 64 << 10;
+/// Time in which the other end must identify itself, as it does right after it has connected.
+const IDENTIFICATION_TIMEOUT: Span = Span::from_millis(5_000);
+
 /// Identity of the other end of a connection, from the messages received on it.
 #[derive(Default)]
 struct RemoteIdentity {
@@ -27,18 +35,54 @@
     subscriber: Option<SubscriberId>,
 }
 
-/// Serves an accepted connection in a coroutine of its own.
-pub fn accept(controller: &Arc<Controller>, stream: TcpStream) {
-    let Ok(connection) = Connection::new(stream, transport::MAX_BUFFER_LEN) else { return };
+impl RemoteIdentity {
+    fn is_known(&self) -> bool {
+        self.controller.is_some() || self.subscriber.is_some()
+    }
+}
+
+/// Accepts connections, at most `max_open` at the same time; further ones are closed at once. Never returns.
+pub fn accept_all(controller: &Arc<Controller>, listener: &CoIo<TcpListener>, max_open: usize) {
+    let open = Arc::new(AtomicUsize::new(0));
+    server::accept(listener, |stream| {
+        if open.load(Ordering::Relaxed) < max_open {
+            accept(controller, stream, &open);
+        }
+    });
+}
+
+/// Serves an accepted connection in a coroutine of its own. `open`: number of open connections.
+fn accept(controller: &Arc<Controller>, stream: TcpStream, open: &Arc<AtomicUsize>) {
+    let Ok(connection) = Connection::new_internal(stream, transport::MAX_BUFFER_LEN) else { return };
     let connection = Arc::new(connection);
     transport::limit_unacknowledged(&connection);
-    let (controller, served) = (controller.clone(), connection.clone());
-    spawn_then("inbound connection", move || serve(&controller, &served), move |_| connection.close());
+    connection.inbound().set_max_len(MAX_UNIDENTIFIED_BYTES);
+    open.fetch_add(1, Ordering::Relaxed);
+    let (controller, served, open) = (controller.clone(), connection.clone(), open.clone());
+    spawn_then(
+        "inbound connection",
+        move || serve(&controller, &served),
+        move |_| {
+            connection.close();
+            open.fetch_sub(1, Ordering::Relaxed);
+        },
+    );
 }
 
 fn serve(controller: &Arc<Controller>, connection: &Arc<Connection>) {
     let mut remote = RemoteIdentity::default();
-    transport::read(connection, |message| handle_message(controller, connection, &mut remote, message));
+    let identify_by = controller.alarms.now() + IDENTIFICATION_TIMEOUT;
+    controller.alarms.wake_connection(identify_by, connection);
+    transport::read_with_wakeups(connection, |message| {
+        let Some(message) = message else {
+            return remote.is_known() || controller.alarms.now() < identify_by;
+        };
+        let is_valid = handle_message(controller, connection, &mut remote, message);
+        if remote.is_known() {
+            connection.inbound().set_max_len(transport::MAX_BUFFER_LEN);
+        }
+        is_valid
+    });
     if let Some(subscriber) = remote.subscriber {
         controller.state().on_subscriber_disconnected(subscriber);
     }
--- a/crates/controller/src/operator_api.rs
+++ b/crates/controller/src/operator_api.rs
@@ -59,6 +59,7 @@
 ) -> Response {
     let deadline = controller.request_deadline();
     let waiter = QuorumWaiter::for_current();
+    let Some(_permit) = controller.command_parser.permit(request.body.len()) else { return unavailable() };
     let mut command = Command::new(operation);
     // An applied command is not parsed again. Others are parsed without holding the state lock.
     let is_applied = controller.state().committed.store.has_applied(&command);
--- a/crates/controller/src/startup.rs
+++ b/crates/controller/src/startup.rs
@@ -17,12 +17,14 @@
 use lynxstair_net::alarms::Alarms;
 use lynxstair_net::clock::Clock;
 use lynxstair_net::coroutine::{configure_runtime, spawn};
-use lynxstair_net::server::{self, Request, ServerLimits};
+use lynxstair_net::memory_budget::limit_connection_memory;
+use lynxstair_net::server::{self, Request};
 use lynxstair_protocol::messages::Instance;
 use lynxstair_service::{FNV_OFFSET, Signals, StartError, fnv1a};
 
 use crate::blocking_pool::BlockingPool;
 use crate::committed_config::CommittedConfig;
+use crate::connection_limits::ConnectionLimits;
 use crate::consensus_driver::{on_persisted, perform_actions};
 use crate::consensus_status::LoggedStatus;
 use crate::controller::Controller;
@@ -37,10 +39,6 @@
 use crate::timer::Timer;
 use crate::{directory_api, disk_writer, http_api, inbound, peer_links, settings_watch, timers};
 
-/// Limits of the control address, for workers and operators.
-const CONTROL_LIMITS: ServerLimits = ServerLimits { max_body_bytes: 8 << 20, max_connections: 2000 };
-/// Limits of the directory address, for look-ups of clients.
-const DIRECTORY_LIMITS: ServerLimits = ServerLimits { max_body_bytes: 1024, max_connections: 1500 };
 /// Delay before opening the database is retried.
 const STORAGE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum number of retries while another process, which may be about to exit, has the database open.
@@ -153,9 +151,11 @@
 /// Binds the listeners and spawns all coroutines.
 fn spawn_coroutines(controller: &Arc<Controller>) -> Result<(), StartError> {
     let settings = &controller.settings;
+    let limits = ConnectionLimits::new(&settings.limits);
+    limit_connection_memory(limits.memory_bytes);
     let internal = server::listen(settings.internal_address())?;
-    let control = server::listen(controller.me)?;
-    let directory = settings.directory.map(server::listen).transpose()?;
+    let control = server::listen_to_callers(controller.me)?;
+    let directory = settings.directory.map(server::listen_to_callers).transpose()?;
     let shared = controller.clone();
     spawn("alarms", move || shared.alarms.run());
     let shared = controller.clone();
@@ -164,16 +164,14 @@
     spawn("settings", move || settings_watch::run(&shared));
     connect_to_peers(controller);
     let shared = controller.clone();
-    spawn("internal connections", move || {
-        server::accept(&internal, |stream| inbound::accept(&shared, stream))
-    });
+    spawn("internal connections", move || inbound::accept_all(&shared, &internal, limits.max_internal));
     let (shared, alarms) = (controller.clone(), controller.alarms.clone());
     let handler = Arc::new(move |call: &Request| http_api::handle(&shared, call));
-    spawn("control", move || server::serve(&control, &alarms, CONTROL_LIMITS, &handler));
+    spawn("control", move || server::serve(&control, &alarms, limits.control, &handler));
     if let Some(directory) = directory {
         let (shared, alarms) = (controller.clone(), controller.alarms.clone());
         let handler = Arc::new(move |call: &Request| directory_api::handle(&shared, call));
-        spawn("directory", move || server::serve(&directory, &alarms, DIRECTORY_LIMITS, &handler));
+        spawn("directory", move || server::serve(&directory, &alarms, limits.directory, &handler));
     }
     Ok(())
 }
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -17,6 +17,10 @@
 use nix::unistd::Pid;
 use tempfile::TempDir;
 
+/// Limits of each controller.
+pub const MEMORY_MB: u64 = 64;
+pub const MAX_FDS: usize = 900;
+
 /// Sends a request on a new connection, without reading the response.
 pub fn send(to: SocketAddr, head: &str, body: &str) -> Option<TcpStream> {
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
@@ -89,7 +93,7 @@
         let text = format!(
             "node-name: \"controller{n}\"\nip: \"{}\"\nzone: \"z1\"\nregion: \"r1\"\nzones:\n  z1: \"r1\"\nbind:\n  \
              control: \"{own}\"\n  directory: \"{}\"\nport-range:\n  - 7460\n  - 7475\nseeds:\n{seeds}\
-             bootstrap: {bootstrap}\nlimits:\n  memory-mb: 64\n  max-fds: 900\nfault-budget:\n  machines: 1\n\
+             bootstrap: {bootstrap}\nlimits:\n  memory-mb: {MEMORY_MB}\n  max-fds: {MAX_FDS}\nfault-budget:\n  machines: 1\n\
              data-dir: \"{}\"\nbeat-period-s: 0.3\n",
             own.ip(),
             self.directory(n),
