--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -10,8 +10,8 @@
 
 use crate::blocking_pool::BlockingPool;
 use crate::command_parser::CommandParser;
-use crate::connection_limits::max_command_bytes;
 use crate::disk_writer::DiskQueue;
+use crate::process_limits::ProcessLimits;
 use crate::state::ControllerState;
 
 /// Time-out of an HTTP request that waits for other controllers. After that the caller moves on anyway.
@@ -21,6 +21,8 @@
 pub struct Controller {
     /// Settings as read at the start.
     pub settings: Settings,
+    /// Limits on what callers may make this controller hold.
+    pub limits: ProcessLimits,
     /// Control address, which identifies this controller to others.
     pub me: NodeAddress,
     /// Clock and timers.
@@ -44,9 +46,11 @@
         blocking_pool: BlockingPool,
         state: ControllerState,
     ) -> Controller {
+        let limits = ProcessLimits::new(&settings.limits);
         Controller {
             me: state.me,
-            command_parser: CommandParser::new(max_command_bytes(&settings.limits)),
+            command_parser: CommandParser::new(limits.command_bytes),
+            limits,
             settings,
             alarms,
             disk: Arc::default(),
--- a/crates/controller/src/instance_api.rs
+++ b/crates/controller/src/instance_api.rs
@@ -18,6 +18,8 @@
 const MAX_CAPACITY: f64 = 1e6;
 /// Maximum of the reported remaining warm-up time, in seconds.
 const MAX_WARM_UP_S: f64 = 600.0;
+/// Longest id of an instance, and longest name of its service or zone, in bytes.
+const MAX_NAME_BYTES: usize = 256;
 
 /// Handles `PUT /instances/ID`, the heartbeat of a worker instance.
 pub fn heartbeat(controller: &Controller, id: &str, body: &[u8]) -> Response {
@@ -29,6 +31,9 @@
     // After a pause of this process, the heartbeat may have been waiting to be read.
     instance.heartbeat_age_ms = (now - controller.alarms.received_at(now)).nanos() / 1_000_000;
     let mut state = controller.state();
+    if !state.instances.has_room_for(id, controller.limits.max_instances) {
+        return not_acknowledged();
+    }
     state.update_quorum_role(now);
     let outcome = state.instances.detector.record_heartbeat(now, &instance);
     publish(controller, now, state, outcome)
@@ -57,17 +62,23 @@
         departures::on_reported(controller, now, &mut state, None, std::slice::from_ref(&instance));
         is_acknowledged = is_acknowledged && departures::wait_until_durable(controller, state, &instance.id);
     }
-    if is_acknowledged {
-        Response::json(200, "{}")
-    } else {
-        error(503, "not acknowledged; call another controller")
-    }
+    if is_acknowledged { Response::json(200, "{}") } else { not_acknowledged() }
+}
+
+fn not_acknowledged() -> Response {
+    error(503, "not acknowledged; call another controller")
 }
 
 fn read_instance(id: &str, body: &[u8]) -> Result<Instance, ValueError> {
     let value = json::parse(body)?;
     let fields = json::as_object(&value, "body")?;
-    let text = |key: &str| json::require(fields, key, "").and_then(|v| json::as_str(v, key));
+    let text = |key: &str| {
+        let text = json::require(fields, key, "").and_then(|v| json::as_str(v, key))?;
+        if text.len() > MAX_NAME_BYTES { json::invalid(key, "too long") } else { Ok(text) }
+    };
+    if id.len() > MAX_NAME_BYTES {
+        return json::invalid("id", "too long");
+    }
     let number = |key: &str| json::get(fields, key).map_or(Ok(0.0), |v| json::as_number(v, key));
     let Ok(address) = text("address")?.parse() else { return json::invalid("address", "not an address") };
     let state = match text("state")? {
--- a/crates/controller/src/instances.rs
+++ b/crates/controller/src/instances.rs
@@ -43,6 +43,12 @@
         self.detector.snapshot_of(now, InstanceState::has_departed)
     }
 
+    /// Returns `true` if an instance is known, or if there is room for another one.
+    pub fn has_room_for(&self, id: &str, max_instances: usize) -> bool {
+        let known = self.detector.registry().instances();
+        known.len() < max_instances || known.contains_key(id)
+    }
+
     /// Returns the number of ready instances.
     pub fn ready_count(&self) -> usize {
         let instances = self.detector.registry().instances().values();
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -14,14 +14,13 @@
 //! | shared state | `controller`, `state` | all parts, under one lock |
 //! | parts | `committed_config`, `pending_requests`, `instances`, `subscribers` | own state |
 //! | parts | `peer_connections`, `consensus_status`, `timer` | own state |
-//! | parts | `connection_limits` | no controller state |
+//! | parts | `process_limits` | no controller state |
 //! | I/O and threads | [`storage`], `disk_writer`, `blocking_pool`, `command_parser` | no controller state |
 #![deny(unsafe_code)]
 
 mod blocking_pool;
 mod command_parser;
 mod committed_config;
-mod connection_limits;
 mod consensus_driver;
 mod consensus_status;
 mod controller;
@@ -36,6 +35,7 @@
 mod peer_connections;
 mod peer_links;
 mod pending_requests;
+mod process_limits;
 mod replies;
 mod settings_watch;
 pub mod startup;
--- a/crates/controller/src/startup.rs
+++ b/crates/controller/src/startup.rs
@@ -24,7 +24,6 @@
 
 use crate::blocking_pool::BlockingPool;
 use crate::committed_config::CommittedConfig;
-use crate::connection_limits::ConnectionLimits;
 use crate::consensus_driver::{on_persisted, perform_actions};
 use crate::consensus_status::LoggedStatus;
 use crate::controller::Controller;
@@ -151,8 +150,8 @@
 /// Binds the listeners and spawns all coroutines.
 fn spawn_coroutines(controller: &Arc<Controller>) -> Result<(), StartError> {
     let settings = &controller.settings;
-    let limits = ConnectionLimits::new(&settings.limits);
-    limit_connection_memory(limits.memory_bytes);
+    let limits = controller.limits;
+    limit_connection_memory(limits.connection_bytes);
     let internal = server::listen(settings.internal_address())?;
     let control = server::listen_to_callers(controller.me)?;
     let directory = settings.directory.map(server::listen_to_callers).transpose()?;
--- a/crates/controller/tests/crowd.rs
+++ b/crates/controller/tests/crowd.rs
@@ -108,6 +108,26 @@
     check(control, &CrowdPlan { clients: 300, first: Vec::new(), repeated, repetitions: 4 });
 }
 
+/// Returns heartbeats of this many instances.
+fn heartbeats(instances: usize, service: &str) -> Vec<u8> {
+    let body = heartbeat(1).replace(r#""s""#, &format!(r#""{service}""#));
+    (0..instances).flat_map(|n| calls(&format!("PUT /instances/i-crowd-{n}"), &body)).collect()
+}
+
+/// Guards against instances that nobody has started.
+#[test]
+fn heartbeats_of_many_instances() {
+    let first = heartbeats(60_000, &"s".repeat(200));
+    check(control, &CrowdPlan { clients: 4, first, repeated: Vec::new(), repetitions: 0 });
+}
+
+/// Guards against long names of instances, which would be kept for minutes.
+#[test]
+fn heartbeats_with_long_names() {
+    let first = heartbeats(4_000, &"s".repeat(16 << 10));
+    check(control, &CrowdPlan { clients: 4, first, repeated: Vec::new(), repetitions: 0 });
+}
+
 /// Guards against connections that take all descriptors, or memory each.
 #[test]
 fn more_connections_than_descriptors() {
