--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -240,8 +240,16 @@
         match self.serve(handler) {
             ConnectionEnd::Close => connection.close(),
             ConnectionEnd::Reject(error) => {
+                let headers = if error == BUSY { BUSY_RETRY_AFTER } else { "" };
                 let write = |out: &mut _| {
-                    http::write_response(out, RequestMethod::Other, error.status, "", error.reason, false)
+                    http::write_response(
+                        out,
+                        RequestMethod::Other,
+                        error.status,
+                        headers,
+                        error.reason,
+                        false,
+                    )
                 };
                 let _ = connection.write(write);
                 connection.shut_down_write();
@@ -355,6 +363,7 @@
 
 /// Response to a request for which the memory budget has no room.
 const BUSY: HttpError = HttpError::new(503, "out of memory now; retry");
+const BUSY_RETRY_AFTER: &str = "Retry-After: 0.2\r\n";
 
 fn respond<H>(connection: &Connection, message: &Message, handler: &H) -> Response
 where
