--- a/crates/controller/src/process_limits.rs
+++ b/crates/controller/src/process_limits.rs
@@ -8,8 +8,8 @@
 /// Least number of descriptors for accepted connections.
 const MIN_DESCRIPTORS: usize = 32;
 /// Fractions of the other descriptors that each listener may use. The rest is for the internal one.
-const CONTROL_FRACTION: f64 = 0.4;
-const DIRECTORY_FRACTION: f64 = 0.3;
+const CONTROL_FRACTION: f64 = 0.35;
+const DIRECTORY_FRACTION: f64 = 0.2;
 /// Longest body of a worker's or an operator's request, in bytes.
 const MAX_CONTROL_BODY_BYTES: usize = 8 << 20;
 /// Longest body of a look-up, in bytes.
